--- /dev/null
+++ b/internal/version/configuration/configuration.go
@@ -0,0 +1,222 @@
+// Package configuration holds one version of what operators decided.
+//
+// A version is built once, checked as a whole and never changed; a process that
+// learns of a newer version replaces the value. Decisions receive the value and
+// may keep it, so that one request is judged by one version from start to end.
+package configuration
+
+import (
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Team is a customer of the system with its share.
+type Team struct {
+	name        string
+	share       float64
+	homeRegion  int
+	tokenHashes []TokenHash
+}
+
+// NewTeam returns a team; share is its part of the capacity, from 0 to 1.
+func NewTeam(name string, share float64, homeRegion int) (Team, error) {
+	if name == "" {
+		return Team{}, errors.New("team needs a name")
+	}
+	if share < 0 || share > 1 {
+		return Team{}, errors.Errorf("team %s: share is %g, allowed are 0 to 1", name, share)
+	}
+	if homeRegion < 0 {
+		return Team{}, errors.Errorf("team %s: home region is %d", name, homeRegion)
+	}
+	return Team{
+		name:       name,
+		share:      share,
+		homeRegion: homeRegion,
+	}, nil
+}
+
+// WithTokens sets the hashes of the tokens that give access to the team.
+func (t Team) WithTokens(hashes []TokenHash) Team {
+	t.tokenHashes = append([]TokenHash(nil), hashes...)
+	return t
+}
+
+// Name is the team's name.
+func (t Team) Name() string {
+	return t.name
+}
+
+// Share is the team's part of the capacity.
+func (t Team) Share() float64 {
+	return t.share
+}
+
+// HomeRegion is the region whose owners keep the team's submissions.
+func (t Team) HomeRegion() int {
+	return t.homeRegion
+}
+
+// TokenHashes are the hashes of the tokens that give access to the team.
+func (t Team) TokenHashes() []TokenHash {
+	return t.tokenHashes
+}
+
+// TokenHash is the hash of an access token with the access that it gives. The
+// token itself is never stored.
+type TokenHash struct {
+	access string
+	sum    [32]byte
+}
+
+// NewTokenHash joins a hash and its access: caller, operator or reader.
+func NewTokenHash(access string, sum [32]byte) (TokenHash, error) {
+	switch access {
+	case "caller", "operator", "reader":
+	default:
+		return TokenHash{}, errors.Errorf("access is %q, allowed are caller, operator and reader", access)
+	}
+	return TokenHash{
+		access: access,
+		sum:    sum,
+	}, nil
+}
+
+// Access is what the token permits: caller, operator or reader.
+func (h TokenHash) Access() string {
+	return h.access
+}
+
+// Sum is the SHA-256 of the token.
+func (h TokenHash) Sum() [32]byte {
+	return h.sum
+}
+
+// Limits bound what one job may be and how long its answer is kept.
+type Limits struct {
+	maxTasks  int
+	retention time.Duration
+}
+
+// NewLimits checks the bounds.
+func NewLimits(maxTasks int, retention time.Duration) (Limits, error) {
+	if maxTasks < 1 || retention <= 0 {
+		return Limits{}, errors.Errorf("limits: %d tasks and retention %v must be positive", maxTasks, retention)
+	}
+	return Limits{
+		maxTasks:  maxTasks,
+		retention: retention,
+	}, nil
+}
+
+// MaxTasks is the largest number of tasks of one job.
+func (l Limits) MaxTasks() int {
+	return l.maxTasks
+}
+
+// Retention is how long a submission is remembered after its first sending.
+func (l Limits) Retention() time.Duration {
+	return l.retention
+}
+
+// Configuration is one version.
+type Configuration struct {
+	version uint64
+	limits  Limits
+	teams   map[string]Team
+	kinds   map[kindKey]Kind
+}
+
+type kindKey struct {
+	team string
+	name string
+}
+
+// New checks that each kind belongs to a listed team and appears once.
+func New(version uint64, limits Limits, teams []Team, kinds []Kind) (*Configuration, error) {
+	c := &Configuration{
+		version: version,
+		limits:  limits,
+		teams:   make(map[string]Team, len(teams)),
+		kinds:   make(map[kindKey]Kind, len(kinds)),
+	}
+	for _, t := range teams {
+		if _, ok := c.teams[t.name]; ok {
+			return nil, errors.Errorf("team %s is listed twice", t.name)
+		}
+		c.teams[t.name] = t
+	}
+	for _, k := range kinds {
+		key := kindKey{
+			team: k.team,
+			name: k.name,
+		}
+		if _, ok := c.teams[k.team]; !ok {
+			return nil, errors.Errorf("kind %s: team %s is not listed", k.name, k.team)
+		}
+		if _, ok := c.kinds[key]; ok {
+			return nil, errors.Errorf("kind %s of team %s is listed twice", k.name, k.team)
+		}
+		c.kinds[key] = k
+	}
+	return c, nil
+}
+
+// Version is the number of the version; it only rises.
+func (c *Configuration) Version() uint64 {
+	return c.version
+}
+
+// WithVersion returns the same content under another number, for a rollback.
+func (c *Configuration) WithVersion(version uint64) *Configuration {
+	n := *c
+	n.version = version
+	return &n
+}
+
+// Limits are the bounds of one job.
+func (c *Configuration) Limits() Limits {
+	return c.limits
+}
+
+// Team returns a team by name.
+func (c *Configuration) Team(name string) (Team, bool) {
+	t, ok := c.teams[name]
+	return t, ok
+}
+
+// Kind returns a request kind of a team.
+func (c *Configuration) Kind(team, name string) (Kind, bool) {
+	k, ok := c.kinds[kindKey{
+		team: team,
+		name: name,
+	}]
+	return k, ok
+}
+
+// Teams lists the teams by name.
+func (c *Configuration) Teams() []Team {
+	teams := make([]Team, 0, len(c.teams))
+	for _, t := range c.teams {
+		teams = append(teams, t)
+	}
+	sort.Slice(teams, func(i, j int) bool { return teams[i].name < teams[j].name })
+	return teams
+}
+
+// Kinds lists the kinds by team and name.
+func (c *Configuration) Kinds() []Kind {
+	kinds := make([]Kind, 0, len(c.kinds))
+	for _, k := range c.kinds {
+		kinds = append(kinds, k)
+	}
+	sort.Slice(kinds, func(i, j int) bool {
+		if kinds[i].team != kinds[j].team {
+			return kinds[i].team < kinds[j].team
+		}
+		return kinds[i].name < kinds[j].name
+	})
+	return kinds
+}
