Run a request from caller to target through separate processes

Cause: later work needs one path from end to end in the final shape. Change: links over gRPC streams with numbered frames, owner, agent and entry decisions behind duties with rings, the store client, the HTTP interface of callers, and stand-ins for store, worker pool and target. Membership is a plain registry in the store for now.

--- /dev/null
+++ b/internal/process/role/entry/entry.go
@@ -0,0 +1,312 @@
+// Package entry decides for the requests that callers have open at an entry.
+//
+// An entry knows which process owns each shard. It passes a request on to the
+// owner and holds it until the owner has answered; if the shard moves in the
+// meantime it sends the same submission to the new owner, which joins it to the
+// job in progress. An entry holds nothing that cannot be lost, and it never
+// claims that a submission did not run, since an earlier attempt may have.
+package entry
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/membership"
+	"greengagedoor.example/greengagedoor/internal/request/answer"
+	"greengagedoor.example/greengagedoor/internal/request/job"
+	"greengagedoor.example/greengagedoor/internal/request/message"
+	"greengagedoor.example/greengagedoor/internal/version/configuration"
+)
+
+// MaxRequests bounds the requests that one entry holds.
+const MaxRequests = 20_000
+
+// Submit is an event: a caller submits a job. Until is when the caller stops
+// waiting and takes whatever is known.
+type Submit struct {
+	request uint64
+	order   job.Order
+	until   time.Time
+}
+
+// NewSubmit returns the event.
+func NewSubmit(request uint64, order job.Order, until time.Time) Submit {
+	return Submit{
+		request: request,
+		order:   order,
+		until:   until,
+	}
+}
+
+// Query is an event: a caller asks for a submission's answer.
+type Query struct {
+	request    uint64
+	submission identity.Submission
+	until      time.Time
+}
+
+// NewQuery returns the event.
+func NewQuery(request uint64, s identity.Submission, until time.Time) Query {
+	return Query{
+		request:    request,
+		submission: s,
+		until:      until,
+	}
+}
+
+// Cancel is an event: a caller wants a submission to end.
+type Cancel struct {
+	request    uint64
+	submission identity.Submission
+	until      time.Time
+}
+
+// NewCancel returns the event.
+func NewCancel(request uint64, s identity.Submission, until time.Time) Cancel {
+	return Cancel{
+		request:    request,
+		submission: s,
+		until:      until,
+	}
+}
+
+// Abandon is an event: the caller of a request has gone.
+type Abandon struct {
+	request uint64
+}
+
+// NewAbandon returns the event.
+func NewAbandon(request uint64) Abandon {
+	return Abandon{
+		request: request,
+	}
+}
+
+// Respond is an effect: answer a caller's request.
+type Respond struct {
+	request uint64
+	answer  answer.Answer
+}
+
+// Request is the request's number.
+func (r Respond) Request() uint64 {
+	return r.request
+}
+
+// Answer is what the caller is told.
+func (r Respond) Answer() answer.Answer {
+	return r.answer
+}
+
+// pending is a request that waits for its owner.
+type pending struct {
+	submission identity.Submission
+	body       func(request uint64) any
+	until      time.Time
+	wait       bool
+	sentTo     identity.Process
+	last       answer.Answer
+	heard      bool
+}
+
+// Entry is the decision.
+type Entry struct {
+	regions  int
+	shards   int
+	cfg      *configuration.Configuration
+	routes   map[identity.Shard]membership.Route
+	requests map[uint64]*pending
+	effects  []any
+}
+
+// New returns an entry that knows no owner yet.
+func New(regions, shards int) (*Entry, error) {
+	if regions < 1 || shards < regions {
+		return nil, errors.Errorf("entry: %d shards for %d regions", shards, regions)
+	}
+	return &Entry{
+		regions:  regions,
+		shards:   shards,
+		routes:   map[identity.Shard]membership.Route{},
+		requests: map[uint64]*pending{},
+	}, nil
+}
+
+// Handle takes one event and returns the effects. The slice is valid until the
+// next call.
+func (e *Entry) Handle(now time.Time, event any) []any {
+	clear(e.effects)
+	e.effects = e.effects[:0]
+	switch v := event.(type) {
+	case Submit:
+		e.submit(v)
+	case Query:
+		e.query(now, v)
+	case Cancel:
+		e.open(v.request, &pending{
+			submission: v.submission,
+			until:      v.until,
+			body:       func(n uint64) any { return message.NewCancel(n, v.submission) },
+		})
+	case Abandon:
+		delete(e.requests, v.request)
+	case message.Received:
+		if m, ok := v.Body().(message.Reply); ok {
+			e.reply(v.From(), m)
+		}
+	case message.Undelivered:
+		e.undelivered(v)
+	case membership.Routes:
+		e.reroute(v)
+	case *configuration.Configuration:
+		if e.cfg == nil || v.Version() > e.cfg.Version() {
+			e.cfg = v
+		}
+	case message.Wake:
+		e.expire(now)
+	}
+	return e.effects
+}
+
+// Ready tells whether the entry knows a configuration and at least one owner.
+func (e *Entry) Ready() bool {
+	return e.cfg != nil && len(e.routes) > 0
+}
+
+// Requests is the number of requests held.
+func (e *Entry) Requests() int {
+	return len(e.requests)
+}
+
+func (e *Entry) submit(v Submit) {
+	e.open(v.request, &pending{
+		submission: v.order.Submission(),
+		until:      v.until,
+		wait:       true,
+		body:       func(n uint64) any { return message.NewSubmit(n, v.order) },
+	})
+}
+
+func (e *Entry) query(now time.Time, v Query) {
+	wait := v.until.After(now)
+	e.open(v.request, &pending{
+		submission: v.submission,
+		until:      v.until,
+		wait:       wait,
+		body:       func(n uint64) any { return message.NewQuery(n, v.submission, wait) },
+	})
+}
+
+func (e *Entry) respond(request uint64, a answer.Answer) {
+	delete(e.requests, request)
+	e.effects = append(e.effects, Respond{
+		request: request,
+		answer:  a,
+	})
+}
+
+func (e *Entry) open(request uint64, p *pending) {
+	if len(e.requests) >= MaxRequests {
+		e.respond(request, answer.NotPassed(answer.Overloaded, "the entry holds too many requests", time.Second))
+		return
+	}
+	if e.cfg == nil {
+		e.respond(request, answer.NotPassed(answer.Unavailable, "the entry has no configuration yet", time.Second))
+		return
+	}
+	if _, ok := e.cfg.Team(p.submission.Team()); !ok {
+		e.respond(request, answer.NotPassed(answer.UnknownTeam, p.submission.Team(), 0))
+		return
+	}
+	e.requests[request] = p
+	e.pass(request, p)
+}
+
+// pass sends a request to the owner of its shard; without one it waits for the
+// next route.
+func (e *Entry) pass(request uint64, p *pending) {
+	team, ok := e.cfg.Team(p.submission.Team())
+	if !ok {
+		return
+	}
+	route := e.routes[identity.ShardOf(p.submission, team.HomeRegion(), e.regions, e.shards)]
+	p.sentTo = route.Owner()
+	if p.sentTo.IsZero() {
+		return
+	}
+	e.effects = append(e.effects, message.NewSend(p.sentTo, p.body(request)))
+}
+
+func (e *Entry) reply(from identity.Process, m message.Reply) {
+	p, ok := e.requests[m.Request()]
+	if !ok || p.sentTo != from {
+		return
+	}
+	a := m.Answer()
+	if a.Reason() == answer.Unavailable {
+		// The owner has lost the shard; the next route tells whom to ask.
+		p.sentTo = identity.Process{}
+		return
+	}
+	p.last = a
+	p.heard = true
+	if a.Ended() || !p.wait {
+		e.respond(m.Request(), a)
+	}
+}
+
+func (e *Entry) undelivered(u message.Undelivered) {
+	var request uint64
+	switch m := u.Send().Body().(type) {
+	case message.Submit:
+		request = m.Request()
+	case message.Query:
+		request = m.Request()
+	case message.Cancel:
+		request = m.Request()
+	default:
+		return
+	}
+	if _, ok := e.requests[request]; ok {
+		e.respond(request, answer.NotPassed(answer.Overloaded, "the owner takes no more messages", time.Second))
+	}
+}
+
+// reroute passes the requests of moved shards to their new owners.
+func (e *Entry) reroute(v membership.Routes) {
+	for _, r := range v.Routes() {
+		if r.Epoch() >= e.routes[r.Shard()].Epoch() {
+			e.routes[r.Shard()] = r
+		}
+	}
+	for n, p := range e.requests {
+		team, ok := e.cfg.Team(p.submission.Team())
+		if !ok {
+			continue
+		}
+		owner := e.routes[identity.ShardOf(p.submission, team.HomeRegion(), e.regions, e.shards)].Owner()
+		if owner != p.sentTo {
+			e.pass(n, p)
+		}
+	}
+}
+
+// expire answers the callers that do not want to wait longer, and asks again for
+// those whose owner was not available.
+func (e *Entry) expire(now time.Time) {
+	for n, p := range e.requests {
+		if p.until.After(now) {
+			if p.sentTo.IsZero() {
+				e.pass(n, p)
+			}
+			continue
+		}
+		if p.heard {
+			e.respond(n, p.last)
+			continue
+		}
+		e.respond(n, answer.NotPassed(answer.Unavailable, "the owner of the submission did not answer in time", time.Second))
+	}
+}
--- /dev/null
+++ b/internal/process/role/host/agent.go
@@ -0,0 +1,269 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"google.golang.org/grpc"
+
+	"greengagedoor.example/greengagedoor/internal/connection/announcement"
+	"greengagedoor.example/greengagedoor/internal/process/duty"
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/ledger"
+	"greengagedoor.example/greengagedoor/internal/process/membership"
+	"greengagedoor.example/greengagedoor/internal/process/role/agent"
+	"greengagedoor.example/greengagedoor/internal/process/role/backend"
+	"greengagedoor.example/greengagedoor/internal/process/role/network"
+	"greengagedoor.example/greengagedoor/internal/process/role/owner"
+	"greengagedoor.example/greengagedoor/internal/request/message"
+	"greengagedoor.example/greengagedoor/internal/version/configuration"
+)
+
+const (
+	callers          = 64
+	ledgerLimit      = 200_000
+	ledgerRetention  = 10*time.Minute + 10*time.Second
+	announceMaxBytes = 64 << 10
+)
+
+// Agent is an assembled agent process.
+type Agent struct {
+	common   Common
+	table    *duty.Table
+	agent    *role
+	owner    *role
+	network  *network.Network
+	backend  *backend.Backend
+	cleanups []func()
+}
+
+// NewAgent assembles an agent process. Pool is the address of the worker pool
+// and worker the worker of this node, both empty if it has none.
+func NewAgent(c Common, pool string, worker agent.Worker, seed uint64) (*Agent, func(), error) {
+	a := &Agent{
+		common: c,
+	}
+	if err := a.build(pool, worker, seed); err != nil {
+		a.cleanup()
+		return nil, nil, err
+	}
+	return a, a.cleanup, nil
+}
+
+func (a *Agent) cleanup() {
+	for i := len(a.cleanups) - 1; i >= 0; i-- {
+		a.cleanups[i]()
+	}
+}
+
+func (a *Agent) build(pool string, worker agent.Worker, seed uint64) error {
+	began := a.common.now()
+	issue := func(now time.Time) uint64 {
+		return uint64(now.Sub(began).Milliseconds()) + 1
+	}
+	l, err := ledger.New(ledgerRetention, ledgerLimit)
+	if err != nil {
+		return err
+	}
+	admission, err := agent.New(l, issue)
+	if err != nil {
+		return err
+	}
+	if worker != (agent.Worker{}) {
+		admission.Handle(began, worker)
+	}
+	topology, err := owner.NewTopology(a.common.regions, a.common.shards)
+	if err != nil {
+		return err
+	}
+	dispatch, err := owner.New(a.common.process, topology, rand.New(rand.NewPCG(seed, a.common.process.Incarnation())))
+	if err != nil {
+		return err
+	}
+	a.agent, err = newRole("agent", a.common.now, message.Wake{}, func(now time.Time, e any) {
+		a.applyAgent(now, admission, e)
+	})
+	if err != nil {
+		return err
+	}
+	a.owner, err = newRole("owner", a.common.now, message.Wake{}, func(now time.Time, e any) {
+		a.applyOwner(now, dispatch, e)
+	})
+	if err != nil {
+		return err
+	}
+	return a.connect(pool, func() uint64 { return issue(a.common.now()) })
+}
+
+func (a *Agent) connect(pool string, credit func() uint64) error {
+	var err error
+	var cleanup func()
+	a.network, cleanup, err = network.New(a.common.process, a.common.linkAddress, network.Seams{
+		Now:         a.common.now,
+		Credit:      credit,
+		Deliver:     a.deliver,
+		Undelivered: a.undelivered,
+	}, a.common.log)
+	if err != nil {
+		return err
+	}
+	a.cleanups = append(a.cleanups, cleanup)
+	a.backend, cleanup, err = backend.New(pool, a.common.now, func(ctx context.Context, e agent.Ended) error {
+		return a.agent.ring.Push(ctx, e)
+	}, a.common.log)
+	if err != nil {
+		return err
+	}
+	a.cleanups = append(a.cleanups, cleanup)
+	return a.duties()
+}
+
+func (a *Agent) duties() error {
+	reg := &registry{
+		common:  a.common,
+		agent:   true,
+		network: a.network,
+		publish: a.publish,
+		owned:   map[identity.Shard]bool{},
+		routes:  map[identity.Shard]identity.Process{},
+	}
+	links, cleanup, err := serveLinks(a.common.linkAddress, func(g *grpc.Server) { a.network.Register(g) })
+	if err != nil {
+		return err
+	}
+	a.cleanups = append(a.cleanups, cleanup)
+	e := newEcho(func() bool { return true })
+	e.POST("/v1/announce", a.announce)
+	web, cleanup, err := serveHTTP(a.common.httpAddress, e)
+	if err != nil {
+		return err
+	}
+	a.cleanups = append(a.cleanups, cleanup)
+	net, err := duty.New("network", "Carries messages between processes.", gauge(a.network.Ring()), a.network.Run)
+	if err != nil {
+		return err
+	}
+	admission, err := a.agent.duty("Admits tasks to the back ends beside this process.")
+	if err != nil {
+		return err
+	}
+	dispatch, err := a.owner.duty("Owns the submissions of this process's shards.")
+	if err != nil {
+		return err
+	}
+	member, err := duty.New("member", "Keeps this process's membership.", nil, reg.run)
+	if err != nil {
+		return err
+	}
+	duties, err := a.backend.Duties("caller", callers)
+	if err != nil {
+		return err
+	}
+	a.table, err = duty.NewTable(append([]duty.Duty{net, links, admission, dispatch, member, web}, duties...)...)
+	return err
+}
+
+// Run runs all duties until ctx ends or one fails.
+func (a *Agent) Run(ctx context.Context) error {
+	failed, stop := a.table.Start(context.WithoutCancel(ctx))
+	defer stop()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// publish hands a fact about the process to its roles.
+func (a *Agent) publish(ctx context.Context, e any) {
+	switch e.(type) {
+	case membership.Lease, *configuration.Configuration:
+		_ = a.agent.ring.Push(ctx, e)
+		_ = a.owner.ring.Push(ctx, e)
+	case membership.Granted, membership.Released, membership.WorkingSet:
+		_ = a.owner.ring.Push(ctx, e)
+	}
+}
+
+// deliver routes a received message to the role that handles it.
+func (a *Agent) deliver(ctx context.Context, e any) {
+	if r, ok := e.(message.Received); ok {
+		switch r.Body().(type) {
+		case message.Start, message.Interest, message.Revoke, message.Seal:
+			_ = a.agent.ring.Push(ctx, e)
+			return
+		}
+		_ = a.owner.ring.Push(ctx, e)
+		return
+	}
+	_ = a.agent.ring.Push(ctx, e)
+	_ = a.owner.ring.Push(ctx, e)
+}
+
+func (a *Agent) undelivered(ctx context.Context, u message.Undelivered) {
+	switch u.Send().Body().(type) {
+	case message.Finished, message.Rejected, message.Offer, message.Revoked, message.Sealed:
+		_ = a.agent.ring.Push(ctx, u)
+	default:
+		_ = a.owner.ring.Push(ctx, u)
+	}
+}
+
+func (a *Agent) applyOwner(now time.Time, o *owner.Owner, event any) {
+	for _, s := range o.Handle(now, event) {
+		if a.network.Post(s) != nil {
+			// The owner is inside Handle's result; the event goes through its ring.
+			_ = a.owner.ring.TryPush(message.NewUndelivered(s))
+		}
+	}
+}
+
+func (a *Agent) applyAgent(now time.Time, d *agent.Agent, event any) {
+	for _, effect := range d.Handle(now, event) {
+		var err error
+		switch e := effect.(type) {
+		case message.Send:
+			if a.network.Post(e) != nil {
+				err = a.agent.ring.TryPush(message.NewUndelivered(e))
+			}
+		case agent.Call, agent.Place:
+			err = a.backend.Post(e)
+		case agent.Free:
+			err = a.network.Post(network.NewHint(e.Rooms()))
+		}
+		if err != nil {
+			a.common.log.WithError(err).Error("effect of the agent was not carried out")
+		}
+	}
+}
+
+type announceDocument struct {
+	Target      string   `json:"target"`
+	URL         string   `json:"url"`
+	Services    []string `json:"services"`
+	Slots       int      `json:"slots"`
+	Connections int      `json:"connections"`
+	Leaving     bool     `json:"leaving"`
+}
+
+func (a *Agent) announce(c echo.Context) error {
+	var d announceDocument
+	dec := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, announceMaxBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&d); err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
+	}
+	n, err := announcement.New(d.Target, d.URL, d.Services, d.Slots, d.Connections, d.Leaving)
+	if err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
+	}
+	if err := a.agent.ring.TryPush(n); err != nil {
+		return c.String(http.StatusServiceUnavailable, err.Error())
+	}
+	return c.NoContent(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/process/role/host/entry.go
@@ -0,0 +1,187 @@
+package host
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"google.golang.org/grpc"
+
+	"greengagedoor.example/greengagedoor/internal/process/duty"
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/membership"
+	"greengagedoor.example/greengagedoor/internal/process/ring"
+	"greengagedoor.example/greengagedoor/internal/process/role/entry"
+	"greengagedoor.example/greengagedoor/internal/process/role/network"
+	"greengagedoor.example/greengagedoor/internal/request/answer"
+	"greengagedoor.example/greengagedoor/internal/request/message"
+	"greengagedoor.example/greengagedoor/internal/version/configuration"
+)
+
+// Entry is an assembled entry process.
+type Entry struct {
+	common   Common
+	table    *duty.Table
+	entry    *role
+	network  *network.Network
+	ready    atomic.Bool
+	requests atomic.Uint64
+	cleanups []func()
+}
+
+// asked is a caller's event with the ring on which its handler waits.
+type asked struct {
+	request uint64
+	event   any
+	reply   *ring.Ring[answer.Answer]
+}
+
+// NewEntry assembles an entry process.
+func NewEntry(c Common) (*Entry, func(), error) {
+	e := &Entry{
+		common: c,
+	}
+	if err := e.build(); err != nil {
+		e.cleanup()
+		return nil, nil, err
+	}
+	return e, e.cleanup, nil
+}
+
+func (e *Entry) cleanup() {
+	for i := len(e.cleanups) - 1; i >= 0; i-- {
+		e.cleanups[i]()
+	}
+}
+
+func (e *Entry) build() error {
+	decision, err := entry.New(e.common.regions, e.common.shards)
+	if err != nil {
+		return err
+	}
+	replies := map[uint64]*ring.Ring[answer.Answer]{}
+	e.entry, err = newRole("entry", e.common.now, message.Wake{}, func(now time.Time, v any) {
+		e.apply(now, decision, replies, v)
+	})
+	if err != nil {
+		return err
+	}
+	var cleanup func()
+	e.network, cleanup, err = network.New(e.common.process, e.common.linkAddress, network.Seams{
+		Now:         e.common.now,
+		Deliver:     func(ctx context.Context, v any) { _ = e.entry.ring.Push(ctx, v) },
+		Undelivered: func(ctx context.Context, u message.Undelivered) { _ = e.entry.ring.Push(ctx, u) },
+	}, e.common.log)
+	if err != nil {
+		return err
+	}
+	e.cleanups = append(e.cleanups, cleanup)
+	return e.duties()
+}
+
+func (e *Entry) duties() error {
+	reg := &registry{
+		common:  e.common,
+		network: e.network,
+		publish: e.publish,
+		owned:   map[identity.Shard]bool{},
+		routes:  map[identity.Shard]identity.Process{},
+	}
+	links, cleanup, err := serveLinks(e.common.linkAddress, func(g *grpc.Server) { e.network.Register(g) })
+	if err != nil {
+		return err
+	}
+	e.cleanups = append(e.cleanups, cleanup)
+	router := newEcho(e.ready.Load)
+	e.register(router)
+	web, cleanup, err := serveHTTP(e.common.httpAddress, router)
+	if err != nil {
+		return err
+	}
+	e.cleanups = append(e.cleanups, cleanup)
+	net, err := duty.New("network", "Carries messages between processes.", gauge(e.network.Ring()), e.network.Run)
+	if err != nil {
+		return err
+	}
+	decision, err := e.entry.duty("Holds the requests of callers until their owners answer.")
+	if err != nil {
+		return err
+	}
+	member, err := duty.New("member", "Follows configuration and shard map.", nil, reg.run)
+	if err != nil {
+		return err
+	}
+	e.table, err = duty.NewTable(net, links, decision, member, web)
+	return err
+}
+
+// Run runs all duties until ctx ends or one fails.
+func (e *Entry) Run(ctx context.Context) error {
+	failed, stop := e.table.Start(context.WithoutCancel(ctx))
+	defer stop()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func (e *Entry) publish(ctx context.Context, v any) {
+	switch v.(type) {
+	case *configuration.Configuration, membership.Routes:
+		_ = e.entry.ring.Push(ctx, v)
+	}
+}
+
+func (e *Entry) apply(now time.Time, d *entry.Entry, replies map[uint64]*ring.Ring[answer.Answer], event any) {
+	if a, ok := event.(asked); ok {
+		event = a.event
+		if a.reply != nil {
+			replies[a.request] = a.reply
+		} else {
+			delete(replies, a.request)
+		}
+	}
+	for _, effect := range d.Handle(now, event) {
+		switch v := effect.(type) {
+		case message.Send:
+			if e.network.Post(v) != nil {
+				_ = e.entry.ring.TryPush(message.NewUndelivered(v))
+			}
+		case entry.Respond:
+			if r, ok := replies[v.Request()]; ok {
+				// The ring has room for the one answer that a request gets.
+				_ = r.TryPush(v.Answer())
+				delete(replies, v.Request())
+			}
+		}
+	}
+	e.ready.Store(d.Ready())
+}
+
+// ask hands a caller's event to the entry's duty and waits for the answer.
+func (e *Entry) ask(c echo.Context, event func(request uint64) any) (answer.Answer, error) {
+	n := e.requests.Add(1)
+	reply, err := ring.New[answer.Answer]("reply", 1)
+	if err != nil {
+		return answer.Answer{}, err
+	}
+	err = e.entry.ring.TryPush(asked{
+		request: n,
+		event:   event(n),
+		reply:   reply,
+	})
+	if err != nil {
+		return answer.NotPassed(answer.Overloaded, "the entry's ring is full", time.Second), nil
+	}
+	a, err := reply.Pop(c.Request().Context())
+	if err != nil {
+		_ = e.entry.ring.TryPush(asked{
+			request: n,
+			event:   entry.NewAbandon(n),
+		})
+	}
+	return a, err
+}
--- /dev/null
+++ b/internal/process/role/network/network.go
@@ -0,0 +1,345 @@
+// Package network is the duty that carries messages between processes.
+//
+// One goroutine owns the link decisions of all peers. Each stream has a reader,
+// which pushes received frames into the duty's ring, and a writer, which drains
+// the stream's own ring. Every other duty posts to this one without waiting: a
+// full ring or window is reported as undelivered, so that no two duties can wait
+// for each other. A message to the process itself takes no link.
+package network
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"greengagedoor.example/greengagedoor/internal/connection/link"
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/ring"
+	"greengagedoor.example/greengagedoor/internal/process/role/wire"
+	"greengagedoor.example/greengagedoor/internal/request/message"
+)
+
+// The sizes and times of the duty.
+const (
+	ringSize     = 8192
+	wakeInterval = 100 * time.Millisecond
+	flushLimit   = time.Second
+)
+
+// Address tells where a process listens.
+type Address struct {
+	process identity.Process
+	address string
+}
+
+// NewAddress returns the event.
+func NewAddress(p identity.Process, address string) Address {
+	return Address{
+		process: p,
+		address: address,
+	}
+}
+
+// Hint is an event: the capacity hint that goes out with the next frames.
+type Hint struct {
+	rooms []message.Room
+}
+
+// NewHint returns the event.
+func NewHint(rooms []message.Room) Hint {
+	return Hint{
+		rooms: rooms,
+	}
+}
+
+type frameIn struct {
+	peer   identity.Process
+	stream link.Stream
+	frame  link.Frame
+}
+
+type opened struct {
+	peer    identity.Process
+	wanted  identity.Process
+	address string
+	stream  *stream
+}
+
+type closed struct {
+	peer   identity.Process
+	stream link.Stream
+}
+
+// Seams are what the duty needs from its process.
+type Seams struct {
+	// Now is the clock.
+	Now func() time.Time
+	// Credit is the credit issued at this moment; 0 from a process without agent.
+	Credit func() uint64
+	// Deliver hands a message.Received or a message.Gone to the duty concerned. It
+	// may wait for room in that duty's ring.
+	Deliver func(context.Context, any)
+	// Undelivered tells the duty of the sender that a message did not leave.
+	Undelivered func(context.Context, message.Undelivered)
+	// Cut decides for fault tests whether the traffic with a peer is lost; nil
+	// outside them.
+	Cut func(identity.Process) bool
+}
+
+// Network owns all links of a process.
+type Network struct {
+	self      identity.Process
+	address   string
+	seams     Seams
+	log       *logrus.Entry
+	ring      *ring.Ring[any]
+	links     map[identity.Process]*link.Link
+	streams   map[link.Stream]*stream
+	addresses map[identity.Process]string
+	rooms     []message.Room
+	hint      []byte
+	selfSent  time.Time
+	dialer    *dialer
+}
+
+// New returns the network of a process that listens at address; the address is
+// empty for a process that only dials.
+func New(self identity.Process, address string, seams Seams, log *logrus.Entry) (*Network, func(), error) {
+	if seams.Now == nil || seams.Deliver == nil || seams.Undelivered == nil {
+		return nil, nil, errors.New("network needs a clock and receivers")
+	}
+	if seams.Credit == nil {
+		seams.Credit = func() uint64 { return 0 }
+	}
+	r, err := ring.New[any]("network", ringSize)
+	if err != nil {
+		return nil, nil, err
+	}
+	n := &Network{
+		self:      self,
+		address:   address,
+		seams:     seams,
+		log:       log,
+		ring:      r,
+		links:     map[identity.Process]*link.Link{},
+		streams:   map[link.Stream]*stream{},
+		addresses: map[identity.Process]string{},
+	}
+	n.dialer = newDialer(n)
+	return n, n.dialer.cleanup, nil
+}
+
+// Ring is the duty's ring, for the process's table.
+func (n *Network) Ring() *ring.Ring[any] {
+	return n.ring
+}
+
+// Post hands over a Send, an Address or a Hint without waiting.
+func (n *Network) Post(m any) error {
+	return n.ring.TryPush(m)
+}
+
+// Run is the duty.
+func (n *Network) Run(ctx context.Context) error {
+	ticker := time.NewTicker(wakeInterval)
+	defer ticker.Stop()
+	defer n.closeStreams()
+	for {
+		select {
+		case m := <-n.ring.Out():
+			n.handle(ctx, m)
+		case <-ticker.C:
+			n.wake(ctx)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// closeStreams flushes what the streams still hold, so that a leaving process
+// does not lose its last replies.
+func (n *Network) closeStreams() {
+	limit := time.NewTimer(flushLimit)
+	defer limit.Stop()
+	for _, s := range n.streams {
+		s.finish()
+	}
+	for _, s := range n.streams {
+		select {
+		case <-s.flushed:
+		case <-limit.C:
+		}
+		s.close()
+	}
+}
+
+func (n *Network) handle(ctx context.Context, m any) {
+	now := n.seams.Now()
+	switch m := m.(type) {
+	case message.Send:
+		n.send(ctx, now, m)
+	case Address:
+		n.addresses[m.process] = m.address
+		if l, ok := n.links[m.process]; ok {
+			l.SetDialable()
+		}
+	case Hint:
+		n.setHint(ctx, m)
+	case frameIn:
+		n.frame(ctx, now, m)
+	case opened:
+		n.opened(ctx, now, m)
+	case closed:
+		n.closed(ctx, now, m)
+	}
+}
+
+func (n *Network) setHint(ctx context.Context, h Hint) {
+	n.rooms = h.rooms
+	n.hint = wire.EncodeRoom(h.rooms)
+	for _, l := range n.links {
+		l.SetHint(n.hint)
+	}
+	n.seams.Deliver(ctx, message.NewReceived(n.self, n.seams.Credit(), h.rooms, nil))
+}
+
+func (n *Network) send(ctx context.Context, now time.Time, s message.Send) {
+	if s.To() == n.self {
+		n.seams.Deliver(ctx, message.NewReceived(n.self, n.seams.Credit(), nil, s.Body()))
+		return
+	}
+	body, err := wire.Encode(s.Body())
+	if err != nil {
+		n.log.WithError(err).Error("message cannot be encoded")
+		n.seams.Undelivered(ctx, message.NewUndelivered(s))
+		return
+	}
+	l := n.linkTo(now, s.To())
+	effects, ok := l.Post(now, body)
+	if !ok {
+		n.seams.Undelivered(ctx, message.NewUndelivered(s))
+		return
+	}
+	n.apply(ctx, l, effects)
+}
+
+func (n *Network) linkTo(now time.Time, peer identity.Process) *link.Link {
+	l, ok := n.links[peer]
+	if !ok {
+		_, dialable := n.addresses[peer]
+		l = link.New(now, peer, dialable)
+		if n.hint != nil {
+			l.SetHint(n.hint)
+		}
+		n.links[peer] = l
+	}
+	return l
+}
+
+func (n *Network) frame(ctx context.Context, now time.Time, m frameIn) {
+	l, ok := n.links[m.peer]
+	if !ok || n.cut(m.peer) {
+		return
+	}
+	n.apply(ctx, l, l.Frame(now, m.frame))
+}
+
+func (n *Network) cut(p identity.Process) bool {
+	return n.seams.Cut != nil && n.seams.Cut(p)
+}
+
+func (n *Network) opened(ctx context.Context, now time.Time, m opened) {
+	if !m.wanted.IsZero() && m.wanted != m.peer {
+		n.gone(ctx, m.wanted)
+	}
+	if m.address != "" {
+		n.addresses[m.peer] = m.address
+	}
+	for p := range n.links {
+		if p.Name() == m.peer.Name() && p != m.peer {
+			n.gone(ctx, p)
+		}
+	}
+	l := n.linkTo(now, m.peer)
+	l.SetDialable()
+	n.streams[m.stream.id] = m.stream
+	n.apply(ctx, l, l.Opened(now, m.stream.id))
+}
+
+// gone drops the link to a run of a process that another run has replaced.
+func (n *Network) gone(ctx context.Context, p identity.Process) {
+	delete(n.links, p)
+	delete(n.addresses, p)
+	n.seams.Deliver(ctx, message.NewGone(p))
+}
+
+func (n *Network) closed(ctx context.Context, now time.Time, m closed) {
+	if s, ok := n.streams[m.stream]; ok {
+		s.close()
+		delete(n.streams, m.stream)
+	}
+	if l, ok := n.links[m.peer]; ok {
+		n.apply(ctx, l, l.Closed(now, m.stream))
+	}
+}
+
+func (n *Network) wake(ctx context.Context) {
+	now := n.seams.Now()
+	for _, l := range n.links {
+		n.apply(ctx, l, l.Wake(now))
+	}
+	if n.rooms != nil && now.Sub(n.selfSent) >= link.HeartbeatInterval {
+		n.selfSent = now
+		n.seams.Deliver(ctx, message.NewReceived(n.self, n.seams.Credit(), n.rooms, nil))
+	}
+}
+
+func (n *Network) apply(ctx context.Context, l *link.Link, effects []any) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case link.Transmit:
+			n.transmit(l, e)
+		case link.Deliver:
+			n.deliver(ctx, l, e.Frame())
+		case link.Dial:
+			n.dialer.dial(l.Peer(), n.addresses[l.Peer()])
+		case link.Close:
+			if s, ok := n.streams[e.Stream()]; ok {
+				s.close()
+			}
+		}
+	}
+}
+
+func (n *Network) transmit(l *link.Link, e link.Transmit) {
+	s, ok := n.streams[e.Stream()]
+	if !ok || n.cut(l.Peer()) {
+		return
+	}
+	if err := s.out.TryPush(e.Frame()); err != nil {
+		n.log.WithField("peer", l.Peer().String()).Warn("stream takes no more frames, closing it")
+		s.close()
+	}
+}
+
+func (n *Network) deliver(ctx context.Context, l *link.Link, f link.Frame) {
+	var rooms []message.Room
+	if hint, ok := f.Hint(); ok {
+		r, err := wire.DecodeRoom(hint)
+		if err == nil {
+			rooms = r
+		}
+	}
+	var body any
+	if f.Body() != nil {
+		m, err := wire.Decode(f.Body())
+		if err != nil {
+			n.log.WithError(err).WithField("peer", l.Peer().String()).Warn("message dropped")
+			return
+		}
+		body = m
+	}
+	n.seams.Deliver(ctx, message.NewReceived(l.Peer(), f.Credit(), rooms, body))
+}
--- /dev/null
+++ b/internal/process/role/network/stream.go
@@ -0,0 +1,277 @@
+package network
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"greengagedoor.example/greengagedoor/internal/connection/link"
+	"greengagedoor.example/greengagedoor/internal/connection/link/linkpb"
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/ring"
+)
+
+// maxFrameBytes bounds a frame: a job of 1,100 tasks with its payloads.
+const maxFrameBytes = 16 << 20
+
+// ErrHello reports a stream that does not begin with the peer's name.
+var ErrHello = errors.New("stream does not begin with a hello")
+
+// exchange is the part of a stream that client and server have in common.
+type exchange struct {
+	send func(*linkpb.Frame) error
+	recv func() (*linkpb.Frame, error)
+}
+
+// stream is one gRPC stream with its reader and writer.
+type stream struct {
+	id      link.Stream
+	out     *ring.Ring[link.Frame]
+	stop    context.CancelFunc
+	flushed chan struct{}
+	drain   chan struct{}
+	once    sync.Once
+}
+
+// finish lets the writer send what its ring holds and then end.
+func (s *stream) finish() {
+	s.once.Do(func() { close(s.drain) })
+}
+
+func (s *stream) close() {
+	s.stop()
+}
+
+var streamNumbers atomic.Uint64
+
+func newStream(stop context.CancelFunc) (*stream, error) {
+	out, err := ring.New[link.Frame]("stream", link.Window+ringSize)
+	if err != nil {
+		return nil, err
+	}
+	return &stream{
+		id:      link.Stream(streamNumbers.Add(1)),
+		out:     out,
+		stop:    stop,
+		flushed: make(chan struct{}),
+		drain:   make(chan struct{}),
+	}, nil
+}
+
+func (n *Network) hello() *linkpb.Frame {
+	return &linkpb.Frame{
+		Hello: &linkpb.Hello{
+			Name:        n.self.Name(),
+			Incarnation: n.self.Incarnation(),
+			Address:     n.address,
+		},
+	}
+}
+
+// serve runs a stream until it ends. It says hello, waits for the peer's, and
+// then reads while a second goroutine writes.
+func (n *Network) serve(ctx context.Context, x exchange, stop context.CancelFunc, wanted identity.Process) error {
+	if err := x.send(n.hello()); err != nil {
+		return errors.Wrap(err, "send hello")
+	}
+	first, err := x.recv()
+	if err != nil {
+		return errors.Wrap(err, "receive hello")
+	}
+	h := first.GetHello()
+	if h == nil {
+		return ErrHello
+	}
+	peer, err := identity.NewProcess(h.GetName(), h.GetIncarnation())
+	if err != nil {
+		return errors.Wrap(ErrHello, err.Error())
+	}
+	s, err := newStream(stop)
+	if err != nil {
+		return err
+	}
+	var writer sync.WaitGroup
+	writer.Add(1)
+	go func() {
+		defer writer.Done()
+		n.write(ctx, s, x)
+	}()
+	if err := n.ring.Push(ctx, opened{
+		peer:    peer,
+		wanted:  wanted,
+		address: h.GetAddress(),
+		stream:  s,
+	}); err == nil {
+		n.read(ctx, s, x, peer)
+	}
+	stop()
+	writer.Wait()
+	return nil
+}
+
+func (n *Network) read(ctx context.Context, s *stream, x exchange, peer identity.Process) {
+	for {
+		f, err := x.recv()
+		if err != nil {
+			break
+		}
+		if err := n.ring.Push(ctx, frameIn{
+			peer:   peer,
+			stream: s.id,
+			frame:  link.NewFrame(f.GetSequence(), f.GetReceived(), f.GetCredit(), f.GetHint(), f.GetHasHint(), f.GetBody()),
+		}); err != nil {
+			break
+		}
+	}
+	// The duty may have ended with its ring full; then nobody needs to know.
+	_ = n.ring.TryPush(closed{
+		peer:   peer,
+		stream: s.id,
+	})
+}
+
+func (n *Network) write(ctx context.Context, s *stream, x exchange) {
+	defer close(s.flushed)
+	for {
+		select {
+		case f := <-s.out.Out():
+			if !n.put(s, x, f) {
+				return
+			}
+		case <-s.drain:
+			n.flush(s, x)
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Network) flush(s *stream, x exchange) {
+	for {
+		select {
+		case f := <-s.out.Out():
+			if !n.put(s, x, f) {
+				return
+			}
+		default:
+			return
+		}
+	}
+}
+
+// put sends a frame; the credit is issued here, as late as possible.
+func (n *Network) put(s *stream, x exchange, f link.Frame) bool {
+	hint, has := f.Hint()
+	err := x.send(&linkpb.Frame{
+		Sequence: f.Sequence(),
+		Received: f.Received(),
+		Credit:   n.seams.Credit(),
+		Hint:     hint,
+		HasHint:  has,
+		Body:     f.Body(),
+	})
+	if err != nil {
+		s.close()
+	}
+	return err == nil
+}
+
+// Service is the gRPC server of the links.
+type Service struct {
+	linkpb.UnimplementedLinkServer
+	network *Network
+}
+
+// Register adds the links' service to a gRPC server.
+func (n *Network) Register(g *grpc.Server) {
+	linkpb.RegisterLinkServer(g, &Service{
+		network: n,
+	})
+}
+
+// Exchange serves a stream that a peer opened.
+func (s *Service) Exchange(g grpc.BidiStreamingServer[linkpb.Frame, linkpb.Frame]) error {
+	ctx, stop := context.WithCancel(g.Context())
+	defer stop()
+	ended := make(chan error, 1)
+	// Recv does not return when ctx ends on the server's side, so the reader runs
+	// beside the wait and ends with the handler.
+	go func() {
+		ended <- s.network.serve(ctx, exchange{
+			send: g.Send,
+			recv: g.Recv,
+		}, stop, identity.Process{})
+	}()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// dialer opens streams; each attempt is a goroutine that lives as long as the
+// stream.
+type dialer struct {
+	network *Network
+	ctx     context.Context
+	stop    context.CancelFunc
+	running sync.WaitGroup
+	options []grpc.DialOption
+}
+
+func newDialer(n *Network) *dialer {
+	ctx, stop := context.WithCancel(context.Background())
+	return &dialer{
+		network: n,
+		ctx:     ctx,
+		stop:    stop,
+		options: []grpc.DialOption{
+			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxFrameBytes), grpc.MaxCallSendMsgSize(maxFrameBytes)),
+		},
+	}
+}
+
+func (d *dialer) cleanup() {
+	d.stop()
+	d.running.Wait()
+}
+
+func (d *dialer) dial(peer identity.Process, address string) {
+	if address == "" || d.ctx.Err() != nil {
+		return
+	}
+	d.running.Add(1)
+	go func() {
+		defer d.running.Done()
+		if err := d.open(peer, address); err != nil {
+			d.network.log.WithError(err).WithField("peer", peer.String()).Debug("stream ended")
+		}
+	}()
+}
+
+// open uses a connection of its own for each stream: a connection that has gone
+// silent must not carry the stream that replaces it.
+func (d *dialer) open(peer identity.Process, address string) error {
+	conn, err := grpc.NewClient("passthrough:///"+address, d.options...)
+	if err != nil {
+		return errors.Wrapf(err, "dial %s", address)
+	}
+	defer func() { _ = conn.Close() }()
+	ctx, stop := context.WithCancel(d.ctx)
+	defer stop()
+	g, err := linkpb.NewLinkClient(conn).Exchange(ctx)
+	if err != nil {
+		return errors.Wrapf(err, "open stream to %s", address)
+	}
+	return d.network.serve(ctx, exchange{
+		send: g.Send,
+		recv: g.Recv,
+	}, stop, peer)
+}
--- /dev/null
+++ b/internal/process/role/wire/wire.go
@@ -0,0 +1,178 @@
+// Package wire maps the typed messages to protocol buffers and back.
+//
+// Domain types carry no tags and know nothing of the encoding, so the mapping is
+// written by hand, one pair of functions for each message. Decoding checks what
+// a constructor checks, since a peer of another version may send anything.
+package wire
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/outcome"
+	"greengagedoor.example/greengagedoor/internal/process/role/wire/wirepb"
+	"greengagedoor.example/greengagedoor/internal/request/message"
+)
+
+// ErrMessage reports bytes that are not a message of this version.
+var ErrMessage = errors.New("message cannot be decoded")
+
+// Encode returns the bytes of a message.
+func Encode(m any) ([]byte, error) {
+	b, err := bodyOf(m)
+	if err != nil {
+		return nil, err
+	}
+	data, err := proto.Marshal(b)
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode %T", m)
+	}
+	return data, nil
+}
+
+// Decode returns the message of the bytes.
+func Decode(data []byte) (any, error) {
+	var b wirepb.Body
+	if err := proto.Unmarshal(data, &b); err != nil {
+		return nil, errors.Wrap(ErrMessage, err.Error())
+	}
+	m, err := messageOf(&b)
+	if err != nil {
+		return nil, errors.Wrap(ErrMessage, err.Error())
+	}
+	return m, nil
+}
+
+// EncodeRoom returns the bytes of a capacity hint.
+func EncodeRoom(rooms []message.Room) []byte {
+	h := &wirepb.Hint{}
+	for _, r := range rooms {
+		h.Rooms = append(h.Rooms, &wirepb.Room{
+			Service:  r.Service(),
+			Free:     r.Free(),
+			Reserved: r.Reserved(),
+			Long:     r.Long(),
+			Speed:    r.Speed(),
+		})
+	}
+	data, err := proto.Marshal(h)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// DecodeRoom returns the capacity hint of the bytes; never nil without error.
+func DecodeRoom(data []byte) ([]message.Room, error) {
+	var h wirepb.Hint
+	if err := proto.Unmarshal(data, &h); err != nil {
+		return nil, errors.Wrap(ErrMessage, err.Error())
+	}
+	rooms := make([]message.Room, 0, len(h.GetRooms()))
+	for _, r := range h.GetRooms() {
+		rooms = append(rooms, message.NewRoom(r.GetService(), r.GetFree(), r.GetReserved(), r.GetLong(), r.GetSpeed()))
+	}
+	return rooms, nil
+}
+
+func encodeSubmission(s identity.Submission) *wirepb.Submission {
+	key := s.Key()
+	return &wirepb.Submission{
+		Team: s.Team(),
+		Key:  key[:],
+	}
+}
+
+func decodeSubmission(p *wirepb.Submission) (identity.Submission, error) {
+	key, err := uuid.FromBytes(p.GetKey())
+	if err != nil {
+		return identity.Submission{}, errors.Wrap(err, "submission key")
+	}
+	return identity.SubmissionOf(p.GetTeam(), key)
+}
+
+func decodeSubmissions(list []*wirepb.Submission) ([]identity.Submission, error) {
+	out := make([]identity.Submission, 0, len(list))
+	for _, p := range list {
+		s, err := decodeSubmission(p)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+func encodeSubmissions(list []identity.Submission) []*wirepb.Submission {
+	out := make([]*wirepb.Submission, 0, len(list))
+	for _, s := range list {
+		out = append(out, encodeSubmission(s))
+	}
+	return out
+}
+
+func decodeTask(p *wirepb.Submission, index uint32) (identity.Task, error) {
+	s, err := decodeSubmission(p)
+	if err != nil {
+		return identity.Task{}, err
+	}
+	return identity.NewTask(s, index), nil
+}
+
+func encodeGrant(g message.Grant) *wirepb.Grant {
+	return &wirepb.Grant{
+		Shard: uint32(g.Shard()),
+		Epoch: uint64(g.Epoch()),
+	}
+}
+
+func decodeGrant(p *wirepb.Grant) message.Grant {
+	return message.NewGrant(identity.Shard(p.GetShard()), identity.Epoch(p.GetEpoch()))
+}
+
+func encodeGrants(list []message.Grant) []*wirepb.Grant {
+	out := make([]*wirepb.Grant, 0, len(list))
+	for _, g := range list {
+		out = append(out, encodeGrant(g))
+	}
+	return out
+}
+
+func decodeGrants(list []*wirepb.Grant) []message.Grant {
+	out := make([]message.Grant, 0, len(list))
+	for _, p := range list {
+		out = append(out, decodeGrant(p))
+	}
+	return out
+}
+
+func encodeResult(r outcome.Result) *wirepb.Result {
+	return &wirepb.Result{
+		State:     uint32(r.State()),
+		Body:      r.Body(),
+		Detail:    r.Detail(),
+		RunTimeUs: r.RunTime().Microseconds(),
+	}
+}
+
+func decodeResult(p *wirepb.Result) outcome.Result {
+	return outcome.Of(outcome.State(p.GetState()), p.GetBody(), p.GetDetail(), time.Duration(p.GetRunTimeUs())*time.Microsecond)
+}
+
+func millis(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+func timeOf(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
--- /dev/null
+++ b/internal/process/standin/target/target.go
@@ -0,0 +1,185 @@
+// Package target is a stand-in for a target: it takes tasks by HTTP, spends the
+// time that the payload asks for, and answers with the payload's echo.
+//
+// It announces itself to the agent beside it, notes every start, and can be told
+// to be slow or to fail everything. A payload that is not understood runs for a
+// default time, so any caller's payload works.
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"greengagedoor.example/greengagedoor/internal/connection/announcement"
+	"greengagedoor.example/greengagedoor/internal/process/standin/record"
+)
+
+const (
+	defaultRunTime  = 20 * time.Millisecond
+	maxPayloadBytes = 1 << 20
+	announceTimeout = time.Second
+)
+
+// Work is what a payload asks a stand-in to do.
+type Work struct {
+	runTime time.Duration
+	fail    bool
+	echo    string
+}
+
+// RunTime is how long the task runs at speed 1.
+func (w Work) RunTime() time.Duration {
+	return w.runTime
+}
+
+// Fail asks for an error instead of a result.
+func (w Work) Fail() bool {
+	return w.fail
+}
+
+// Echo is sent back.
+func (w Work) Echo() string {
+	return w.echo
+}
+
+// ParseWork reads a payload of the form {"run_ms":50,"fail":false,"echo":"x"}.
+func ParseWork(payload []byte) Work {
+	var p struct {
+		RunMS *float64 `json:"run_ms"`
+		Fail  bool     `json:"fail"`
+		Echo  string   `json:"echo"`
+	}
+	w := Work{
+		runTime: defaultRunTime,
+		echo:    string(payload),
+	}
+	if err := json.Unmarshal(payload, &p); err != nil {
+		return w
+	}
+	if p.RunMS != nil && *p.RunMS >= 0 {
+		w.runTime = time.Duration(*p.RunMS * float64(time.Millisecond))
+	}
+	w.fail = p.Fail
+	if p.Echo != "" {
+		w.echo = p.Echo
+	}
+	return w
+}
+
+// Target is the stand-in.
+type Target struct {
+	announced announcement.Announcement
+	agent     string
+	slowness  float64
+	record    *record.Record
+	client    *http.Client
+	log       *logrus.Entry
+}
+
+// New returns a target that announces itself to the agent's HTTP address. Its
+// tasks take slowness times the run time that they ask for.
+func New(a announcement.Announcement, agent string, slowness float64, rec *record.Record, log *logrus.Entry) (*Target, error) {
+	if slowness <= 0 {
+		return nil, errors.Errorf("slowness is %g, must be positive", slowness)
+	}
+	return &Target{
+		announced: a,
+		agent:     agent,
+		slowness:  slowness,
+		record:    rec,
+		client: &http.Client{
+			Timeout: announceTimeout,
+		},
+		log: log,
+	}, nil
+}
+
+// Register adds the target's interface to a server.
+func (t *Target) Register(e *echo.Echo) {
+	e.POST("/task", t.run)
+	e.GET("/standin/counts", t.counts)
+}
+
+func (t *Target) run(c echo.Context) error {
+	ctx := c.Request().Context()
+	payload, err := io.ReadAll(io.LimitReader(c.Request().Body, maxPayloadBytes))
+	if err != nil {
+		return errors.Wrap(err, "read payload")
+	}
+	if _, err := t.record.Start(ctx, c.Request().Header.Get("Idempotency-Key")); err != nil {
+		return err
+	}
+	w := ParseWork(payload)
+	timer := time.NewTimer(time.Duration(float64(w.RunTime()) * t.slowness))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if w.Fail() {
+		return c.String(http.StatusInternalServerError, "the task asked to fail")
+	}
+	return c.String(http.StatusOK, w.Echo())
+}
+
+func (t *Target) counts(c echo.Context) error {
+	n, err := t.record.Counts(c.Request().Context())
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, map[string]int64{
+		"tasks_started":       n.Started(),
+		"tasks_started_twice": n.Twice(),
+	})
+}
+
+// Run announces the target until ctx ends, and then that it is leaving.
+func (t *Target) Run(ctx context.Context) error {
+	ticker := time.NewTicker(announcement.Interval)
+	defer ticker.Stop()
+	t.announce(ctx, false)
+	for {
+		select {
+		case <-ticker.C:
+			t.announce(ctx, false)
+		case <-ctx.Done():
+			t.announce(context.WithoutCancel(ctx), true)
+			return nil
+		}
+	}
+}
+
+func (t *Target) announce(ctx context.Context, leaving bool) {
+	body, err := json.Marshal(map[string]any{
+		"target":      t.announced.Target(),
+		"url":         t.announced.URL(),
+		"services":    t.announced.Services(),
+		"slots":       t.announced.Slots(),
+		"connections": t.announced.Connections(),
+		"leaving":     leaving,
+	})
+	if err != nil {
+		return
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, t.agent+"/v1/announce", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	r.Header.Set("Content-Type", "application/json")
+	resp, err := t.client.Do(r)
+	if err != nil {
+		t.log.WithError(err).Debug("announcement not delivered")
+		return
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+}
