--- /dev/null
+++ b/internal/process/role/owner/admission.go
@@ -0,0 +1,175 @@
+package owner
+
+import (
+	"time"
+
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/outcome"
+	"greengagedoor.example/greengagedoor/internal/request/answer"
+	"greengagedoor.example/greengagedoor/internal/request/estimate"
+	"greengagedoor.example/greengagedoor/internal/request/queue"
+	"greengagedoor.example/greengagedoor/internal/version/configuration"
+)
+
+// The parameters of admission.
+const (
+	// typicalQuantile of the run time stands for the work that a task brings.
+	typicalQuantile = 0.5
+	// tailQuantile of the run time is left between the start and the commitment.
+	tailQuantile = 0.9
+	// admitPart is the part of the permitted wait up to which jobs are accepted; the
+	// rest covers the error of the estimate.
+	admitPart = 0.7
+	// maxShed bounds the jobs that one new job may push out.
+	maxShed = 64
+	// maxWaitingTasks and maxWaitingBytes bound the queues of one owner, within the
+	// 128 MB of a node.
+	maxWaitingTasks = 100_000
+	maxWaitingBytes = 48 << 20
+	// minRetryAfter is the least pause that a refused caller is asked for.
+	minRetryAfter = 50 * time.Millisecond
+)
+
+// kindName names a kind within the installation.
+type kindName struct {
+	team string
+	name string
+}
+
+// learned is what was learned of a kind's run time. It lives as long as the
+// process; there is one for each configured kind that was used.
+type learned struct {
+	typical estimate.RunTime
+	tail    estimate.RunTime
+}
+
+func (o *Owner) learnedOf(k configuration.Kind) *learned {
+	name := kindName{
+		team: k.Team(),
+		name: k.Name(),
+	}
+	l, ok := o.kinds[name]
+	if !ok {
+		l = &learned{
+			typical: estimate.NewRunTime(typicalQuantile, k.RunTime()),
+			tail:    estimate.NewRunTime(tailQuantile, k.RunTime()),
+		}
+		o.kinds[name] = l
+	}
+	return l
+}
+
+// learn takes what an ended task shows of its kind, service and agent.
+func (o *Owner) learn(now time.Time, s *submission, from identity.Process, result outcome.Result) {
+	switch result.State() {
+	case outcome.Succeeded:
+		s.learned.typical.Observe(result.RunTime())
+		s.learned.tail.Observe(result.RunTime())
+	case outcome.Failed:
+	default:
+		return
+	}
+	s.svc.drain.Observe(now, result.RunTime(), s.svc.queue.Tasks() > 0)
+	if a, ok := o.agents[from]; ok {
+		if r := a.room(s.svc); r != nil {
+			o.judge(now, s, r, result)
+		}
+	}
+}
+
+// admit compares the estimated wait with the commitment and the deadline. Waiting
+// jobs of less harm make room first.
+func (o *Owner) admit(now time.Time, s *submission) (answer.Answer, bool) {
+	kind := s.job.Kind()
+	limit := kind.Commitment() - s.learned.tail.Value()
+	if d := s.job.Order().Deadline(); !d.IsZero() {
+		if !d.After(now) {
+			return answer.NotRun(answer.DeadlinePassed, "the deadline has passed", 0), false
+		}
+		limit = min(limit, d.Sub(now)-s.learned.tail.Value())
+	}
+	limit = max(time.Duration(admitPart*float64(limit)), 0)
+	classes := queue.UpTo(kind.Urgency())
+	for range maxShed {
+		full := o.full(s)
+		if !full && o.wait(now, s) <= limit {
+			return answer.Answer{}, true
+		}
+		if full {
+			classes = queue.UpTo(configuration.Low)
+		}
+		if !o.makeRoom(now, s, classes) {
+			break
+		}
+	}
+	return o.overloaded(now, s), false
+}
+
+// full tells whether the queues have no place for a job.
+func (o *Owner) full(s *submission) bool {
+	order := s.job.Order()
+	return o.waiting.tasks+len(order.Payloads()) > maxWaitingTasks || o.waiting.bytes+order.Bytes() > maxWaitingBytes
+}
+
+// makeRoom sheds the waiting job of the least harm, if its harm is less than that
+// of the new job and nothing of it has started.
+func (o *Owner) makeRoom(now time.Time, s *submission, classes queue.Mask) bool {
+	i, ok := s.svc.queue.Shed(classes)
+	if !ok || i.Harm() >= s.job.Kind().Harm() {
+		return false
+	}
+	victim := i.Value().submission
+	wait := o.wait(now, victim)
+	o.stop(now, victim, answer.Overloaded, "work of more harm needed the room", o.retryAfter(wait))
+	// A later attempt under the same key is a new one, since nothing has started.
+	o.drop(victim)
+	return true
+}
+
+// overloaded is the refusal of a job that cannot be served in time.
+func (o *Owner) overloaded(now time.Time, s *submission) answer.Answer {
+	wait := o.wait(now, s)
+	team := s.job.Kind().Team()
+	if t, ok := o.cfg.Team(team); ok && o.usage.Over(now, team, t.Share()) {
+		return answer.NotRun(answer.QuotaExceeded, "the team uses more than its share, and no idle share is left", o.retryAfter(wait))
+	}
+	return answer.NotRun(answer.Overloaded, "expected wait "+wait.Round(time.Millisecond).String(), o.retryAfter(wait))
+}
+
+// retryAfter spreads the next attempts over one to two times the estimate.
+func (o *Owner) retryAfter(wait time.Duration) time.Duration {
+	wait = max(wait, minRetryAfter)
+	return wait + time.Duration(o.rnd.Int64N(int64(wait)))
+}
+
+// slots is the capacity for a service that this owner has, in slots: as observed
+// while work waited, otherwise as hinted. It is zero if nothing is known.
+func (o *Owner) slots(now time.Time, svc *service) float64 {
+	if rate, ok := svc.drain.Rate(now); ok {
+		return rate
+	}
+	return float64(svc.free + svc.open)
+}
+
+// wait estimates the time before a new job's tasks start. A team with unused
+// share waits behind its own work only, since its share is reclaimed at once.
+func (o *Owner) wait(now time.Time, s *submission) time.Duration {
+	kind := s.job.Kind()
+	class := queue.NewClass(kind.Urgency(), kind.Long())
+	slots := o.slots(now, s.svc)
+	_, room := s.svc.pools[poolOf(class)].Top()
+	width := max(s.job.WaitingTasks(), 1)
+	ahead := s.svc.queue.Ahead(class, width)
+	if slots <= 0 || room && ahead == 0 {
+		return 0
+	}
+	running := 0.5 * float64(s.svc.open) * s.learned.typical.Value().Seconds()
+	wait := (ahead + running) / slots
+	team, ok := o.cfg.Team(kind.Team())
+	if ok && team.Share() > 0 && !o.usage.Over(now, team.Name(), team.Share()) {
+		urgent := ahead - s.svc.queue.Within(class, width)
+		own := s.svc.queue.AheadOf(class, team.Name(), width)
+		wait = min(wait, (urgent+running+own/team.Share())/slots)
+	}
+	return time.Duration(wait * float64(time.Second))
+}
--- /dev/null
+++ b/internal/process/role/owner/oracle_test.go
@@ -0,0 +1,207 @@
+package owner_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/membership"
+	"greengagedoor.example/greengagedoor/internal/process/outcome"
+	"greengagedoor.example/greengagedoor/internal/request/answer"
+	"greengagedoor.example/greengagedoor/internal/version/configuration"
+)
+
+// asked is a submission of the state machine with the requests about it.
+type asked struct {
+	key      identity.Submission
+	tasks    int
+	requests []uint64
+}
+
+// machine drives a world with random events.
+type machine struct {
+	w      *world
+	asked  []*asked
+	next   uint64
+	epoch  identity.Epoch
+	names  int
+	lost   []membership.Member
+	judged map[uint64]bool
+}
+
+// TestOracle guards against a second start of a task, a refusal that claims "not
+// run" after a start, a complete answer without all starts, and two different
+// answers to one submission, under any order of submissions, cancellations,
+// failures, lost agents and changes of owner.
+func TestOracle(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := &machine{
+			w:      newWorld(4, 2, kindOf("urgent", configuration.Critical, time.Second, 50*time.Millisecond)),
+			epoch:  1,
+			judged: map[uint64]bool{},
+		}
+		m.w.own("owner-0", 1, nil)
+		m.w.hold = true
+		rt.Repeat(map[string]func(*rapid.T){
+			"submit":   m.submit,
+			"resubmit": m.resubmit,
+			"cancel":   m.cancel,
+			"deliver":  m.deliver,
+			"report":   m.report,
+			"finish":   m.finish,
+			"advance":  m.advance,
+			"kill":     m.kill,
+			"failover": m.failover,
+			"":         m.check,
+		})
+	})
+}
+
+func (m *machine) submit(t *rapid.T) {
+	m.next++
+	a := &asked{
+		key:   key(m.w.now, m.next),
+		tasks: rapid.IntRange(1, 6).Draw(t, "tasks"),
+	}
+	m.asked = append(m.asked, a)
+	a.requests = append(a.requests, m.w.submit(a.key, "plain", a.tasks, time.Time{}))
+}
+
+func (m *machine) pick(t *rapid.T) *asked {
+	if len(m.asked) == 0 {
+		t.Skip("nothing submitted")
+	}
+	return m.asked[rapid.IntRange(0, len(m.asked)-1).Draw(t, "submission")]
+}
+
+func (m *machine) resubmit(t *rapid.T) {
+	a := m.pick(t)
+	a.requests = append(a.requests, m.w.submit(a.key, "plain", a.tasks, time.Time{}))
+}
+
+func (m *machine) cancel(t *rapid.T) {
+	a := m.pick(t)
+	a.requests = append(a.requests, m.w.cancel(a.key))
+}
+
+func (m *machine) agent(t *rapid.T) *standin {
+	return m.w.agents[rapid.IntRange(0, len(m.w.agents)-1).Draw(t, "agent")]
+}
+
+func (m *machine) deliver(t *rapid.T) {
+	m.w.deliver(m.agent(t))
+}
+
+func (m *machine) report(t *rapid.T) {
+	m.w.report(m.agent(t))
+}
+
+func (m *machine) finish(t *rapid.T) {
+	a := m.agent(t)
+	if a.dead || len(a.running) == 0 {
+		t.Skip("nothing runs")
+	}
+	r := outcome.Success([]byte("x"), 100*time.Millisecond)
+	if rapid.IntRange(0, 9).Draw(t, "fails") == 0 {
+		r = outcome.Failure("failed", 100*time.Millisecond)
+	}
+	m.w.finish(a, rapid.IntRange(0, len(a.running)-1).Draw(t, "task"), r)
+}
+
+func (m *machine) advance(t *rapid.T) {
+	m.w.advance(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (m *machine) kill(t *rapid.T) {
+	alive := 0
+	for _, a := range m.w.agents {
+		if !a.dead {
+			alive++
+		}
+	}
+	a := m.agent(t)
+	if a.dead || alive < 3 || rapid.IntRange(0, 4).Draw(t, "rarely") > 0 {
+		t.Skip("too few agents")
+	}
+	m.lost = append(m.lost, membership.NewMember(a.process, "", "zone", m.w.now))
+	m.w.kill(a)
+}
+
+// failover replaces the owner 2 s after its last start, as the directory does.
+func (m *machine) failover(t *rapid.T) {
+	if rapid.IntRange(0, 4).Draw(t, "rarely") > 0 {
+		t.Skip("seldom")
+	}
+	for _, a := range m.w.agents {
+		a.mute = rapid.IntRange(0, 5).Draw(t, "mute") == 0
+	}
+	m.w.now = m.w.now.Add(2 * time.Second)
+	for s := range identity.Shard(shards) {
+		m.w.handle(membership.NewReleased(s))
+	}
+	// Starts of the former owner that are under way arrive with old credits.
+	for _, a := range m.w.agents {
+		a.inbox = nil
+	}
+	var roster []membership.Member
+	for _, r := range m.w.roster() {
+		for _, l := range m.lost {
+			if l.Process() == r.Process() {
+				r = l
+			}
+		}
+		roster = append(roster, r)
+	}
+	m.epoch++
+	m.names++
+	m.w.own("owner-"+string(rune('a'+m.names%26))+string(rune('a'+m.names/26)), m.epoch, roster)
+}
+
+func (m *machine) check(t *rapid.T) {
+	m.w.check(t)
+	for _, a := range m.asked {
+		// Without a later attempt, a refused submission must never start.
+		if last := m.w.answers[a.requests[len(a.requests)-1]]; last.NotRun() && m.w.startsOf(a.key) > 0 {
+			t.Fatalf("%s started after it was refused as not run", a.key)
+		}
+		var final *answer.Answer
+		for _, n := range a.requests {
+			got, ok := m.w.answers[n]
+			if !ok {
+				continue
+			}
+			if !m.judged[n] {
+				m.judged[n] = true
+				m.judge(t, a, got)
+			}
+			if got.State() == answer.Refused {
+				continue
+			}
+			if final != nil && final.State() != got.State() && (final.State() == answer.Complete) != (got.State() == answer.Complete) {
+				if got.Reason() != answer.Cancelled && final.Reason() != answer.Cancelled && got.Reason() != answer.OutcomeUnknown && final.Reason() != answer.OutcomeUnknown {
+					t.Fatalf("%s was answered %v and %v", a.key, final.State(), got.State())
+				}
+			}
+			final = &got
+		}
+	}
+}
+
+// judge compares an answer with the starts at the time it was given.
+func (m *machine) judge(t *rapid.T, a *asked, got answer.Answer) {
+	n := m.w.startsOf(a.key)
+	switch {
+	case got.NotRun() && n > 0:
+		t.Fatalf("%s was refused as not run (%v) after %d starts", a.key, got.Reason(), n)
+	case got.State() == answer.Complete && n != a.tasks:
+		t.Fatalf("%s is complete after %d of %d starts", a.key, n, a.tasks)
+	case got.State() == answer.Complete && len(got.Results()) != a.tasks:
+		t.Fatalf("%s has %d of %d results", a.key, len(got.Results()), a.tasks)
+	case got.State() == answer.Failed && got.Ran() == answer.RanSomething && n == 0:
+		t.Fatalf("%s is said to have run something, without a start", a.key)
+	case got.State() == answer.Failed && got.Ran() == answer.RanNothing:
+		t.Fatalf("%s failed although nothing ran", a.key)
+	}
+}
--- a/internal/process/role/owner/owner.go
+++ b/internal/process/role/owner/owner.go
@@ -7,7 +7,8 @@
 //
 // An owner acts only under its membership lease, and every start carries the
 // receiving agent's newest credit, so that nothing it sent before a pause can
-// take effect after its shards have moved on.
+// take effect after its shards have moved on. What a former owner started is
+// learned from the agents' records when a shard is sealed.
 package owner
 
 import (
@@ -18,10 +19,12 @@
 
 	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/membership"
-	"greengagedoor.example/greengagedoor/internal/process/outcome"
 	"greengagedoor.example/greengagedoor/internal/request/answer"
+	"greengagedoor.example/greengagedoor/internal/request/heap"
 	"greengagedoor.example/greengagedoor/internal/request/job"
 	"greengagedoor.example/greengagedoor/internal/request/message"
+	"greengagedoor.example/greengagedoor/internal/request/queue"
+	"greengagedoor.example/greengagedoor/internal/request/quota"
 	"greengagedoor.example/greengagedoor/internal/version/configuration"
 )
 
@@ -53,31 +56,27 @@
 	request uint64
 }
 
-// submission is a job with those who wait for its answer.
+// work is what waits in a queue: a job, or one task of it that failed before.
+type work struct {
+	submission *submission
+	index      uint32
+	retry      bool
+}
+
+// submission is a job with those who wait for its answer. It ends one retention
+// and a margin after the time in its key, or when its shard is released.
 type submission struct {
+	number  uint64
 	job     *job.Job
 	digest  [32]byte
-	grant   message.Grant
+	home    *holding
+	svc     *service
+	learned *learned
 	waiters []waiter
-}
-
-// holding is a shard that this process owns.
-type holding struct {
-	epoch identity.Epoch
-}
-
-// agent is what the owner knows of an agent.
-type agent struct {
-	process identity.Process
-	credit  uint64
-	heard   time.Time
-	rooms   map[string]message.Room
-}
-
-// queued is a task that waits for room.
-type queued struct {
-	submission *submission
-	index      uint32
+	item    *queue.Item[work]
+	retries []*queue.Item[work]
+	misfit  []identity.Process
+	bytes   int
 }
 
 // Owner is the decision.
@@ -87,11 +86,28 @@
 	rnd      *rand.Rand
 	cfg      *configuration.Configuration
 	lease    time.Time
-	shards   map[identity.Shard]holding
+	shards   map[identity.Shard]*holding
 	live     map[identity.Submission]*submission
+	accepted uint64
+	remnants map[identity.Submission]*remnant
+	departed map[identity.Process]struct{}
+	opening  *batch
+	batches  []*batch
 	agents   map[identity.Process]*agent
 	set      []*agent
-	queue    [configuration.Urgencies][]queued
+	services map[string]*service
+	dirty    []*service
+	kinds    map[kindName]*learned
+	usage    *quota.Usage
+	retries  *quota.Retries
+	waiting  waitingBytes
+	ejected  int
+	asleep   int
+	rouse    time.Time
+	revokes  revocations
+	timers   *heap.Heap[timer]
+	skipped  []*room
+	parked   []parked
 	effects  []message.Send
 }
 
@@ -104,9 +120,19 @@
 		self:     self,
 		topology: topology,
 		rnd:      rnd,
-		shards:   map[identity.Shard]holding{},
+		shards:   map[identity.Shard]*holding{},
 		live:     map[identity.Submission]*submission{},
+		remnants: map[identity.Submission]*remnant{},
+		departed: map[identity.Process]struct{}{},
 		agents:   map[identity.Process]*agent{},
+		services: map[string]*service{},
+		kinds:    map[kindName]*learned{},
+		usage:    quota.NewUsage(),
+		retries:  quota.NewRetries(),
+		revokes: revocations{
+			byAgent: map[identity.Process][]*submission{},
+		},
+		timers: heap.New(func(a, b timer) bool { return a.at.Before(b.at) }, nil),
 	}, nil
 }
 
@@ -115,284 +141,80 @@
 func (o *Owner) Handle(now time.Time, event any) []message.Send {
 	clear(o.effects)
 	o.effects = o.effects[:0]
+	o.expire(now)
 	switch e := event.(type) {
 	case message.Received:
 		o.received(now, e)
 	case message.Undelivered:
-		o.undelivered(e)
+		o.undelivered(now, e.Send())
 	case message.Gone:
 		o.gone(now, e.Process())
 	case membership.Lease:
 		o.lease = e.Until()
+		o.touchAll()
 	case membership.Granted:
-		o.shards[e.Shard()] = holding{
-			epoch: e.Epoch(),
-		}
+		o.granted(now, e)
 	case membership.Released:
-		delete(o.shards, e.Shard())
+		o.release(e.Shard())
 	case membership.WorkingSet:
-		o.setAgents(e)
+		o.setAgents(now, e)
 	case *configuration.Configuration:
 		if o.cfg == nil || e.Version() > o.cfg.Version() {
 			o.cfg = e
 		}
 	}
 	o.dispatch(now)
+	o.flushRevokes(now)
 	return o.effects
 }
 
-// Next is when the owner wants a message.Wake; zero if it waits for messages only.
-func (o *Owner) Next() time.Time {
-	return time.Time{}
+// leased tells whether the owner may start and refuse work.
+func (o *Owner) leased(now time.Time) bool {
+	return o.lease.After(now)
 }
 
 func (o *Owner) send(to identity.Process, body any) {
 	o.effects = append(o.effects, message.NewSend(to, body))
 }
 
+func (o *Owner) reply(to identity.Process, request uint64, a answer.Answer) {
+	o.send(to, message.NewReply(request, a))
+}
+
 func (o *Owner) received(now time.Time, r message.Received) {
 	o.hear(now, r)
 	switch m := r.Body().(type) {
-	case message.Submit:
-		o.submit(now, r.From(), m)
-	case message.Query:
-		o.query(r.From(), m)
-	case message.Cancel:
-		o.cancel(r.From(), m)
+	case message.Submit, message.Query, message.Cancel:
+		o.request(now, r)
 	case message.Finished:
 		o.finished(now, r.From(), m)
 	case message.Rejected:
-		o.rejected(r.From(), m)
-	}
-}
-
-func (o *Owner) hear(now time.Time, r message.Received) {
-	a, ok := o.agents[r.From()]
-	if !ok || r.Credit() == 0 {
-		return
-	}
-	a.credit = max(a.credit, r.Credit())
-	a.heard = now
-	if r.Room() == nil {
-		return
-	}
-	clear(a.rooms)
-	for _, room := range r.Room() {
-		a.rooms[room.Service()] = room
-	}
-}
-
-func (o *Owner) setAgents(w membership.WorkingSet) {
-	o.set = o.set[:0]
-	for _, m := range w.Agents() {
-		a, ok := o.agents[m.Process()]
-		if !ok {
-			a = &agent{
-				process: m.Process(),
-				rooms:   map[string]message.Room{},
-			}
-			o.agents[m.Process()] = a
-			o.send(m.Process(), message.NewInterest(nil))
-		}
-		o.set = append(o.set, a)
-	}
-}
-
-func (o *Owner) reply(to identity.Process, request uint64, a answer.Answer) {
-	o.send(to, message.NewReply(request, a))
-}
-
-func (o *Owner) submit(now time.Time, from identity.Process, m message.Submit) {
-	order := m.Order()
-	if s, ok := o.live[order.Submission()]; ok {
-		o.join(from, m.Request(), s, order)
-		return
-	}
-	s, refusal, ok := o.accept(now, order)
-	if !ok {
-		o.reply(from, m.Request(), refusal)
-		return
-	}
-	o.live[order.Submission()] = s
-	s.waiters = append(s.waiters, waiter{
-		entry:   from,
-		request: m.Request(),
-	})
-	o.reply(from, m.Request(), answer.Pending())
-	u := s.job.Kind().Urgency()
-	for i := range s.job.Tasks() {
-		o.queue[u] = append(o.queue[u], queued{
-			submission: s,
-			index:      uint32(i),
-		})
-	}
-}
-
-func (o *Owner) join(from identity.Process, request uint64, s *submission, order job.Order) {
-	if s.digest != order.Digest() {
-		o.reply(from, request, answer.NotPassed(answer.KeyConflict, "the key was used with another content", 0))
-		return
-	}
-	o.reply(from, request, s.job.Answer())
-	if !s.job.Answer().Ended() {
-		s.waiters = append(s.waiters, waiter{
-			entry:   from,
-			request: request,
-		})
-	}
-}
-
-func (o *Owner) accept(now time.Time, order job.Order) (*submission, answer.Answer, bool) {
-	if o.cfg == nil || !o.lease.After(now) {
-		return nil, answer.NotPassed(answer.Unavailable, "the owner has no valid lease or configuration", 0), false
-	}
-	team, ok := o.cfg.Team(order.Submission().Team())
-	if !ok {
-		return nil, answer.NotPassed(answer.UnknownTeam, order.Submission().Team(), 0), false
-	}
-	shard := o.topology.Shard(order.Submission(), team.HomeRegion())
-	h, ok := o.shards[shard]
-	if !ok {
-		return nil, answer.NotPassed(answer.Unavailable, "this process does not own the submission's shard", 0), false
-	}
-	kind, ok := o.cfg.Kind(team.Name(), order.Kind())
-	if !ok {
-		return nil, answer.NotPassed(answer.UnknownKind, order.Kind(), 0), false
-	}
-	if now.Sub(order.Submission().FirstSent()) >= o.cfg.Limits().Retention() {
-		return nil, answer.NotPassed(answer.KeyExpired, "first sent "+order.Submission().FirstSent().UTC().Format(time.RFC3339), 0), false
-	}
-	return &submission{
-		job:    job.New(now, order, kind),
-		digest: order.Digest(),
-		grant:  message.NewGrant(shard, h.epoch),
-	}, answer.Answer{}, true
-}
-
-func (o *Owner) query(from identity.Process, m message.Query) {
-	s, ok := o.live[m.Submission()]
-	if !ok {
-		o.reply(from, m.Request(), answer.NotPassed(answer.UnknownKey, m.Submission().String(), 0))
-		return
-	}
-	o.reply(from, m.Request(), s.job.Answer())
-	if m.Wait() && !s.job.Answer().Ended() {
-		s.waiters = append(s.waiters, waiter{
-			entry:   from,
-			request: m.Request(),
-		})
-	}
-}
-
-func (o *Owner) cancel(from identity.Process, m message.Cancel) {
-	s, ok := o.live[m.Submission()]
-	if !ok {
-		o.reply(from, m.Request(), answer.NotPassed(answer.UnknownKey, m.Submission().String(), 0))
-		return
-	}
-	if s.job.Fail(answer.Cancelled, "cancelled by the caller") {
-		o.ended(s)
-	}
-	o.reply(from, m.Request(), s.job.Answer())
-}
-
-func (o *Owner) finished(_ time.Time, from identity.Process, m message.Finished) {
-	s, ok := o.live[m.Task().Submission()]
-	if !ok {
-		return
-	}
-	if s.job.End(m.Task().Index(), from, m.Result()) {
-		o.ended(s)
-	}
-}
-
-func (o *Owner) rejected(from identity.Process, m message.Rejected) {
-	s, ok := o.live[m.Task().Submission()]
-	if !ok || !s.job.NotStarted(m.Task().Index(), from) {
-		return
-	}
-	if s.job.Waiting(m.Task().Index()) {
-		u := s.job.Kind().Urgency()
-		o.queue[u] = append(o.queue[u], queued{
-			submission: s,
-			index:      m.Task().Index(),
-		})
-	}
-}
-
-func (o *Owner) undelivered(u message.Undelivered) {
-	m, ok := u.Send().Body().(message.Start)
-	if ok {
-		o.rejected(u.Send().To(), message.NewRejected(m.Task(), message.Busy))
-	}
-}
-
-// gone ends every start at an agent that will never answer.
-func (o *Owner) gone(_ time.Time, p identity.Process) {
-	if _, ok := o.agents[p]; !ok {
-		return
-	}
-	delete(o.agents, p)
-	for i, a := range o.set {
-		if a.process == p {
-			o.set = append(o.set[:i], o.set[i+1:]...)
-			break
-		}
-	}
-	lost := outcome.Lost("the agent " + p.String() + " was lost")
-	for _, s := range o.live {
-		for i := range s.job.Tasks() {
-			if s.job.End(uint32(i), p, lost) {
-				o.ended(s)
-			}
-		}
-	}
-}
-
-// ended answers those who wait and stops what the job still has at agents.
-func (o *Owner) ended(s *submission) {
-	for _, w := range s.waiters {
-		o.reply(w.entry, w.request, s.job.Answer())
-	}
-	s.waiters = nil
-	for _, p := range s.job.Open() {
-		o.send(p, message.NewRevoke([]message.Grant{s.grant}, []identity.Submission{s.job.Order().Submission()}))
-	}
-}
-
-// dispatch sends starts while an agent has room for the task at the head.
-func (o *Owner) dispatch(now time.Time) {
-	if !o.lease.After(now) {
-		return
-	}
-	for u := range o.queue {
-		q := o.queue[u]
-		for len(q) > 0 && o.start(q[0]) {
-			q = q[1:]
-		}
-		o.queue[u] = q
-	}
-}
-
-// start sends the task if an agent has room, and tells whether the task has left
-// the queue.
-func (o *Owner) start(q queued) bool {
-	j := q.submission.job
-	if !j.Waiting(q.index) {
-		return true
-	}
-	for _, a := range o.set {
-		room, ok := a.rooms[j.Kind().Service()]
-		if !ok || room.Free() == 0 || a.credit == 0 {
-			continue
+		o.rejected(now, r.From(), m.Task(), m.Cause())
+	case message.Offer:
+		o.offer(now, r.From(), m)
+	case message.Revoked:
+		o.revoked(now, r.From(), m)
+	case message.Sealed:
+		o.sealed(now, r.From(), m)
+	}
+}
+
+// undelivered repeats what must not be lost; a start goes back to the queue.
+func (o *Owner) undelivered(now time.Time, s message.Send) {
+	switch m := s.Body().(type) {
+	case message.Start:
+		o.rejected(now, s.To(), m.Task(), message.LedgerFull)
+	case message.Interest:
+		if a, ok := o.agents[s.To()]; ok {
+			a.forgetTold()
 		}
-		if err := j.Send(q.index, a.process); err != nil {
-			return true
+	default:
+		if _, gone := o.departed[s.To()]; !gone {
+			o.timers.Push(timer{
+				at:   now.Add(resendDelay),
+				what: resend,
+				send: s,
+			})
 		}
-		a.rooms[room.Service()] = message.NewRoom(room.Service(), room.Free()-1, room.Reserved(), room.Long(), room.Speed())
-		o.send(a.process, message.NewStart(identity.NewTask(j.Order().Submission(), q.index), q.submission.grant,
-			a.credit, j.Order().Kind(), j.Order().Payloads()[q.index], j.Order().Deadline()))
-		return true
 	}
-	return false
 }
--- /dev/null
+++ b/internal/process/role/owner/result.go
@@ -0,0 +1,353 @@
+package owner
+
+import (
+	"time"
+
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/outcome"
+	"greengagedoor.example/greengagedoor/internal/request/answer"
+	"greengagedoor.example/greengagedoor/internal/request/job"
+	"greengagedoor.example/greengagedoor/internal/request/message"
+	"greengagedoor.example/greengagedoor/internal/request/queue"
+)
+
+// revokeGap gathers the revocations of a wave: the first goes out at once, those
+// that follow within the gap go out together.
+const revokeGap = 5 * time.Millisecond
+
+// revocations are the jobs to revoke, by agent in the order of their first one.
+type revocations struct {
+	byAgent map[identity.Process][]*submission
+	order   []identity.Process
+	last    time.Time
+}
+
+func (r *revocations) add(p identity.Process, s *submission) {
+	if len(r.byAgent[p]) == 0 {
+		r.order = append(r.order, p)
+	}
+	r.byAgent[p] = append(r.byAgent[p], s)
+}
+
+// flushRevokes sends one Revoke to each agent.
+func (o *Owner) flushRevokes(now time.Time) {
+	if len(o.revokes.order) == 0 || now.Sub(o.revokes.last) < revokeGap {
+		return
+	}
+	o.revokes.last = now
+	for _, p := range o.revokes.order {
+		var grants []message.Grant
+		var keys []identity.Submission
+		for _, s := range o.revokes.byAgent[p] {
+			if s.job.OpenAt(p) > 0 {
+				grants = append(grants, s.home.grant)
+				keys = append(keys, s.job.Order().Submission())
+			}
+		}
+		if len(keys) > 0 {
+			o.send(p, message.NewRevoke(grants, keys))
+		}
+	}
+	clear(o.revokes.byAgent)
+	o.revokes.order = o.revokes.order[:0]
+}
+
+// stop ends a job for a reason outside its tasks. Without a lease the owner does
+// not claim that nothing ran, since another owner may have the shard.
+func (o *Owner) stop(now time.Time, s *submission, reason answer.Reason, detail string, retryAfter time.Duration) {
+	if s.job.Stopping() {
+		return
+	}
+	if !o.leased(now) {
+		s.job.Forget()
+	}
+	if s.job.Stop(reason, detail, retryAfter) {
+		o.ended(s)
+		return
+	}
+	if !s.job.Stopping() {
+		return
+	}
+	o.dequeue(s)
+	o.revoke(s)
+	o.timers.Push(timer{
+		at:         now.Add(confirmLimit),
+		what:       confirm,
+		submission: s,
+		key:        s.job.Order().Submission(),
+	})
+}
+
+func (o *Owner) revoke(s *submission) {
+	s.job.Holders(func(p identity.Process) { o.revokes.add(p, s) })
+}
+
+// ended answers those who wait and stops what the job still has waiting and at
+// agents.
+func (o *Owner) ended(s *submission) {
+	for _, w := range s.waiters {
+		o.reply(w.entry, w.request, s.job.Answer())
+	}
+	s.waiters = nil
+	s.misfit = nil
+	o.dequeue(s)
+	o.revoke(s)
+}
+
+// settle notes that a task is no longer open at an agent.
+func (o *Owner) settle(s *submission, p identity.Process) {
+	a, ok := o.agents[p]
+	if !ok {
+		return
+	}
+	if s.job.OpenAt(p) == 0 {
+		delete(a.jobs, s)
+	}
+	if r := a.room(s.svc); r != nil {
+		o.closed(r, 1)
+	}
+	o.discard(a)
+}
+
+// closed takes tasks off those that are open in a room. Tasks adopted before the
+// agent's first hint were not counted.
+func (o *Owner) closed(r *room, n int) {
+	n = min(n, r.open)
+	r.open -= n
+	r.svc.open -= n
+	o.refresh(r)
+}
+
+func (o *Owner) finished(now time.Time, from identity.Process, m message.Finished) {
+	key := m.Task().Submission()
+	s, ok := o.live[key]
+	if !ok {
+		if r, ok := o.remnants[key]; ok {
+			r.finished(m.Task().Index(), from, m.Result())
+		}
+		return
+	}
+	index := m.Task().Index()
+	retry := m.Result().State() == outcome.Failed && o.mayRetry(s, index, from)
+	step := s.job.End(index, from, m.Result(), retry)
+	if step == job.Ignored {
+		return
+	}
+	o.learn(now, s, from, m.Result())
+	o.settle(s, from)
+	if step != job.Retry {
+		o.retries.Started()
+	}
+	switch step {
+	case job.Ended:
+		o.ended(s)
+	case job.Retry:
+		o.again(now, s, index)
+	}
+}
+
+// finished updates the record of a task that still ran when its shard was sealed.
+func (r *remnant) finished(index uint32, from identity.Process, result outcome.Result) {
+	f, ok := r.tasks[index]
+	if ok && f.Agent() == from && f.Result().State() == outcome.Running && result.State().Ended() {
+		r.tasks[index] = job.NewFound(from, result)
+	}
+}
+
+// cancel revokes what still runs of a submission whose body is not known here.
+func (r *remnant) cancel(o *Owner, key identity.Submission) answer.Answer {
+	r.cancelled = true
+	ran := answer.RanUnknown
+	asked := map[identity.Process]bool{}
+	for i := range uint32(r.width()) {
+		f, ok := r.tasks[i]
+		if !ok || f.Result().State() == outcome.Revoked {
+			continue
+		}
+		if f.Result().State() != outcome.Unknown {
+			ran = answer.RanSomething
+		}
+		if f.Result().State() == outcome.Running && !asked[f.Agent()] {
+			asked[f.Agent()] = true
+			o.send(f.Agent(), message.NewRevoke([]message.Grant{r.home.grant}, []identity.Submission{key}))
+		}
+	}
+	return answer.Failure(answer.Cancelled, "begun under a former owner", ran)
+}
+
+// width is one more than the highest index with a record.
+func (r *remnant) width() int {
+	n := 0
+	for i := range r.tasks {
+		n = max(n, int(i)+1)
+	}
+	return n
+}
+
+// mayRetry tells whether a failed task starts again: its kind permits it, another
+// agent is there, since the former one's ledger would refuse it, and the budget
+// pays for it.
+func (o *Owner) mayRetry(s *submission, index uint32, from identity.Process) bool {
+	if !s.job.MayRetry(index, from) {
+		return false
+	}
+	for _, a := range o.set {
+		r := a.room(s.svc)
+		if r != nil && r.heard && a.process != from && !s.job.Tried(index, a.process) {
+			return o.retries.Take()
+		}
+	}
+	return false
+}
+
+// again queues a failed task by itself, so that it does not hold up the others.
+func (o *Owner) again(now time.Time, s *submission, index uint32) {
+	i := queue.NewItem(work{
+		submission: s,
+		index:      index,
+		retry:      true,
+	}, o.spec(now, s))
+	s.svc.queue.Keep(i)
+	s.retries = append(s.retries, i)
+	o.add(s.svc, i, 1)
+}
+
+// rejected takes back a start that had no effect, and notes why.
+func (o *Owner) rejected(now time.Time, from identity.Process, task identity.Task, cause message.Cause) {
+	s, ok := o.live[task.Submission()]
+	if !ok || !s.job.At(task.Index(), from) {
+		return
+	}
+	if cause == message.StaleEpoch {
+		o.release(s.home.grant.Shard())
+		return
+	}
+	if cause == message.AlreadyStarted && !s.job.Tried(task.Index(), from) {
+		o.fail(now, s, task.Index(), from, "the agent "+from.String()+" has an earlier start of the task")
+		return
+	}
+	step := s.job.NotStarted(task.Index(), from)
+	o.settle(s, from)
+	o.refused(now, s, from, cause)
+	if step == job.Ended {
+		o.ended(s)
+		return
+	}
+	if cause == message.PastDeadline {
+		o.stop(now, s, answer.DeadlinePassed, "the deadline passed", 0)
+	}
+	if cause == message.NeverFits && o.fitsNowhere(s, from) {
+		o.stop(now, s, answer.FitsNowhere, "a task is larger than every worker known to the owner", 0)
+	}
+	if !s.job.Waiting(task.Index()) {
+		return
+	}
+	if s.job.Starts(task.Index()) > 0 {
+		o.again(now, s, task.Index())
+		return
+	}
+	s.job.Return(task.Index())
+	o.add(s.svc, s.item, 1)
+}
+
+// fitsNowhere notes that an agent can never run the job, and tells whether this
+// holds for all agents of the working set that offer the service.
+func (o *Owner) fitsNowhere(s *submission, from identity.Process) bool {
+	if !s.unfit(from) {
+		s.misfit = append(s.misfit, from)
+	}
+	for _, a := range o.set {
+		if a.room(s.svc) != nil && !s.unfit(a.process) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *submission) unfit(p identity.Process) bool {
+	for _, m := range s.misfit {
+		if m == p {
+			return true
+		}
+	}
+	return false
+}
+
+// fail ends a task of which nothing more will be learned.
+func (o *Owner) fail(now time.Time, s *submission, index uint32, p identity.Process, detail string) {
+	step := s.job.End(index, p, outcome.Lost(detail), false)
+	if step == job.Ignored {
+		return
+	}
+	o.settle(s, p)
+	if step == job.Ended {
+		o.ended(s)
+	}
+}
+
+// revoked takes an agent's confirmation. A task that the agent did not find can
+// no longer start there.
+func (o *Owner) revoked(now time.Time, from identity.Process, m message.Revoked) {
+	states := make(map[identity.Task]outcome.State, len(m.Tasks()))
+	for _, t := range m.Tasks() {
+		states[t.Task()] = t.State()
+	}
+	for _, key := range m.Submissions() {
+		s, ok := o.live[key]
+		if !ok {
+			continue
+		}
+		answered := s.job.Answer().Ended()
+		if !answered && !o.leased(now) {
+			s.job.Forget()
+		}
+		var open []uint32
+		s.job.EachOpen(from, func(i uint32) { open = append(open, i) })
+		for _, i := range open {
+			state, found := states[identity.NewTask(key, i)]
+			if !found {
+				state = outcome.Revoked
+			}
+			s.job.Confirm(i, from, state)
+			if !s.job.At(i, from) {
+				o.settle(s, from)
+			}
+		}
+		if !answered && s.job.Answer().Ended() {
+			o.ended(s)
+		}
+	}
+}
+
+// gone ends every start at an agent that will never answer.
+func (o *Owner) gone(now time.Time, p identity.Process) {
+	o.departed[p] = struct{}{}
+	o.timers.Push(timer{
+		at:      now.Add(o.retention() + keepMargin),
+		what:    bury,
+		process: p,
+	})
+	o.lostMember(now, p)
+	a, ok := o.agents[p]
+	if !ok {
+		return
+	}
+	o.leave(a)
+	for i, m := range o.set {
+		if m == a {
+			o.set = append(o.set[:i], o.set[i+1:]...)
+			break
+		}
+	}
+	delete(o.agents, p)
+	for _, s := range inOrder(a.jobs) {
+		var open []uint32
+		s.job.EachOpen(p, func(i uint32) { open = append(open, i) })
+		for _, i := range open {
+			o.fail(now, s, i, p, "the agent "+p.String()+" was lost")
+		}
+	}
+	for _, r := range a.rooms {
+		r.svc.open -= r.open
+	}
+}
--- /dev/null
+++ b/internal/process/role/owner/snapshot.go
@@ -0,0 +1,143 @@
+package owner
+
+import (
+	"time"
+
+	"greengagedoor.example/greengagedoor/internal/request/queue"
+	"greengagedoor.example/greengagedoor/internal/version/configuration"
+)
+
+// Snapshot is a count of the owner's state for the dump. It holds no payloads.
+type Snapshot struct {
+	leased    bool
+	shards    int
+	sealing   int
+	gaps      int
+	held      int
+	live      int
+	remnants  int
+	waiting   [configuration.Urgencies]int
+	open      int
+	agents    int
+	asleep    int
+	ejected   int
+	departed  int
+	timers    int
+	bytes     int
+	oldestNow time.Duration
+}
+
+// Snapshot counts the owner's state.
+func (o *Owner) Snapshot(now time.Time) Snapshot {
+	s := Snapshot{
+		leased:   o.leased(now),
+		shards:   len(o.shards),
+		live:     len(o.live),
+		remnants: len(o.remnants),
+		agents:   len(o.set),
+		asleep:   o.asleep,
+		ejected:  o.ejected,
+		departed: len(o.departed),
+		timers:   o.timers.Len(),
+		bytes:    o.waiting.bytes,
+	}
+	for _, h := range o.shards {
+		if !h.ready {
+			s.sealing++
+		}
+		if h.awaiting > 0 {
+			s.gaps++
+		}
+		s.held += len(h.held)
+	}
+	for _, svc := range o.services {
+		s.open += svc.open
+		for c := queue.Class(0); c < queue.Classes; c++ {
+			n, oldest := svc.queue.Waiting(now, c)
+			s.waiting[c.Urgency()] += n
+			s.oldestNow = max(s.oldestNow, oldest)
+		}
+	}
+	return s
+}
+
+// Leased tells whether the membership lease is valid.
+func (s Snapshot) Leased() bool {
+	return s.leased
+}
+
+// Shards is the number of shards owned.
+func (s Snapshot) Shards() int {
+	return s.shards
+}
+
+// Sealing is the number of shards that are not ready yet.
+func (s Snapshot) Sealing() int {
+	return s.sealing
+}
+
+// Gaps is the number of shards of which an agent that may be alive has not sent
+// its records.
+func (s Snapshot) Gaps() int {
+	return s.gaps
+}
+
+// Held is the number of requests that wait for a shard to be sealed.
+func (s Snapshot) Held() int {
+	return s.held
+}
+
+// Live is the number of submissions kept, ended ones included.
+func (s Snapshot) Live() int {
+	return s.live
+}
+
+// Remnants is the number of submissions known from agents' records only.
+func (s Snapshot) Remnants() int {
+	return s.remnants
+}
+
+// Waiting is the number of tasks of an urgency that wait.
+func (s Snapshot) Waiting(u configuration.Urgency) int {
+	return s.waiting[u]
+}
+
+// Oldest is the wait of the oldest waiting task.
+func (s Snapshot) Oldest() time.Duration {
+	return s.oldestNow
+}
+
+// Open is the number of starts without a result.
+func (s Snapshot) Open() int {
+	return s.open
+}
+
+// Agents is the size of the working set.
+func (s Snapshot) Agents() int {
+	return s.agents
+}
+
+// Asleep is the number of agents of the set without a fresh credit.
+func (s Snapshot) Asleep() int {
+	return s.asleep
+}
+
+// Ejected is the number of ejected agents.
+func (s Snapshot) Ejected() int {
+	return s.ejected
+}
+
+// Departed is the number of lost agents that are remembered.
+func (s Snapshot) Departed() int {
+	return s.departed
+}
+
+// Timers is the number of armed timers.
+func (s Snapshot) Timers() int {
+	return s.timers
+}
+
+// WaitingBytes is the size of the payloads of jobs in the queues.
+func (s Snapshot) WaitingBytes() int {
+	return s.bytes
+}
--- /dev/null
+++ b/internal/process/role/owner/timer.go
@@ -0,0 +1,151 @@
+package owner
+
+import (
+	"time"
+
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/request/answer"
+	"greengagedoor.example/greengagedoor/internal/request/message"
+)
+
+// The times after which the owner acts without a message.
+const (
+	// resendDelay is the pause before a message is repeated that found no room in
+	// the link's window.
+	resendDelay = 50 * time.Millisecond
+	// confirmLimit is how long a stopped job waits for agents to confirm what ran.
+	// A dead agent is known after 3 s, so a later answer would say no more.
+	confirmLimit = 3 * time.Second
+	// maxCallerSkew is the largest accepted lead of a caller's clock.
+	maxCallerSkew = 5 * time.Second
+	// keepMargin is how long a submission is kept beyond the retention. Agents keep
+	// their records as long, so that a record outlives its key.
+	keepMargin = 2 * maxCallerSkew
+	// defaultRetention holds for records that arrive before a configuration.
+	defaultRetention = 10 * time.Minute
+)
+
+// purpose is what a timer is for.
+type purpose uint8
+
+const (
+	forget    purpose = iota // A submission or remnant reached the end of its retention.
+	deadline                 // A job's deadline.
+	confirm                  // A stopped job has waited long enough for confirmations.
+	sendSeal                 // The grants of a batch are sealed together.
+	limitSeal                // Agents that have not answered count as gaps.
+	readmit                  // A room's pause or ejection ends.
+	bury                     // A departed process is no longer named by any record.
+	resend                   // A message that did not leave is sent again.
+)
+
+// timer is a moment at which the owner acts.
+type timer struct {
+	at         time.Time
+	what       purpose
+	submission *submission
+	key        identity.Submission
+	batch      *batch
+	room       *room
+	process    identity.Process
+	send       message.Send
+}
+
+// Next is when the owner wants a message.Wake; zero if it waits for messages only.
+func (o *Owner) Next() time.Time {
+	var next time.Time
+	earliest := func(t time.Time) {
+		if next.IsZero() || t.Before(next) {
+			next = t
+		}
+	}
+	if t, ok := o.timers.Top(); ok {
+		earliest(t.at)
+	}
+	if len(o.revokes.order) > 0 {
+		earliest(o.revokes.last.Add(revokeGap))
+	}
+	if o.asleep > 0 && o.waiting.tasks > 0 {
+		earliest(o.rouse)
+	}
+	return next
+}
+
+// expire runs the timers that are due.
+func (o *Owner) expire(now time.Time) {
+	for {
+		t, ok := o.timers.Top()
+		if !ok || t.at.After(now) {
+			return
+		}
+		o.timers.Remove(0)
+		o.fire(now, t)
+	}
+}
+
+func (o *Owner) fire(now time.Time, t timer) {
+	switch t.what {
+	case forget:
+		o.forget(now, t.key)
+	case deadline:
+		if o.live[t.key] == t.submission {
+			o.stop(now, t.submission, answer.DeadlinePassed, "the deadline passed", 0)
+		}
+	case confirm:
+		if o.live[t.key] == t.submission && t.submission.job.Abandon(answer.OutcomeUnknown, "an agent did not confirm") {
+			o.ended(t.submission)
+		}
+	case sendSeal:
+		o.sealBatch(now, t.batch)
+	case limitSeal:
+		for _, h := range t.batch.holdings {
+			o.open(now, h)
+		}
+	case readmit:
+		t.room.readmit(now, o)
+	case bury:
+		delete(o.departed, t.process)
+	case resend:
+		if _, gone := o.departed[t.send.To()]; !gone {
+			o.effects = append(o.effects, t.send)
+		}
+	}
+}
+
+func (o *Owner) retention() time.Duration {
+	if o.cfg == nil {
+		return defaultRetention
+	}
+	return o.cfg.Limits().Retention()
+}
+
+// forgetAt arms the end of a key's retention.
+func (o *Owner) forgetAt(now time.Time, key identity.Submission) {
+	at := key.FirstSent().Add(o.retention() + keepMargin)
+	if at.Before(now) {
+		at = now.Add(keepMargin)
+	}
+	o.timers.Push(timer{
+		at:   at,
+		what: forget,
+		key:  key,
+	})
+}
+
+// forget drops a submission at the end of its retention; one with open tasks
+// stays until they have ended.
+func (o *Owner) forget(now time.Time, key identity.Submission) {
+	if r, ok := o.remnants[key]; ok {
+		delete(r.home.found, key)
+		delete(o.remnants, key)
+	}
+	s, ok := o.live[key]
+	if !ok {
+		return
+	}
+	if !s.job.Answer().Ended() || s.job.Open() > 0 {
+		o.forgetAt(now, key)
+		return
+	}
+	o.drop(s)
+}
--- a/internal/request/job/job.go
+++ b/internal/request/job/job.go
@@ -2,9 +2,10 @@
 //
 // A job is a set of tasks of which each starts at most as often as its kind
 // permits. The job ends complete when every task succeeded, and failed as soon
-// as one task cannot succeed. A failed job keeps its tasks' states, since the
-// answer says what is known about those that ran. The answer is built once, when
-// the job ends, so that no caller can see a partial one.
+// as one task cannot succeed. A job that is stopped from outside is answered
+// once the agents have confirmed what ran, so that a refusal that claims "not
+// run" is true. The answer is built once, when the job ends, so that no caller
+// can see a partial one.
 package job
 
 import (
@@ -30,12 +31,36 @@
 	ended                    // The result is known.
 )
 
-// task is one task of the job; agent is where it was sent.
+// task is one task of the job; holder is the index of the agent it was sent to.
 type task struct {
 	state  taskState
 	starts uint8
-	agent  identity.Process
-	result outcome.Result
+	holder uint16
+	body   []byte
+}
+
+// holder is an agent that was sent tasks of the job.
+type holder struct {
+	agent identity.Process
+	open  int
+}
+
+// Step is what a result changed.
+type Step uint8
+
+// The steps.
+const (
+	Ignored  Step = iota // The result is late or came twice.
+	Progress             // The result was stored.
+	Retry                // The task failed and waits for another start.
+	Ended                // The job ended by the result.
+)
+
+// stop is the reason of a job that is ended from outside.
+type stop struct {
+	reason     answer.Reason
+	detail     string
+	retryAfter time.Duration
 }
 
 // Job is one accepted submission.
@@ -44,9 +69,16 @@
 	kind     configuration.Kind
 	accepted time.Time
 	tasks    []task
-	open     int
-	started  int
-	unknown  int
+	fresh    uint32
+	returned []uint32
+	holders  []holder
+	tried    map[uint32][]identity.Process
+	open     int // Tasks sent without a result.
+	left     int // Tasks that have not succeeded.
+	ran      int // Tasks that certainly ran.
+	unknown  int // Tasks that may have run.
+	covered  bool
+	stop     *stop
 	answer   answer.Answer
 }
 
@@ -57,7 +89,7 @@
 		kind:     k,
 		accepted: now,
 		tasks:    make([]task, len(o.payloads)),
-		open:     len(o.payloads),
+		left:     len(o.payloads),
 		answer:   answer.Pending(),
 	}
 }
@@ -77,158 +109,273 @@
 	return j.accepted
 }
 
-// Tasks is the number of tasks.
-func (j *Job) Tasks() int {
-	return len(j.tasks)
-}
-
 // Answer is what the caller is told now.
 func (j *Job) Answer() answer.Answer {
 	return j.answer
 }
 
-// Started is the number of starts sent and not refused by an agent.
-func (j *Job) Started() int {
-	return j.started
+// Open is the number of tasks sent without a result.
+func (j *Job) Open() int {
+	return j.open
+}
+
+// Started tells whether a task was sent and not refused by its agent.
+func (j *Job) Started() bool {
+	return j.open+j.ran+j.unknown > 0
+}
+
+// Stopping tells whether the job waits for agents to confirm what ran.
+func (j *Job) Stopping() bool {
+	return j.stop != nil && !j.answer.Ended()
 }
 
 // Waiting tells whether the task may be sent to an agent now.
 func (j *Job) Waiting(index uint32) bool {
-	return !j.answer.Ended() && j.tasks[index].state == waiting
+	return !j.answer.Ended() && j.stop == nil && int(index) < len(j.tasks) && j.tasks[index].state == waiting
 }
 
-// Agent is where a task was sent; ok is false unless its result is open.
-func (j *Job) Agent(index uint32) (p identity.Process, ok bool) {
-	t := &j.tasks[index]
-	return t.agent, t.state == sent
+// WaitingTasks is the number of tasks that were neither sent nor ended.
+func (j *Job) WaitingTasks() int {
+	n := 0
+	for i := range j.tasks {
+		if j.tasks[i].state == waiting {
+			n++
+		}
+	}
+	return n
+}
+
+// Pop returns the next waiting task that has not failed before.
+func (j *Job) Pop() (index uint32, ok bool) {
+	for len(j.returned) > 0 {
+		last := len(j.returned) - 1
+		i := j.returned[last]
+		j.returned = j.returned[:last]
+		if j.Waiting(i) {
+			return i, true
+		}
+	}
+	for int(j.fresh) < len(j.tasks) {
+		i := j.fresh
+		j.fresh++
+		if j.Waiting(i) {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Return makes a task available to Pop again.
+func (j *Job) Return(index uint32) {
+	j.returned = append(j.returned, index)
+}
+
+// Tried tells whether the task ran at an agent before; that agent's ledger would
+// refuse it.
+func (j *Job) Tried(index uint32, agent identity.Process) bool {
+	for _, p := range j.tried[index] {
+		if p == agent {
+			return true
+		}
+	}
+	return false
+}
+
+// Starts is the number of starts of a task that were not refused.
+func (j *Job) Starts(index uint32) int {
+	return int(j.tasks[index].starts)
+}
+
+func (j *Job) holder(agent identity.Process) int {
+	for i := range j.holders {
+		if j.holders[i].agent == agent {
+			return i
+		}
+	}
+	j.holders = append(j.holders, holder{
+		agent: agent,
+	})
+	return len(j.holders) - 1
 }
 
 // Send marks a task as sent to an agent.
 func (j *Job) Send(index uint32, agent identity.Process) error {
-	t := &j.tasks[index]
 	if !j.Waiting(index) {
 		return errors.Wrapf(ErrState, "task %d cannot be sent", index)
 	}
-	t.state = sent
-	t.starts++
-	t.agent = agent
-	j.started++
+	j.give(index, agent)
 	return nil
 }
 
-// NotStarted takes back a start that certainly did not and cannot take effect.
-func (j *Job) NotStarted(index uint32, agent identity.Process) bool {
-	t := &j.tasks[index]
-	if t.state != sent || t.agent != agent {
-		return false
-	}
-	t.state = waiting
-	t.starts--
-	j.started--
-	return true
-}
-
-// Adopt takes over a start that another owner made.
-func (j *Job) Adopt(index uint32, agent identity.Process) bool {
+func (j *Job) give(index uint32, agent identity.Process) {
 	t := &j.tasks[index]
-	if t.state != waiting {
-		return false
-	}
+	h := j.holder(agent)
+	j.holders[h].open++
 	t.state = sent
 	t.starts++
-	t.agent = agent
-	j.started++
-	return true
+	t.holder = uint16(h)
+	j.open++
 }
 
-// End stores the result of a task. It tells whether the job ended by it.
-// Results for tasks that are not open are ignored: replies arrive late or twice.
-func (j *Job) End(index uint32, agent identity.Process, r outcome.Result) bool {
+// At tells whether a task is open at an agent.
+func (j *Job) At(index uint32, agent identity.Process) bool {
 	if int(index) >= len(j.tasks) {
 		return false
 	}
 	t := &j.tasks[index]
-	if t.state != sent || t.agent != agent {
-		return false
+	return t.state == sent && j.holders[t.holder].agent == agent
+}
+
+// OpenAt is the number of tasks open at an agent.
+func (j *Job) OpenAt(agent identity.Process) int {
+	for i := range j.holders {
+		if j.holders[i].agent == agent {
+			return j.holders[i].open
+		}
 	}
-	if r.State() == outcome.Revoked {
-		j.NotStarted(index, agent)
-		return false
+	return 0
+}
+
+// EachOpen calls f for each task that is open at an agent.
+func (j *Job) EachOpen(agent identity.Process, f func(index uint32)) {
+	for i := range j.tasks {
+		if j.At(uint32(i), agent) {
+			f(uint32(i))
+		}
 	}
-	if r.State() == outcome.Failed && int(t.starts) < j.kind.MaxStarts() && !j.answer.Ended() {
-		t.state = waiting
-		return false
+}
+
+// Holders calls f for each agent that holds starts without a result.
+func (j *Job) Holders(f func(agent identity.Process)) {
+	for i := range j.holders {
+		if j.holders[i].open > 0 {
+			f(j.holders[i].agent)
+		}
 	}
-	t.state = ended
-	t.result = r
+}
+
+// close takes a task off the open ones.
+func (j *Job) close(index uint32, s taskState) {
+	t := &j.tasks[index]
+	t.state = s
+	j.holders[t.holder].open--
 	j.open--
-	if r.State() == outcome.Unknown {
+}
+
+// NotStarted takes back a start that certainly did not and cannot take effect.
+func (j *Job) NotStarted(index uint32, agent identity.Process) Step {
+	if !j.At(index, agent) {
+		return Ignored
+	}
+	j.close(index, waiting)
+	j.tasks[index].starts--
+	if j.settleStop() {
+		return Ended
+	}
+	j.drop()
+	return Progress
+}
+
+// MayRetry tells whether a failed start of a task may be followed by another.
+func (j *Job) MayRetry(index uint32, agent identity.Process) bool {
+	return j.At(index, agent) && j.stop == nil && !j.answer.Ended() && j.Starts(index) < j.kind.MaxStarts()
+}
+
+// End stores the result of a task. Retry lets a failed task wait for another
+// start. Results for tasks that are not open are ignored: replies arrive late or
+// twice.
+func (j *Job) End(index uint32, agent identity.Process, r outcome.Result, retry bool) Step {
+	if !j.At(index, agent) {
+		return Ignored
+	}
+	switch r.State() {
+	case outcome.Running:
+		return Ignored
+	case outcome.Revoked:
+		return j.NotStarted(index, agent)
+	}
+	if retry && r.State() == outcome.Failed && j.MayRetry(index, agent) {
+		j.close(index, waiting)
+		j.ran++
+		if j.tried == nil {
+			j.tried = map[uint32][]identity.Process{}
+		}
+		j.tried[index] = append(j.tried[index], agent)
+		return Retry
+	}
+	j.close(index, ended)
+	return j.store(index, r)
+}
+
+func (j *Job) store(index uint32, r outcome.Result) Step {
+	switch {
+	case r.State() == outcome.Unknown:
 		j.unknown++
+	default:
+		j.ran++
 	}
 	if j.answer.Ended() {
-		return false
+		j.drop()
+		return Progress
+	}
+	if j.stop != nil {
+		if j.settleStop() {
+			return Ended
+		}
+		return Progress
 	}
 	switch r.State() {
 	case outcome.Succeeded:
-		return j.complete()
+		j.tasks[index].body = r.Body()
+		j.left--
+		if j.left > 0 {
+			return Progress
+		}
+		j.complete()
 	case outcome.Failed:
-		return j.fail(answer.TaskFailed, r.Detail())
+		j.fail(answer.TaskFailed, r.Detail())
+	default:
+		j.fail(answer.OutcomeUnknown, r.Detail())
 	}
-	return j.fail(answer.OutcomeUnknown, r.Detail())
+	return Ended
 }
 
-func (j *Job) complete() bool {
-	if j.open > 0 {
-		return false
-	}
+func (j *Job) complete() {
 	results := make([][]byte, len(j.tasks))
 	for i := range j.tasks {
-		results[i] = j.tasks[i].result.Body()
+		results[i] = j.tasks[i].body
 	}
 	j.answer = answer.Completion(results)
 	j.drop()
-	return true
 }
 
-// Fail ends the job for a reason outside its tasks, such as a cancellation.
-func (j *Job) Fail(reason answer.Reason, detail string) bool {
-	if j.answer.Ended() {
-		return false
-	}
-	return j.fail(reason, detail)
-}
-
-func (j *Job) fail(reason answer.Reason, detail string) bool {
+// fail answers with a failure and what is known about starts.
+func (j *Job) fail(reason answer.Reason, detail string) {
 	ran := answer.RanNothing
 	switch {
-	case j.unknown > 0:
-		ran = answer.RanUnknown
-	case j.started > 0:
+	case j.ran > 0:
 		ran = answer.RanSomething
+	case j.unknown > 0 || j.open > 0 || j.covered:
+		ran = answer.RanUnknown
 	}
 	j.answer = answer.Failure(reason, detail, ran)
 	j.drop()
-	return true
 }
 
-// drop frees what only a running job needs.
+// drop frees what only a running job needs, and the tasks once no result is open.
 func (j *Job) drop() {
+	if !j.answer.Ended() {
+		return
+	}
 	j.order.payloads = nil
-	for i := range j.tasks {
-		j.tasks[i].result = outcome.Result{}
+	j.returned = nil
+	j.tried = nil
+	if j.open == 0 {
+		j.tasks = nil
+		j.holders = nil
+		return
 	}
-}
-
-// Open lists the agents that hold starts without a result, each once.
-func (j *Job) Open() []identity.Process {
-	var agents []identity.Process
-	seen := map[identity.Process]bool{}
 	for i := range j.tasks {
-		t := &j.tasks[i]
-		if t.state == sent && !seen[t.agent] {
-			seen[t.agent] = true
-			agents = append(agents, t.agent)
-		}
+		j.tasks[i].body = nil
 	}
-	return agents
 }
--- a/internal/request/job/order.go
+++ b/internal/request/job/order.go
@@ -79,3 +79,12 @@
 func (o Order) Digest() [sha256.Size]byte {
 	return o.digest
 }
+
+// Bytes is the size of all payloads.
+func (o Order) Bytes() int {
+	n := 0
+	for _, p := range o.payloads {
+		n += len(p)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/request/job/stop.go
@@ -0,0 +1,199 @@
+package job
+
+import (
+	"time"
+
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/outcome"
+	"greengagedoor.example/greengagedoor/internal/request/answer"
+)
+
+// Stop ends the job for a reason outside its tasks, such as a cancellation. The
+// job is answered at once if it is known whether something ran; otherwise it
+// waits until the agents have confirmed. It tells whether the job was answered.
+func (j *Job) Stop(reason answer.Reason, detail string, retryAfter time.Duration) bool {
+	if j.answer.Ended() || j.stop != nil {
+		return false
+	}
+	j.stop = &stop{
+		reason:     reason,
+		detail:     detail,
+		retryAfter: retryAfter,
+	}
+	return j.settleStop()
+}
+
+// settleStop answers a stopped job if it is known whether something ran.
+func (j *Job) settleStop() bool {
+	if j.stop == nil || j.answer.Ended() {
+		return false
+	}
+	switch {
+	case j.ran > 0:
+		j.fail(j.stop.reason, j.stop.detail)
+	case j.open > 0:
+		return false
+	case j.unknown > 0 || j.covered:
+		j.fail(j.stop.reason, j.stop.detail)
+	default:
+		j.answer = answer.NotRun(j.stop.reason, j.stop.detail, j.stop.retryAfter)
+		j.drop()
+	}
+	return true
+}
+
+// Abandon answers a job without waiting longer for confirmations.
+func (j *Job) Abandon(reason answer.Reason, detail string) bool {
+	if j.answer.Ended() {
+		return false
+	}
+	if j.stop != nil {
+		reason, detail = j.stop.reason, j.stop.detail
+	}
+	j.covered = true
+	j.fail(reason, detail)
+	return true
+}
+
+// Forget withdraws the claim that the history of the key is known, after which
+// the job cannot be refused as not run.
+func (j *Job) Forget() {
+	j.covered = true
+}
+
+// Confirm takes an agent's word about one of its tasks after a revocation.
+func (j *Job) Confirm(index uint32, agent identity.Process, s outcome.State) Step {
+	if !j.At(index, agent) {
+		return Ignored
+	}
+	switch s {
+	case outcome.Revoked:
+		return j.NotStarted(index, agent)
+	case outcome.Running:
+		// The task stays open, since its end is still to come.
+		if j.stop == nil || j.answer.Ended() {
+			return Progress
+		}
+		j.fail(j.stop.reason, j.stop.detail)
+		j.answer = answer.Failure(j.stop.reason, j.stop.detail, answer.RanSomething)
+		return Ended
+	}
+	if j.stop == nil && !j.answer.Ended() {
+		// The result itself follows in a message of its own.
+		return Progress
+	}
+	j.close(index, ended)
+	return j.store(index, outcome.Of(s, nil, "", 0))
+}
+
+// Found is what the agents' records say about one task.
+type Found struct {
+	agent  identity.Process
+	result outcome.Result
+	starts uint8
+}
+
+// NewFound returns what one record says.
+func NewFound(agent identity.Process, r outcome.Result) Found {
+	return Found{
+		agent:  agent,
+		result: r,
+		starts: 1,
+	}
+}
+
+// Result is the result in the record that counts.
+func (f Found) Result() outcome.Result {
+	return f.result
+}
+
+// Agent is the agent with the record that counts.
+func (f Found) Agent() identity.Process {
+	return f.agent
+}
+
+// weight orders the records of one task: a later start was made only after the
+// former had failed or was revoked, so those count least.
+func weight(s outcome.State) int {
+	switch s {
+	case outcome.Succeeded:
+		return 4
+	case outcome.Running:
+		return 3
+	case outcome.Unknown:
+		return 2
+	case outcome.Failed:
+		return 1
+	}
+	return 0
+}
+
+// Merge joins the records of two agents about one task.
+func (f Found) Merge(o Found) Found {
+	n := f.starts + o.starts
+	if f.agent == o.agent {
+		n = max(f.starts, o.starts)
+	}
+	if weight(o.result.State()) >= weight(f.result.State()) {
+		f = o
+	}
+	f.starts = n
+	return f
+}
+
+// Adopt takes over what agents recorded under a former owner, before the job is
+// dispatched. Covered tells that records may be missing; tasks found nowhere
+// then fail the job, since they may have run. It tells whether the job ended.
+func (j *Job) Adopt(found map[uint32]Found, covered bool) bool {
+	j.covered = j.covered || covered
+	revoked := false
+	var failed, lost *outcome.Result
+	for i := range j.tasks {
+		f, ok := found[uint32(i)]
+		if !ok {
+			continue
+		}
+		r := f.result
+		switch r.State() {
+		case outcome.Revoked:
+			revoked = true
+			continue
+		case outcome.Failed:
+			failed = &r
+		case outcome.Unknown:
+			lost = &r
+		}
+		j.adopt(uint32(i), f)
+	}
+	switch {
+	case failed != nil:
+		j.fail(answer.TaskFailed, failed.Detail())
+	case lost != nil:
+		j.fail(answer.OutcomeUnknown, lost.Detail())
+	case j.left == 0:
+		j.complete()
+	case revoked:
+		j.fail(answer.Cancelled, "a former owner revoked the submission's tasks")
+	case covered && j.WaitingTasks() > 0:
+		j.fail(answer.OutcomeUnknown, "records of the submission may be lost")
+	}
+	return j.answer.Ended()
+}
+
+func (j *Job) adopt(index uint32, f Found) {
+	j.give(index, f.agent)
+	j.tasks[index].starts = f.starts
+	switch f.result.State() {
+	case outcome.Running:
+		return
+	case outcome.Unknown:
+		j.unknown++
+	default:
+		j.ran++
+	}
+	j.close(index, ended)
+	if f.result.State() == outcome.Succeeded {
+		j.tasks[index].body = f.result.Body()
+		j.left--
+	}
+}
