--- a/internal/process/role/owner/timer.go
+++ b/internal/process/role/owner/timer.go
@@ -122,7 +122,7 @@
 // forgetAt arms the end of a key's retention.
 func (o *Owner) forgetAt(now time.Time, key identity.Submission) {
 	at := key.FirstSent().Add(o.retention() + keepMargin)
-	if at.Before(now) {
+	if !at.After(now) {
 		at = now.Add(keepMargin)
 	}
 	o.timers.Push(timer{
