Estimate the wait by the capacity left to each urgency

Cause: a simulated crest of ten times the capacity showed that low work was admitted by the drain rate of the whole service.

Ruled out: a larger safety margin for all urgencies, which would refuse urgent work that is served in time.

Change: the drain is measured for each urgency as the work that it and the lower urgencies get; ageing leaves at least one part in 16.

--- a/internal/process/role/owner/admission.go
+++ b/internal/process/role/owner/admission.go
@@ -69,7 +69,7 @@
 	default:
 		return
 	}
-	s.svc.drain.Observe(now, result.RunTime(), s.svc.queue.Tasks() > 0)
+	s.svc.drained(now, s.job.Kind().Urgency(), result.RunTime())
 	if a, ok := o.agents[from]; ok {
 		if r := a.room(s.svc); r != nil {
 			o.judge(now, s, r, result)
@@ -142,13 +142,28 @@
 	return wait + time.Duration(o.rnd.Int64N(int64(wait)))
 }
 
-// slots is the capacity for a service that this owner has, in slots: as observed
-// while work waited, otherwise as hinted. It is zero if nothing is known.
-func (o *Owner) slots(now time.Time, svc *service) float64 {
-	if rate, ok := svc.drain.Rate(now); ok {
-		return rate
+// drained notes the end of a task in the drain rates of its urgency and of the
+// higher ones, which could have used the slot instead.
+func (svc *service) drained(now time.Time, u configuration.Urgency, runTime time.Duration) {
+	for n := range svc.drains {
+		work := time.Duration(0)
+		if int(u) >= n {
+			work = runTime
+		}
+		svc.drains[n].Observe(now, work, svc.queue.Tasks() > 0)
+	}
+}
+
+// slots is the capacity that this owner has for work of an urgency beside the
+// more urgent work, in slots: as observed while work waited, otherwise as hinted.
+// Ageing leaves a part to every urgency. It is zero if nothing is known.
+func (svc *service) slots(now time.Time, u configuration.Urgency) float64 {
+	all, ok := svc.drains[configuration.Critical].Rate(now)
+	if !ok || all <= 0 {
+		return float64(svc.free + svc.open)
 	}
-	return float64(svc.free + svc.open)
+	rate, _ := svc.drains[u].Rate(now)
+	return max(rate, all/queue.AgedEvery)
 }
 
 // wait estimates the time before a new job's tasks start. A team with unused
@@ -156,7 +171,7 @@
 func (o *Owner) wait(now time.Time, s *submission) time.Duration {
 	kind := s.job.Kind()
 	class := queue.NewClass(kind.Urgency(), kind.Long())
-	slots := o.slots(now, s.svc)
+	slots := s.svc.slots(now, kind.Urgency())
 	_, room := s.svc.pools[poolOf(class)].Top()
 	width := max(s.job.WaitingTasks(), 1)
 	ahead := s.svc.queue.Ahead(class, width)
@@ -164,12 +179,13 @@
 		return 0
 	}
 	running := 0.5 * float64(s.svc.open) * s.learned.typical.Value().Seconds()
-	wait := (ahead + running) / slots
+	within := s.svc.queue.Within(class, width)
+	urgent := (ahead - within) / max(s.svc.slots(now, configuration.Critical), slots)
+	wait := urgent + (within+running)/slots
 	team, ok := o.cfg.Team(kind.Team())
 	if ok && team.Share() > 0 && !o.usage.Over(now, team.Name(), team.Share()) {
-		urgent := ahead - s.svc.queue.Within(class, width)
 		own := s.svc.queue.AheadOf(class, team.Name(), width)
-		wait = min(wait, (urgent+running+own/team.Share())/slots)
+		wait = min(wait, urgent+(running+own/team.Share())/slots)
 	}
 	return time.Duration(wait * float64(time.Second))
 }
--- a/internal/process/role/owner/dispatch.go
+++ b/internal/process/role/owner/dispatch.go
@@ -21,7 +21,7 @@
 	pools     [pools]*heap.Heap[*room]
 	free      int
 	open      int
-	drain     estimate.Drain
+	drains    [configuration.Urgencies]estimate.Drain
 	published [queue.Classes]int
 	dirty     bool
 }
--- a/internal/request/estimate/estimate.go
+++ b/internal/request/estimate/estimate.go
@@ -103,7 +103,7 @@
 		return
 	}
 	rate := d.work / span.Seconds()
-	if d.rate == 0 || now.Sub(d.last) > drainLife {
+	if d.last.IsZero() || now.Sub(d.last) > drainLife {
 		d.rate = rate
 	} else {
 		d.rate += drainWeight * (rate - d.rate)
@@ -115,5 +115,5 @@
 
 // Rate is the observed rate in slots; ok is false if there is no recent one.
 func (d *Drain) Rate(now time.Time) (slots float64, ok bool) {
-	return d.rate, d.rate > 0 && now.Sub(d.last) <= drainLife
+	return d.rate, !d.last.IsZero() && now.Sub(d.last) <= drainLife
 }
--- a/internal/request/queue/queue.go
+++ b/internal/request/queue/queue.go
@@ -4,7 +4,7 @@
 // by virtual time; within a team the job with the least time to spare goes
 // first. Each task that a job has started moves the job's next task back, so
 // that a job of a thousand tasks does not hold up a narrow one. One take in
-// agedEvery goes to the work that has waited longest, so that nothing starves
+// AgedEvery goes to the work that has waited longest, so that nothing starves
 // and the most urgent work loses little.
 package queue
 
@@ -17,8 +17,8 @@
 
 // The parameters of ageing.
 const (
-	// agedEvery is the number of takes of which one goes to the oldest work.
-	agedEvery = 16
+	// AgedEvery is the number of takes of which one goes to the oldest work.
+	AgedEvery = 16
 	// minShare is the weight of a team without a share of its own, which then only
 	// borrows.
 	minShare = 0.001
@@ -271,7 +271,7 @@
 
 // Next is the item whose task goes next among the classes of a set.
 func (q *Queue[T]) Next(now time.Time, m Mask) (*Item[T], bool) {
-	if q.taken%agedEvery == agedEvery-1 {
+	if q.taken%AgedEvery == AgedEvery-1 {
 		if i, ok := q.aged(now, m); ok {
 			return i, true
 		}
