Give the configuration head a digest and a writer mark

Cause: the head was a plain decimal number, so a reader could not tell a damaged or foreign body from the right one, and a writer whose answer was lost could not tell its own write from another one. Ruled out: keeping plain numbers readable. No released writer exists, and a head without digest would skip the check.

--- a/internal/process/role/host/registry.go
+++ b/internal/process/role/host/registry.go
@@ -19,8 +19,6 @@
 	registryInterval = 400 * time.Millisecond
 	registryLease    = 1500 * time.Millisecond
 	agentPrefix      = "agents/"
-	headKey          = "config/head"
-	versionPrefix    = "config/version/"
 )
 
 // registry tells the roles of a process about the other processes and the
@@ -111,24 +109,32 @@
 }
 
 func (r *registry) configuration(ctx context.Context) {
-	head, err := r.common.store.Read(ctx, headKey)
+	head, err := r.common.store.Read(ctx, configuration.HeadKey)
 	if err != nil {
 		return
 	}
-	n, err := strconv.ParseUint(string(head.Value()), 10, 64)
-	if err != nil || n <= r.version {
+	h, err := configuration.DecodeHead(head.Value())
+	if err != nil {
+		r.common.log.WithError(err).Error("head of the configuration cannot be decoded")
+		return
+	}
+	if h.Version() <= r.version {
 		return
 	}
-	body, err := r.common.store.Read(ctx, versionPrefix+strconv.FormatUint(n, 10))
+	body, err := r.common.store.Read(ctx, h.Key())
 	if err != nil {
 		return
 	}
+	if err := h.Check(body.Value()); err != nil {
+		r.common.log.WithError(err).Error("configuration does not match its head")
+		return
+	}
 	cfg, err := configuration.Decode(body.Value())
 	if err != nil {
 		r.common.log.WithError(err).Error("configuration cannot be decoded")
 		return
 	}
-	r.version = n
+	r.version = h.Version()
 	r.publish(ctx, cfg)
 }
 
--- /dev/null
+++ b/internal/version/configuration/head_test.go
@@ -0,0 +1,45 @@
+package configuration_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"greengagedoor.example/greengagedoor/internal/version/configuration"
+)
+
+// TestHead guards against a head that loses a field in the store, and against a
+// body that is taken for the one that the head names.
+func TestHead(t *testing.T) {
+	Convey("a head keeps its fields and recognizes its body", t, func() {
+		h, err := configuration.NewHead(7, []byte("body"), "mark")
+		So(err, ShouldBeNil)
+		data, err := configuration.EncodeHead(h)
+		So(err, ShouldBeNil)
+		back, err := configuration.DecodeHead(data)
+		So(err, ShouldBeNil)
+		So(back, ShouldResemble, h)
+		So(back.Key(), ShouldEqual, "config/version/7")
+		So(back.Check([]byte("body")), ShouldBeNil)
+		So(back.Check([]byte("other")), ShouldNotBeNil)
+	})
+}
+
+// TestHeadRefused guards against a damaged head that is taken for a version.
+func TestHeadRefused(t *testing.T) {
+	tests := map[string]string{
+		"empty":         "",
+		"plain number":  "7",
+		"no digest":     `{"version":7,"mark":"m"}`,
+		"no version":    `{"sha256":"00","mark":"m"}`,
+		"unknown field": `{"version":7,"more":1}`,
+	}
+	for name, data := range tests {
+		t.Run(name, func(t *testing.T) {
+			Convey("the head is refused", t, func() {
+				_, err := configuration.DecodeHead([]byte(data))
+				So(err, ShouldNotBeNil)
+			})
+		})
+	}
+}
