Check a configuration as a whole and store kinds by column

Cause: the value lacked spread, repeatability, regions, worker sizes, installation tokens and the admission parameters; contradictions were not found, and with a name for each field of each kind 5,200 kinds would have exceeded the store's 1 MB. Ruled out: compression, which hides the content from a look at the store; shorter field names, which still repeat 16 names per kind. Change: the new fields, Check with all contradictions at once, Diff and Show from one table of fields, kinds stored as columns, strict decoding that gathers all unusable values. The head names the last 16 writers, so that a writer finds its mark after others moved on.

--- a/internal/version/configuration/codec.go
+++ b/internal/version/configuration/codec.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,10 +16,32 @@
 // document and its parts are the stored form of a version. Durations are in
 // milliseconds.
 type document struct {
-	Version     uint64         `json:"version"`
-	MaxTasks    int            `json:"max_tasks"`
-	RetentionMS int64          `json:"retention_ms"`
-	Teams       []teamDocument `json:"teams"`
+	Version   uint64            `json:"version"`
+	Limits    limitsDocument    `json:"limits"`
+	Admission admissionDocument `json:"admission"`
+	Tokens    []tokenDocument   `json:"tokens,omitempty"`
+	Workers   []workerDocument  `json:"workers,omitempty"`
+	Teams     []teamDocument    `json:"teams"`
+}
+
+type limitsDocument struct {
+	MaxTasks    int   `json:"max_tasks"`
+	RetentionMS int64 `json:"retention_ms"`
+	Regions     int   `json:"regions"`
+}
+
+type admissionDocument struct {
+	ReservedSlots int     `json:"reserved_slots"`
+	LongShare     float64 `json:"long_share"`
+	RetryBudget   float64 `json:"retry_budget"`
+	MaxWaiting    int     `json:"max_waiting"`
+}
+
+type workerDocument struct {
+	Name         string `json:"name"`
+	MilliCores   int64  `json:"milli_cores"`
+	MemoryBytes  int64  `json:"memory_bytes"`
+	Accelerators int64  `json:"accelerators"`
 }
 
 type teamDocument struct {
@@ -26,7 +49,7 @@
 	Share      float64         `json:"share"`
 	HomeRegion int             `json:"home_region"`
 	Tokens     []tokenDocument `json:"tokens,omitempty"`
-	Kinds      []kindDocument  `json:"kinds"`
+	Kinds      kindsDocument   `json:"kinds"`
 }
 
 type tokenDocument struct {
@@ -34,36 +57,43 @@
 	SHA256 string `json:"sha256"`
 }
 
-type kindDocument struct {
-	Name         string `json:"name"`
-	RunsOn       string `json:"runs_on"`
-	Service      string `json:"service"`
-	Urgency      string `json:"urgency"`
-	CommitmentMS int64  `json:"commitment_ms"`
-	RunTimeMS    int64  `json:"run_time_ms"`
-	Harm         int    `json:"harm"`
-	MaxStarts    int    `json:"max_starts"`
-	PayloadBytes int    `json:"payload_bytes"`
-	Long         bool   `json:"long,omitempty"`
-	MilliCores   int64  `json:"milli_cores,omitempty"`
-	MemoryBytes  int64  `json:"memory_bytes,omitempty"`
-	Accelerators int64  `json:"accelerators,omitempty"`
-	Preemption   uint8  `json:"preemption,omitempty"`
-}
-
 // Encode returns the stored form of a version, the same bytes for equal values.
 func Encode(c *Configuration) ([]byte, error) {
 	d := document{
-		Version:     c.version,
-		MaxTasks:    c.limits.maxTasks,
-		RetentionMS: c.limits.retention.Milliseconds(),
+		Version: c.version,
+		Limits: limitsDocument{
+			MaxTasks:    c.limits.maxTasks,
+			RetentionMS: c.limits.retention.Milliseconds(),
+			Regions:     c.limits.regions,
+		},
+		Admission: admissionDocument{
+			ReservedSlots: c.limits.admission.reservedSlots,
+			LongShare:     c.limits.admission.longShare,
+			RetryBudget:   c.limits.admission.retryBudget,
+			MaxWaiting:    c.limits.admission.maxWaiting,
+		},
+		Tokens: encodeTokens(c.tokens),
+	}
+	for _, w := range c.workers {
+		d.Workers = append(d.Workers, workerDocument{
+			Name:         w.name,
+			MilliCores:   w.resources.milliCores,
+			MemoryBytes:  w.resources.memoryBytes,
+			Accelerators: w.resources.accelerators,
+		})
 	}
-	kinds := map[string][]kindDocument{}
+	kinds := map[string][]Kind{}
 	for _, k := range c.Kinds() {
-		kinds[k.team] = append(kinds[k.team], encodeKind(k))
+		kinds[k.team] = append(kinds[k.team], k)
 	}
 	for _, t := range c.Teams() {
-		d.Teams = append(d.Teams, encodeTeam(t, kinds[t.name]))
+		d.Teams = append(d.Teams, teamDocument{
+			Name:       t.name,
+			Share:      t.share,
+			HomeRegion: t.homeRegion,
+			Tokens:     encodeTokens(t.tokenHashes),
+			Kinds:      encodeKinds(kinds[t.name]),
+		})
 	}
 	data, err := json.Marshal(d)
 	if err != nil {
@@ -75,120 +105,107 @@
 	return data, nil
 }
 
-func encodeTeam(t Team, kinds []kindDocument) teamDocument {
-	d := teamDocument{
-		Name:       t.name,
-		Share:      t.share,
-		HomeRegion: t.homeRegion,
-		Kinds:      kinds,
-	}
-	for _, h := range t.tokenHashes {
-		d.Tokens = append(d.Tokens, tokenDocument{
+func encodeTokens(hashes []TokenHash) []tokenDocument {
+	var ds []tokenDocument
+	for _, h := range hashes {
+		ds = append(ds, tokenDocument{
 			Access: h.access,
 			SHA256: hex.EncodeToString(h.sum[:]),
 		})
 	}
-	return d
+	return ds
 }
 
-func encodeKind(k Kind) kindDocument {
-	return kindDocument{
-		Name:         k.name,
-		RunsOn:       k.backEnd.String(),
-		Service:      k.service,
-		Urgency:      k.urgency.String(),
-		CommitmentMS: k.commitment.Milliseconds(),
-		RunTimeMS:    k.runTime.Milliseconds(),
-		Harm:         k.harm,
-		MaxStarts:    k.maxStarts,
-		PayloadBytes: k.payloadBytes,
-		Long:         k.long,
-		MilliCores:   k.resources.milliCores,
-		MemoryBytes:  k.resources.memoryBytes,
-		Accelerators: k.resources.accelerators,
-		Preemption:   uint8(k.preemption),
+// decodeStrict reads one JSON value without unknown fields and without anything
+// behind it.
+func decodeStrict(data []byte, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return errors.WithStack(err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("there is data behind the value")
 	}
+	return nil
 }
 
-// Decode checks and rebuilds a stored version.
+// Decode rebuilds a stored version. All values that cannot be used are reported
+// at once; contradictions between usable values are reported by Check.
 func Decode(data []byte) (*Configuration, error) {
 	if len(data) > MaxBytes {
 		return nil, errors.Errorf("configuration has %d bytes, at most %d are allowed", len(data), MaxBytes)
 	}
 	var d document
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&d); err != nil {
+	if err := decodeStrict(data, &d); err != nil {
 		return nil, errors.Wrap(err, "decode configuration")
 	}
-	limits, err := NewLimits(d.MaxTasks, time.Duration(d.RetentionMS)*time.Millisecond)
-	if err != nil {
-		return nil, err
+	b := &builder{}
+	limits := b.limits(d)
+	tokens := b.tokens("configuration", d.Tokens)
+	var workers []WorkerClass
+	for _, wd := range d.Workers {
+		r, err := NewResources(wd.MilliCores, wd.MemoryBytes, wd.Accelerators)
+		b.note("worker "+wd.Name, err)
+		w, err := NewWorkerClass(wd.Name, r)
+		b.note("worker "+wd.Name, err)
+		workers = append(workers, w)
 	}
 	var teams []Team
 	var kinds []Kind
 	for _, td := range d.Teams {
-		t, ks, err := decodeTeam(td)
-		if err != nil {
-			return nil, err
-		}
-		teams = append(teams, t)
-		kinds = append(kinds, ks...)
-	}
-	return New(d.Version, limits, teams, kinds)
+		t, err := NewTeam(td.Name, td.Share, td.HomeRegion)
+		b.note("team "+td.Name, err)
+		teams = append(teams, t.WithTokens(b.tokens("team "+td.Name, td.Tokens)))
+		kinds = append(kinds, b.kinds(td.Name, td.Kinds)...)
+	}
+	if err := b.problems.Err(); err != nil {
+		return nil, err
+	}
+	c, err := New(d.Version, limits, teams, kinds)
+	if err != nil {
+		return nil, err
+	}
+	return c.WithWorkers(workers).WithTokens(tokens), nil
 }
 
-func decodeTeam(d teamDocument) (Team, []Kind, error) {
-	t, err := NewTeam(d.Name, d.Share, d.HomeRegion)
+// builder gathers the problems of a document.
+type builder struct {
+	problems Problems
+}
+
+func (b *builder) note(place string, err error) {
 	if err != nil {
-		return Team{}, nil, err
+		b.problems = append(b.problems, NewProblem(place, "value", err.Error(), "see docs/configuration.md"))
 	}
+}
+
+func (b *builder) limits(d document) Limits {
+	l, err := NewLimits(d.Limits.MaxTasks, time.Duration(d.Limits.RetentionMS)*time.Millisecond)
+	b.note("limits", err)
+	if d.Limits.Regions < 1 {
+		b.note("limits", errors.Errorf("regions is %d, allowed is at least 1", d.Limits.Regions))
+	}
+	a, err := NewAdmission(d.Admission.ReservedSlots, d.Admission.LongShare, d.Admission.RetryBudget, d.Admission.MaxWaiting)
+	b.note("admission", err)
+	return l.WithRegions(d.Limits.Regions).WithAdmission(a)
+}
+
+func (b *builder) tokens(place string, ds []tokenDocument) []TokenHash {
 	var hashes []TokenHash
-	for _, td := range d.Tokens {
-		sum, err := hex.DecodeString(td.SHA256)
-		if err != nil || len(sum) != 32 {
-			return Team{}, nil, errors.Errorf("team %s: sha256 of a token is not 32 bytes in hexadecimal", d.Name)
-		}
-		h, err := NewTokenHash(td.Access, [32]byte(sum))
-		if err != nil {
-			return Team{}, nil, errors.Wrapf(err, "team %s", d.Name)
-		}
+	for _, d := range ds {
+		h, err := ParseTokenHash(d.Access, d.SHA256)
+		b.note(place, err)
 		hashes = append(hashes, h)
 	}
-	var kinds []Kind
-	for _, kd := range d.Kinds {
-		k, err := decodeKind(d.Name, kd)
-		if err != nil {
-			return Team{}, nil, err
-		}
-		kinds = append(kinds, k)
-	}
-	return t.WithTokens(hashes), kinds, nil
+	return hashes
 }
 
-func decodeKind(team string, d kindDocument) (Kind, error) {
-	urgency, err := ParseUrgency(d.Urgency)
-	if err != nil {
-		return Kind{}, errors.Wrapf(err, "kind %s of team %s", d.Name, team)
+// ParseTokenHash joins an access and a SHA-256 in hexadecimal.
+func ParseTokenHash(access, sum string) (TokenHash, error) {
+	raw, err := hex.DecodeString(sum)
+	if err != nil || len(raw) != 32 {
+		return TokenHash{}, errors.New("sha256 of a token is not 32 bytes in hexadecimal")
 	}
-	k, err := NewKind(team, d.Name, d.Service, urgency,
-		time.Duration(d.CommitmentMS)*time.Millisecond, time.Duration(d.RunTimeMS)*time.Millisecond)
-	if err != nil {
-		return Kind{}, err
-	}
-	if d.MaxStarts < 1 || d.PayloadBytes < 1 {
-		return Kind{}, errors.Errorf("kind %s of team %s: max_starts %d and payload_bytes %d must be positive", d.Name, team, d.MaxStarts, d.PayloadBytes)
-	}
-	k = k.WithHarm(d.Harm).WithMaxStarts(d.MaxStarts).WithPayloadBytes(d.PayloadBytes).WithLong(d.Long)
-	switch d.RunsOn {
-	case "target":
-		return k, nil
-	case "worker":
-		r, err := NewResources(d.MilliCores, d.MemoryBytes, d.Accelerators)
-		if err != nil {
-			return Kind{}, errors.Wrapf(err, "kind %s of team %s", d.Name, team)
-		}
-		return k.WithWorker(r, Preemption(d.Preemption)), nil
-	}
-	return Kind{}, errors.Errorf("kind %s of team %s: runs_on is %q, allowed are target and worker", d.Name, team, d.RunsOn)
+	return NewTokenHash(access, [32]byte(raw))
 }
--- a/internal/version/configuration/configuration.go
+++ b/internal/version/configuration/configuration.go
@@ -7,7 +7,6 @@
 
 import (
 	"sort"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -25,7 +24,7 @@
 	if name == "" {
 		return Team{}, errors.New("team needs a name")
 	}
-	if share < 0 || share > 1 {
+	if !(share >= 0 && share <= 1) {
 		return Team{}, errors.Errorf("team %s: share is %g, allowed are 0 to 1", name, share)
 	}
 	if homeRegion < 0 {
@@ -94,39 +93,14 @@
 	return h.sum
 }
 
-// Limits bound what one job may be and how long its answer is kept.
-type Limits struct {
-	maxTasks  int
-	retention time.Duration
-}
-
-// NewLimits checks the bounds.
-func NewLimits(maxTasks int, retention time.Duration) (Limits, error) {
-	if maxTasks < 1 || retention <= 0 {
-		return Limits{}, errors.Errorf("limits: %d tasks and retention %v must be positive", maxTasks, retention)
-	}
-	return Limits{
-		maxTasks:  maxTasks,
-		retention: retention,
-	}, nil
-}
-
-// MaxTasks is the largest number of tasks of one job.
-func (l Limits) MaxTasks() int {
-	return l.maxTasks
-}
-
-// Retention is how long a submission is remembered after its first sending.
-func (l Limits) Retention() time.Duration {
-	return l.retention
-}
-
 // Configuration is one version.
 type Configuration struct {
 	version uint64
 	limits  Limits
 	teams   map[string]Team
 	kinds   map[kindKey]Kind
+	workers []WorkerClass
+	tokens  []TokenHash
 }
 
 type kindKey struct {
@@ -176,6 +150,34 @@
 	return &n
 }
 
+// WithWorkers returns a copy that lists the sizes of worker that the platform
+// has. A kind that runs on workers must fit one of them.
+func (c *Configuration) WithWorkers(workers []WorkerClass) *Configuration {
+	n := *c
+	n.workers = append([]WorkerClass(nil), workers...)
+	sort.SliceStable(n.workers, func(i, j int) bool { return n.workers[i].name < n.workers[j].name })
+	return &n
+}
+
+// WithTokens returns a copy whose given tokens give access to the whole
+// installation.
+func (c *Configuration) WithTokens(hashes []TokenHash) *Configuration {
+	n := *c
+	n.tokens = append([]TokenHash(nil), hashes...)
+	return &n
+}
+
+// Workers lists the sizes of worker by name.
+func (c *Configuration) Workers() []WorkerClass {
+	return c.workers
+}
+
+// TokenHashes are the hashes of the tokens that give access to the whole
+// installation.
+func (c *Configuration) TokenHashes() []TokenHash {
+	return c.tokens
+}
+
 // Limits are the bounds of one job.
 func (c *Configuration) Limits() Limits {
 	return c.limits
--- /dev/null
+++ b/internal/version/configuration/diff.go
@@ -0,0 +1,207 @@
+package configuration
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+)
+
+// Change is one difference in behaviour between two versions.
+type Change struct {
+	place  string
+	field  string
+	before string
+	after  string
+	effect string
+}
+
+// Place is the part that changes.
+func (c Change) Place() string {
+	return c.place
+}
+
+// Field is the value that changes, empty for a part that is new or gone.
+func (c Change) Field() string {
+	return c.field
+}
+
+// Before is the former value.
+func (c Change) Before() string {
+	return c.before
+}
+
+// After is the new value.
+func (c Change) After() string {
+	return c.after
+}
+
+// Effect says what the change does.
+func (c Change) Effect() string {
+	return c.effect
+}
+
+// String is the change on one line.
+func (c Change) String() string {
+	if c.field == "" {
+		return c.place + ": " + c.effect
+	}
+	return fmt.Sprintf("%s: %s from %s to %s: %s", c.place, c.field, c.before, c.after, c.effect)
+}
+
+// field is one value of a part with what it does.
+type field[T any] struct {
+	name   string
+	value  func(T) string
+	effect string
+}
+
+func number(f float64) string {
+	return strconv.FormatFloat(f, 'g', -1, 64)
+}
+
+var limitFields = []field[Limits]{
+	{"max_tasks", func(l Limits) string { return strconv.Itoa(l.maxTasks) }, "largest number of tasks that a job may have"},
+	{"retention", func(l Limits) string { return l.retention.String() }, "how long a resubmission is recognized and its answer kept"},
+	{"regions", func(l Limits) string { return strconv.Itoa(l.regions) }, "regions that teams can have as their home"},
+	{"reserved_slots", func(l Limits) string { return strconv.Itoa(l.admission.reservedSlots) }, "slots of each target that only the most urgent class gets"},
+	{"long_share", func(l Limits) string { return Percent(l.admission.longShare) }, "share of a target's slots that long work may hold"},
+	{"retry_budget", func(l Limits) string { return Percent(l.admission.retryBudget) }, "retries as a part of first starts"},
+	{"max_waiting", func(l Limits) string { return strconv.Itoa(l.admission.maxWaiting) }, "tasks that wait at one owner before jobs are refused"},
+}
+
+var teamFields = []field[Team]{
+	{"share", func(t Team) string { return Percent(t.share) }, "part of the capacity that the team gets under load"},
+	{"home_region", func(t Team) string { return strconv.Itoa(t.homeRegion) }, "region whose owners keep the team's submissions; jobs submitted before the change are not found after it"},
+	{"tokens", func(t Team) string { return describeTokens(t.tokenHashes) }, "tokens that give access to the team"},
+}
+
+var kindFields = []field[Kind]{
+	{"urgency", func(k Kind) string { return k.urgency.String() }, "place among all waiting work"},
+	{"commitment", func(k Kind) string { return k.commitment.String() }, "a job is refused at once when its expected wait exceeds this"},
+	{"run_time", func(k Kind) string { return k.runTime.String() }, "estimate until enough run times have been observed"},
+	{"spread", func(k Kind) string { return number(k.spread) }, "estimate of the slowest tasks until enough have been observed"},
+	{"harm", func(k Kind) string { return strconv.Itoa(k.harm) }, "kinds with less harm are refused first"},
+	{"repeatable", func(k Kind) string { return strconv.FormatBool(k.repeatable) }, "whether a task may run again"},
+	{"max_starts", func(k Kind) string { return strconv.Itoa(k.maxStarts) }, "how often a task may start, the first start included"},
+	{"payload_bytes", func(k Kind) string { return strconv.Itoa(k.payloadBytes) }, "larger payloads are refused"},
+	{"long", func(k Kind) string { return strconv.FormatBool(k.long) }, "whether the kind is held to the share for long work"},
+	{"runs_on", func(k Kind) string { return k.backEnd.String() }, "sort of back end that runs the kind"},
+	{"service", func(k Kind) string { return k.service }, "back ends that offer this service run the kind"},
+	{"resources", func(k Kind) string { return k.resources.String() }, "what a task takes of a worker"},
+	{"preemption", func(k Kind) string { return k.preemption.String() }, "what may be done to a running task when urgent work needs its place"},
+}
+
+// describeTokens names tokens by access and the first bytes of their hash.
+func describeTokens(hashes []TokenHash) string {
+	var names []string
+	for _, h := range hashes {
+		names = append(names, fmt.Sprintf("%s %x", h.access, h.sum[:4]))
+	}
+	sort.Strings(names)
+	return fmt.Sprint(names)
+}
+
+// Diff lists what changes in behaviour from before to after.
+func Diff(before, after *Configuration) []Change {
+	changes := compare(nil, "limits", limitFields, before.limits, after.limits)
+	changes = compare(changes, "installation", []field[*Configuration]{
+		{"tokens", func(c *Configuration) string { return describeTokens(c.tokens) }, "tokens that give access to the whole installation"},
+		{"workers", func(c *Configuration) string { return describeWorkers(c.workers) }, "sizes of worker against which kinds are checked"},
+	}, before, after)
+	changes = compareParts(changes, "team", teamFields, partsOf(before.Teams(), Team.Name), partsOf(after.Teams(), Team.Name))
+	name := func(k Kind) string { return k.team + "/" + k.name }
+	return compareParts(changes, "kind", kindFields, partsOf(before.Kinds(), name), partsOf(after.Kinds(), name))
+}
+
+func describeWorkers(workers []WorkerClass) string {
+	var names []string
+	for _, w := range workers {
+		names = append(names, w.name+" "+w.resources.String())
+	}
+	return fmt.Sprint(names)
+}
+
+func compare[T any](changes []Change, place string, fields []field[T], before, after T) []Change {
+	for _, f := range fields {
+		b, a := f.value(before), f.value(after)
+		if a == b {
+			continue
+		}
+		changes = append(changes, Change{
+			place:  place,
+			field:  f.name,
+			before: b,
+			after:  a,
+			effect: f.effect,
+		})
+	}
+	return changes
+}
+
+func partsOf[T any](parts []T, name func(T) string) map[string]T {
+	m := make(map[string]T, len(parts))
+	for _, p := range parts {
+		m[name(p)] = p
+	}
+	return m
+}
+
+func compareParts[T any](changes []Change, sort string, fields []field[T], before, after map[string]T) []Change {
+	for _, name := range union(before, after) {
+		place := sort + " " + name
+		b, was := before[name]
+		a, is := after[name]
+		switch {
+		case !was:
+			changes = append(changes, Change{
+				place:  place,
+				effect: "is new; its requests are accepted",
+			})
+		case !is:
+			changes = append(changes, Change{
+				place:  place,
+				effect: "is gone; its requests are refused as unknown",
+			})
+		default:
+			changes = compare(changes, place, fields, b, a)
+		}
+	}
+	return changes
+}
+
+func union[T any](a, b map[string]T) []string {
+	var names []string
+	for n := range a {
+		names = append(names, n)
+	}
+	for n := range b {
+		if _, ok := a[n]; !ok {
+			names = append(names, n)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Show lists all values of a configuration, one a line.
+func Show(c *Configuration) []string {
+	var lines []string
+	lines = show(lines, "limits", limitFields, c.limits)
+	for _, w := range c.workers {
+		lines = append(lines, "worker "+w.name+": "+w.resources.String())
+	}
+	for _, t := range c.Teams() {
+		lines = show(lines, "team "+t.name, teamFields, t)
+	}
+	for _, k := range c.Kinds() {
+		lines = show(lines, "kind "+k.team+"/"+k.name, kindFields, k)
+	}
+	return lines
+}
+
+func show[T any](lines []string, place string, fields []field[T], v T) []string {
+	for _, f := range fields {
+		lines = append(lines, place+": "+f.name+" = "+f.value(v))
+	}
+	return lines
+}
--- a/internal/version/configuration/head_test.go
+++ b/internal/version/configuration/head_test.go
@@ -1,6 +1,7 @@
 package configuration_test
 
 import (
+	"fmt"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -43,3 +44,23 @@
 		})
 	}
 }
+
+// TestHeadPrior guards against a writer that cannot find its own write after
+// others have moved the head on, and against a head that grows without bound.
+func TestHeadPrior(t *testing.T) {
+	Convey("the head names the latest former writers", t, func() {
+		var h configuration.Head
+		for n := range uint64(40) {
+			h = must(configuration.NewHead(n+1, nil, fmt.Sprintf("m%d", n+1))).After(h)
+		}
+		h = must(configuration.DecodeHead(must(configuration.EncodeHead(h))))
+		So(h.Prior(), ShouldHaveLength, 16)
+		n, ok := h.Find("m30")
+		So(ok, ShouldBeTrue)
+		So(n, ShouldEqual, 30)
+		_, ok = h.Find("m5")
+		So(ok, ShouldBeFalse)
+		So(h.Covers(24), ShouldBeTrue)
+		So(h.Covers(23), ShouldBeFalse)
+	})
+}
--- a/internal/version/configuration/kind.go
+++ b/internal/version/configuration/kind.go
@@ -1,6 +1,8 @@
 package configuration
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -101,6 +103,12 @@
 	return r.milliCores <= other.milliCores && r.memoryBytes <= other.memoryBytes && r.accelerators <= other.accelerators
 }
 
+// String lists the amounts for operators.
+func (r Resources) String() string {
+	return strconv.FormatFloat(float64(r.milliCores)/1000, 'g', -1, 64) + " cores, " +
+		strconv.FormatInt(r.memoryBytes, 10) + " bytes and " + strconv.FormatInt(r.accelerators, 10) + " accelerators"
+}
+
 // Add returns the sum of both.
 func (r Resources) Add(other Resources) Resources {
 	return Resources{
@@ -129,6 +137,8 @@
 	urgency      Urgency
 	commitment   time.Duration
 	runTime      time.Duration
+	spread       float64
+	repeatable   bool
 	harm         int
 	maxStarts    int
 	payloadBytes int
@@ -141,6 +151,32 @@
 // needs its place on a worker.
 type Preemption uint8
 
+// String lists the means, for operators.
+func (p Preemption) String() string {
+	var names []string
+	for i, n := range preemptionNames {
+		if p&(1<<i) != 0 {
+			names = append(names, n)
+		}
+	}
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ", ")
+}
+
+// ParsePreemption returns the means of one name: checkpoint, throttle or stop.
+func ParsePreemption(name string) (Preemption, error) {
+	for i, n := range preemptionNames {
+		if n == name {
+			return 1 << i, nil
+		}
+	}
+	return 0, errors.Errorf("preemption is %q, allowed are checkpoint, throttle and stop", name)
+}
+
+var preemptionNames = [...]string{"checkpoint", "throttle", "stop"}
+
 // The means, in the order in which they are tried.
 const (
 	MayCheckpoint Preemption = 1 << iota
@@ -174,6 +210,7 @@
 		urgency:      urgency,
 		commitment:   commitment,
 		runTime:      runTime,
+		spread:       1,
 		maxStarts:    defaultMaxStarts,
 		payloadBytes: defaultPayloadBytes,
 	}, nil
@@ -187,6 +224,19 @@
 	return k
 }
 
+// WithSpread sets how many times longer than the run time the slowest of a
+// hundred tasks takes.
+func (k Kind) WithSpread(spread float64) Kind {
+	k.spread = spread
+	return k
+}
+
+// WithRepeatable marks a kind whose tasks can run again without harm.
+func (k Kind) WithRepeatable(repeatable bool) Kind {
+	k.repeatable = repeatable
+	return k
+}
+
 // WithHarm sets the harm of refusing the kind; the lowest is refused first.
 func (k Kind) WithHarm(harm int) Kind {
 	k.harm = harm
@@ -246,6 +296,17 @@
 	return k.runTime
 }
 
+// Spread is how many times longer than the run time the slowest of a hundred
+// tasks takes.
+func (k Kind) Spread() float64 {
+	return k.spread
+}
+
+// Repeatable tells whether a task can run again without harm.
+func (k Kind) Repeatable() bool {
+	return k.repeatable
+}
+
 // Harm is the harm of refusing the kind.
 func (k Kind) Harm() int {
 	return k.harm
