--- a/internal/process/standin/target/target.go
+++ b/internal/process/standin/target/target.go
@@ -32,6 +32,7 @@
 type Work struct {
 	runTime time.Duration
 	fail    bool
+	report  bool
 	echo    string
 }
 
@@ -45,6 +46,11 @@
 	return w.fail
 }
 
+// Report asks for the echo and the time spent as JSON.
+func (w Work) Report() bool {
+	return w.report
+}
+
 // Echo is sent back.
 func (w Work) Echo() string {
 	return w.echo
@@ -56,6 +62,8 @@
 		RunMS *float64 `json:"run_ms"`
 		Fail  bool     `json:"fail"`
 		Echo  string   `json:"echo"`
+		// Report asks for {"echo":"x","run_ms":50} as the result.
+		Report bool `json:"report"`
 	}
 	w := Work{
 		runTime: defaultRunTime,
@@ -68,6 +76,7 @@
 		w.runTime = time.Duration(*p.RunMS * float64(time.Millisecond))
 	}
 	w.fail = p.Fail
+	w.report = p.Report
 	if p.Echo != "" {
 		w.echo = p.Echo
 	}
@@ -118,7 +127,8 @@
 		return err
 	}
 	w := ParseWork(payload)
-	timer := time.NewTimer(time.Duration(float64(w.RunTime()) * t.slowness))
+	spent := time.Duration(float64(w.RunTime()) * t.slowness)
+	timer := time.NewTimer(spent)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -128,6 +138,12 @@
 	if w.Fail() {
 		return c.String(http.StatusInternalServerError, "the task asked to fail")
 	}
+	if w.Report() {
+		return c.JSON(http.StatusOK, map[string]any{
+			"echo":   w.Echo(),
+			"run_ms": float64(spent) / float64(time.Millisecond),
+		})
+	}
 	return c.String(http.StatusOK, w.Echo())
 }
 
