Measure state and message sizes with fitted slopes

Change: greengagedoor-standin sizing measures owner, ledger, configuration and message sizes at several sizes and fits lines with standard errors.

--- a/cmd/greengagedoor-standin/main.go
+++ b/cmd/greengagedoor-standin/main.go
@@ -34,6 +34,7 @@
 			storeCommand(),
 			workersCommand(),
 			targetCommand(),
+			sizingCommand(),
 		},
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
