Publish configuration versions by compare-and-swap

Cause: nothing applied a version to the store; operators race each other and the store may lose the answer to a change that took effect. Ruled out: writing the body under base+1 unconditionally, since a losing writer could overwrite the body that the winner's head names; taking a head that still has the old index as proof of a lost move, since the move may arrive later; deleting a losing body at once, since its number may be in use by then. A service in front of it carries the effects out on the store. Conclusion: an operator gets a definite answer or is told that it is unknown.

--- /dev/null
+++ b/internal/process/role/publisher/service/service.go
@@ -0,0 +1,247 @@
+// Package service carries out what the publisher decides, against the store.
+//
+// One duty takes the changes from a ring, one at a time. Reads of versions and
+// history need no duty; they go straight to the store.
+package service
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"greengagedoor.example/greengagedoor/internal/process/ring"
+	"greengagedoor.example/greengagedoor/internal/process/role/publisher"
+	"greengagedoor.example/greengagedoor/internal/process/store"
+	"greengagedoor.example/greengagedoor/internal/version/configuration"
+)
+
+const (
+	ringSize = 64
+	// changeLimit bounds one change with all its repetitions in a store outage.
+	changeLimit = 20 * time.Second
+)
+
+// Service applies versions.
+type Service struct {
+	store    *store.Store
+	now      func() time.Time
+	ring     *ring.Ring[asked]
+	decision *publisher.Publisher
+	wait     func(context.Context, time.Duration)
+}
+
+type asked struct {
+	event any
+	reply *ring.Ring[publisher.Result]
+}
+
+// New returns a service of a store.
+func New(s *store.Store, now func() time.Time) (*Service, error) {
+	r, err := ring.New[asked]("publisher", ringSize)
+	if err != nil {
+		return nil, err
+	}
+	return &Service{
+		store:    s,
+		now:      now,
+		ring:     r,
+		decision: publisher.New(),
+		wait:     wait,
+	}, nil
+}
+
+// WithWait replaces how the service waits between two looks at the head.
+func (s *Service) WithWait(wait func(context.Context, time.Duration)) *Service {
+	s.wait = wait
+	return s
+}
+
+// Gauge is the state of the ring of changes.
+func (s *Service) Gauge() (depth, size int, rejected int64) {
+	return s.ring.Depth(), s.ring.Size(), s.ring.Rejected()
+}
+
+// Run carries out changes until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	for {
+		a, err := s.ring.Pop(ctx)
+		if err != nil {
+			return nil
+		}
+		r, err := s.Execute(ctx, a.event)
+		if err != nil {
+			return err
+		}
+		// The ring has room for the one result that a change gets.
+		_ = a.reply.TryPush(r)
+	}
+}
+
+// Ask hands a change to the duty and waits for its result.
+func (s *Service) Ask(ctx context.Context, event any) (publisher.Result, error) {
+	reply, err := ring.New[publisher.Result]("result", 1)
+	if err != nil {
+		return publisher.Result{}, err
+	}
+	err = s.ring.TryPush(asked{
+		event: event,
+		reply: reply,
+	})
+	if err != nil {
+		return publisher.Result{}, err
+	}
+	return reply.Pop(ctx)
+}
+
+// Execute carries out one change. Only the goroutine that owns the service may
+// call it; beside Run, use Ask.
+func (s *Service) Execute(ctx context.Context, event any) (publisher.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeLimit)
+	defer cancel()
+	effects := s.decision.Handle(s.now(), event)
+	for len(effects) == 1 {
+		if r, ok := effects[0].(publisher.Reply); ok {
+			return r.Result(), nil
+		}
+		next, err := s.perform(ctx, effects[0])
+		if err != nil {
+			return publisher.Result{}, err
+		}
+		effects = s.decision.Handle(s.now(), next)
+	}
+	return publisher.Result{}, errors.Errorf("publisher has %d effects at a time for %T, want 1", len(effects), event)
+}
+
+func (s *Service) perform(ctx context.Context, effect any) (any, error) {
+	switch e := effect.(type) {
+	case publisher.ReadHead:
+		s.wait(ctx, e.Pause())
+		return s.readHead(ctx), nil
+	case publisher.ReadVersion:
+		c, err := s.Version(ctx, e.Version())
+		return publisher.NewVersionRead(outcomeOf(err), c), nil
+	case publisher.CreateVersion:
+		return publisher.NewWritten(s.createVersion(ctx, e.Content())), nil
+	case publisher.MoveHead:
+		return publisher.NewWritten(s.moveHead(ctx, e)), nil
+	case publisher.ReadAudit:
+		a, index, err := s.audit(ctx, auditKey)
+		return publisher.NewAuditRead(outcomeOf(err), a, index), nil
+	case publisher.Archive:
+		data, err := encodeAudit(e.Audit())
+		if err != nil {
+			return publisher.NewWritten(publisher.Unavailable), nil
+		}
+		return publisher.NewWritten(s.create(ctx, segmentKey(e.Audit().Segment()), data)), nil
+	case publisher.WriteAudit:
+		return publisher.NewWritten(s.writeAudit(ctx, e)), nil
+	case publisher.DropVersion:
+		return publisher.NewWritten(outcomeOf(s.store.Delete(ctx, configuration.VersionKey(e.Version())))), nil
+	case publisher.DropSegment:
+		return publisher.NewWritten(outcomeOf(s.store.Delete(ctx, segmentKey(e.Segment())))), nil
+	}
+	return nil, errors.Errorf("publisher has effect %T, which is not known", effect)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// outcomeOf maps an error of the store.
+func outcomeOf(err error) publisher.Outcome {
+	switch {
+	case err == nil:
+		return publisher.Done
+	case errors.Is(err, store.ErrNotFound):
+		return publisher.Missing
+	case errors.Is(err, store.ErrUnknown):
+		return publisher.Unknown
+	}
+	return publisher.Unavailable
+}
+
+// swap maps the end of a compare-and-swap.
+func (s *Service) swap(ctx context.Context, key string, value []byte, index uint64) publisher.Outcome {
+	ok, err := s.store.Swap(ctx, key, value, index)
+	if err == nil && !ok {
+		return publisher.Refused
+	}
+	return outcomeOf(err)
+}
+
+// create writes a key that must be free, and tells whether it has the value
+// already.
+func (s *Service) create(ctx context.Context, key string, value []byte) publisher.Outcome {
+	o := s.swap(ctx, key, value, 0)
+	if o != publisher.Refused {
+		return o
+	}
+	p, err := s.store.Read(ctx, key)
+	switch {
+	case err != nil:
+		return publisher.Unknown
+	case bytes.Equal(p.Value(), value):
+		return publisher.Same
+	}
+	return publisher.Refused
+}
+
+func (s *Service) createVersion(ctx context.Context, c *configuration.Configuration) publisher.Outcome {
+	body, err := configuration.Encode(c)
+	if err != nil {
+		return publisher.Unavailable
+	}
+	return s.create(ctx, configuration.VersionKey(c.Version()), body)
+}
+
+func (s *Service) moveHead(ctx context.Context, m publisher.MoveHead) publisher.Outcome {
+	body, err := configuration.Encode(m.Content())
+	if err != nil {
+		return publisher.Unavailable
+	}
+	h, err := configuration.NewHead(m.Content().Version(), body, m.Mark())
+	if err != nil {
+		return publisher.Unavailable
+	}
+	value, err := configuration.EncodeHead(h.After(m.Former()))
+	if err != nil {
+		return publisher.Unavailable
+	}
+	return s.swap(ctx, configuration.HeadKey, value, m.Index())
+}
+
+func (s *Service) writeAudit(ctx context.Context, w publisher.WriteAudit) publisher.Outcome {
+	data, err := encodeAudit(w.Audit())
+	if err != nil {
+		return publisher.Unavailable
+	}
+	return s.swap(ctx, auditKey, data, w.Index())
+}
+
+func (s *Service) readHead(ctx context.Context) publisher.HeadRead {
+	p, err := s.store.Read(ctx, configuration.HeadKey)
+	if err != nil {
+		return publisher.NewHeadRead(outcomeOf(err), configuration.Head{}, 0)
+	}
+	h, err := configuration.DecodeHead(p.Value())
+	return publisher.NewHeadRead(outcomeOf(err), h, p.Index())
+}
+
+func (s *Service) audit(ctx context.Context, key string) (publisher.Audit, uint64, error) {
+	p, err := s.store.Read(ctx, key)
+	if err != nil {
+		return publisher.Audit{}, 0, err
+	}
+	a, err := decodeAudit(p.Value())
+	return a, p.Index(), err
+}
