Let the store of the race test deliver changes late

Change: the store of the test keeps such changes under way and lets them arrive at random, after the last result at the latest. Conclusion: the test now covers the case that the tracking exists for.

--- a/internal/process/role/publisher/service/service_test.go
+++ b/internal/process/role/publisher/service/service_test.go
@@ -26,6 +26,7 @@
 	faults float64
 	heads  []configuration.Head
 	broken []string
+	late   []func()
 }
 
 func newMemory(t *testing.T, seed uint64, faults float64) *memory {
@@ -53,29 +54,47 @@
 	<-done
 }
 
-// swap sometimes fails before the change, and sometimes loses the answer after
-// it or before it.
+// swap sometimes fails before the change, and sometimes loses the answer: of a
+// change that took effect, or of one that is still under way.
 func (m *memory) swap(key string, value []byte, index uint64) (ok bool, err error) {
 	m.do(func() {
+		m.settle()
 		fault := m.random.Float64() / max(m.faults, 1e-9)
-		if fault < 0.3 {
+		switch {
+		case fault < 0.3:
 			err = store.ErrUnavailable
-			return
-		}
-		if fault < 1 {
+		case fault < 0.6:
 			err = store.ErrUnknown
-		}
-		if fault < 0.6 || m.keys[key].Index() != index {
-			return
-		}
-		m.index++
-		m.keys[key] = store.NewPair(key, value, m.index, "")
-		ok = true
-		if key == configuration.HeadKey {
-			m.moved(value)
+			m.late = append(m.late, func() { m.put(key, value, index) })
+		case fault < 1:
+			err = store.ErrUnknown
+			m.put(key, value, index)
+		default:
+			ok = m.put(key, value, index)
 		}
 	})
-	return ok && err == nil, err
+	return ok, err
+}
+
+// settle lets some of the changes under way arrive.
+func (m *memory) settle() {
+	for len(m.late) > 0 && m.random.Float64() < 0.3 {
+		n := m.random.IntN(len(m.late))
+		m.late[n]()
+		m.late = append(m.late[:n], m.late[n+1:]...)
+	}
+}
+
+func (m *memory) put(key string, value []byte, index uint64) bool {
+	if m.keys[key].Index() != index {
+		return false
+	}
+	m.index++
+	m.keys[key] = store.NewPair(key, value, m.index, "")
+	if key == configuration.HeadKey {
+		m.moved(value)
+	}
+	return true
 }
 
 // moved checks what every reader of the head relies on.
@@ -249,6 +268,11 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			m := newMemory(t, seed, 0.3+0.5*float64(seed%2))
 			results := race(t, m, 4, 12)
+			m.do(func() {
+				for _, f := range m.late {
+					f()
+				}
+			})
 			versions := map[string]uint64{}
 			for _, h := range m.heads {
 				if _, twice := versions[h.Mark()]; twice {
