Add the config and questionnaire commands

Cause: operators need to ask, check, generate, apply, compare and roll back from a terminal. Ruled out: going through an entry only, since the first version must get into an empty installation whose entries accept no token yet.

--- a/cmd/greengagedoor/main.go
+++ b/cmd/greengagedoor/main.go
@@ -26,6 +26,8 @@
 		Commands: []*cli.Command{
 			agentCommand(),
 			entryCommand(),
+			configCommand(),
+			questionnaireCommand(),
 		},
 		EnableBashCompletion: true,
 	}
