Run the whole system in one process

The system could be tried only by starting its processes by hand, and nothing compared the answers that callers get with the starts that take effect.

`greengagedoor local` assembles the stand-ins, three agents and two entries on free ports, submits sample jobs of both teams through pkg/caller, a quarter of them also through the other entry, and compares the answers with the jobs and with the record of starts kept by the stand-ins. It exits non-zero on any difference. Listeners now open before a role is assembled, so that port 0 works, and a server that was never started gives its listener back.

Ruled out: stopping targets before agents.

--- /dev/null
+++ b/cmd/greengagedoor/local.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v2"
+
+	"greengagedoor.example/greengagedoor/internal/process/log"
+	"greengagedoor.example/greengagedoor/internal/process/role/local"
+)
+
+func localCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "local",
+		Usage: "run the whole system in this process on loopback and submit sample jobs",
+		Description: "Starts stand-ins for the platform, three agents and two entries on free ports,\n" +
+			"submits sample jobs of two teams, some of them twice, and compares the answers\n" +
+			"with the starts that targets and workers counted. The last line is JSON.\n" +
+			"Exit code 0: every promise was kept. 1: one was broken, or the time ran out.",
+		Flags: []cli.Flag{
+			&cli.IntFlag{
+				Name:  "jobs",
+				Value: 200,
+				Usage: "`NUMBER` of sample jobs",
+			},
+			&cli.IntFlag{
+				Name:  "seconds",
+				Value: 25,
+				Usage: "`SECONDS` after which the run ends; with --keep only if given",
+			},
+			&cli.Uint64Flag{
+				Name:  "seed",
+				Value: 1,
+				Usage: "`SEED` of every random choice",
+			},
+			&cli.BoolFlag{
+				Name:  "keep",
+				Usage: "leave the system running after the sample jobs",
+			},
+			&cli.StringFlag{
+				Name:  "log-level",
+				Value: "warn",
+				Usage: "`LEVEL` of the log",
+			},
+		},
+		Action: runLocal,
+	}
+}
+
+func runLocal(c *cli.Context) error {
+	if c.Int("jobs") < 0 || c.Int("seconds") < 1 {
+		return usage(errors.Errorf("--jobs is %d, at least 0 is allowed; --seconds is %d, at least 1 is allowed", c.Int("jobs"), c.Int("seconds")))
+	}
+	l, err := log.New(os.Stderr, "text", c.String("log-level"), "local")
+	if err != nil {
+		return usage(err)
+	}
+	s, cleanup, err := local.New(c.Uint64("seed"), l)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	limit := time.Duration(c.Int("seconds")) * time.Second
+	ctx, cancel := context.WithTimeout(c.Context, limit)
+	defer cancel()
+	failed, stop, err := s.Start(context.WithoutCancel(ctx))
+	if err != nil {
+		return err
+	}
+	defer stop()
+	if err := sample(ctx, c, s, c.App.Writer); err != nil {
+		return err
+	}
+	if !c.Bool("keep") {
+		return nil
+	}
+	if !c.IsSet("seconds") {
+		ctx = c.Context
+	}
+	if err := printAddresses(c.App.Writer, s); err != nil {
+		return err
+	}
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func sample(ctx context.Context, c *cli.Context, s *local.System, w io.Writer) error {
+	cfg, err := local.SampleConfiguration()
+	if err != nil {
+		return err
+	}
+	if err := s.Apply(ctx, cfg); err != nil {
+		return err
+	}
+	if err := s.Ready(ctx); err != nil {
+		return err
+	}
+	sum, err := s.RunSample(ctx, c.Uint64("seed"), c.Int("jobs"))
+	if werr := sum.Write(w); err == nil {
+		err = werr
+	}
+	if err == nil {
+		err = sum.Err()
+	}
+	return err
+}
+
+// printAddresses says how to reach the running system. The key in the curl line
+// is fresh and works for the retention.
+func printAddresses(w io.Writer, s *local.System) error {
+	key, err := uuid.NewV7()
+	if err != nil {
+		return errors.Wrap(err, "make key")
+	}
+	for _, e := range s.Entries() {
+		fmt.Fprintln(w, "entry:", e)
+	}
+	fmt.Fprintln(w, "store:", s.StoreURL())
+	_, err = fmt.Fprintf(w, "curl -s '%s/v1/teams/tegnestuen/jobs?wait_ms=5000' -H 'Content-Type: application/json' "+
+		"-d '{\"key\":\"%s\",\"kind\":\"log_sale\",\"tasks\":[{\"echo\":\"sold\"}]}'\n", s.Entries()[0], key)
+	return errors.Wrap(err, "write addresses")
+}
--- a/cmd/greengagedoor/main.go
+++ b/cmd/greengagedoor/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v2"
 
 	"greengagedoor.example/greengagedoor/internal/process/identity"
@@ -26,6 +27,7 @@
 		Commands: []*cli.Command{
 			agentCommand(),
 			entryCommand(),
+			localCommand(),
 		},
 		EnableBashCompletion: true,
 	}
@@ -33,10 +35,30 @@
 	defer stop()
 	if err := app.RunContext(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "greengagedoor:", err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
 	}
 }
 
+// The exit codes other than 0.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// errUsage reports flags or settings that are not allowed.
+var errUsage = errors.New("wrong use")
+
+func usage(err error) error {
+	return errors.Wrap(errUsage, err.Error())
+}
+
+func exitCode(err error) int {
+	if errors.Is(err, errUsage) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
 func commonFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{
--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
@@ -19,6 +20,7 @@
 	"greengagedoor.example/greengagedoor/internal/process/role/backend"
 	"greengagedoor.example/greengagedoor/internal/process/role/network"
 	"greengagedoor.example/greengagedoor/internal/process/role/owner"
+	"greengagedoor.example/greengagedoor/internal/process/web"
 	"greengagedoor.example/greengagedoor/internal/request/message"
 	"greengagedoor.example/greengagedoor/internal/version/configuration"
 )
@@ -38,6 +40,8 @@
 	owner    *role
 	network  *network.Network
 	backend  *backend.Backend
+	links    net.Listener
+	pages    net.Listener
 	cleanups []func()
 }
 
@@ -61,6 +65,13 @@
 }
 
 func (a *Agent) build(pool string, worker agent.Worker, seed uint64) error {
+	var err error
+	var cleanup func()
+	a.links, a.pages, cleanup, err = a.common.listen()
+	if err != nil {
+		return err
+	}
+	a.cleanups = append(a.cleanups, cleanup)
 	began := a.common.now()
 	issue := func(now time.Time) uint64 {
 		return uint64(now.Sub(began).Milliseconds()) + 1
@@ -131,19 +142,19 @@
 		owned:   map[identity.Shard]bool{},
 		routes:  map[identity.Shard]identity.Process{},
 	}
-	links, cleanup, err := serveLinks(a.common.linkAddress, func(g *grpc.Server) { a.network.Register(g) })
+	links, cleanup, err := serveLinks(a.links, func(g *grpc.Server) { a.network.Register(g) })
 	if err != nil {
 		return err
 	}
 	a.cleanups = append(a.cleanups, cleanup)
 	e := newEcho(func() bool { return true })
 	e.POST("/v1/announce", a.announce)
-	web, cleanup, err := serveHTTP(a.common.httpAddress, e)
+	pages, cleanup, err := web.Serve(a.pages, "http", "Serves callers, operators and targets.", e)
 	if err != nil {
 		return err
 	}
 	a.cleanups = append(a.cleanups, cleanup)
-	net, err := duty.New("network", "Carries messages between processes.", gauge(a.network.Ring()), a.network.Run)
+	carrier, err := duty.New("network", "Carries messages between processes.", gauge(a.network.Ring()), a.network.Run)
 	if err != nil {
 		return err
 	}
@@ -163,10 +174,15 @@
 	if err != nil {
 		return err
 	}
-	a.table, err = duty.NewTable(append([]duty.Duty{net, links, admission, dispatch, member, web}, duties...)...)
+	a.table, err = duty.NewTable(append([]duty.Duty{carrier, links, admission, dispatch, member, pages}, duties...)...)
 	return err
 }
 
+// HTTPAddress is where targets announce themselves.
+func (a *Agent) HTTPAddress() string {
+	return a.common.httpAddress
+}
+
 // Run runs all duties until ctx ends or one fails.
 func (a *Agent) Run(ctx context.Context) error {
 	failed, stop := a.table.Start(context.WithoutCancel(ctx))
--- a/internal/process/role/host/entry.go
+++ b/internal/process/role/host/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 	"greengagedoor.example/greengagedoor/internal/process/role/entry"
 	"greengagedoor.example/greengagedoor/internal/process/role/network"
+	"greengagedoor.example/greengagedoor/internal/process/web"
 	"greengagedoor.example/greengagedoor/internal/request/answer"
 	"greengagedoor.example/greengagedoor/internal/request/message"
 	"greengagedoor.example/greengagedoor/internal/version/configuration"
@@ -27,6 +29,8 @@
 	network  *network.Network
 	ready    atomic.Bool
 	requests atomic.Uint64
+	links    net.Listener
+	pages    net.Listener
 	cleanups []func()
 }
 
@@ -56,6 +60,13 @@
 }
 
 func (e *Entry) build() error {
+	var err error
+	var cleanup func()
+	e.links, e.pages, cleanup, err = e.common.listen()
+	if err != nil {
+		return err
+	}
+	e.cleanups = append(e.cleanups, cleanup)
 	decision, err := entry.New(e.common.regions, e.common.shards)
 	if err != nil {
 		return err
@@ -67,7 +78,6 @@
 	if err != nil {
 		return err
 	}
-	var cleanup func()
 	e.network, cleanup, err = network.New(e.common.process, e.common.linkAddress, network.Seams{
 		Now:         e.common.now,
 		Deliver:     func(ctx context.Context, v any) { _ = e.entry.ring.Push(ctx, v) },
@@ -88,19 +98,19 @@
 		owned:   map[identity.Shard]bool{},
 		routes:  map[identity.Shard]identity.Process{},
 	}
-	links, cleanup, err := serveLinks(e.common.linkAddress, func(g *grpc.Server) { e.network.Register(g) })
+	links, cleanup, err := serveLinks(e.links, func(g *grpc.Server) { e.network.Register(g) })
 	if err != nil {
 		return err
 	}
 	e.cleanups = append(e.cleanups, cleanup)
 	router := newEcho(e.ready.Load)
 	e.register(router)
-	web, cleanup, err := serveHTTP(e.common.httpAddress, router)
+	pages, cleanup, err := web.Serve(e.pages, "http", "Serves callers, operators and targets.", router)
 	if err != nil {
 		return err
 	}
 	e.cleanups = append(e.cleanups, cleanup)
-	net, err := duty.New("network", "Carries messages between processes.", gauge(e.network.Ring()), e.network.Run)
+	carrier, err := duty.New("network", "Carries messages between processes.", gauge(e.network.Ring()), e.network.Run)
 	if err != nil {
 		return err
 	}
@@ -112,10 +122,15 @@
 	if err != nil {
 		return err
 	}
-	e.table, err = duty.NewTable(net, links, decision, member, web)
+	e.table, err = duty.NewTable(carrier, links, decision, member, pages)
 	return err
 }
 
+// HTTPAddress is where callers and operators reach the entry.
+func (e *Entry) HTTPAddress() string {
+	return e.common.httpAddress
+}
+
 // Run runs all duties until ctx ends or one fails.
 func (e *Entry) Run(ctx context.Context) error {
 	failed, stop := e.table.Start(context.WithoutCancel(ctx))
--- a/internal/process/role/host/host.go
+++ b/internal/process/role/host/host.go
@@ -20,6 +20,7 @@
 	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 	"greengagedoor.example/greengagedoor/internal/process/store"
+	"greengagedoor.example/greengagedoor/internal/process/web"
 )
 
 // StoreTimeout bounds one call of the store.
@@ -29,7 +30,6 @@
 const (
 	roleRingSize   = 8192
 	wakeInterval   = 50 * time.Millisecond
-	shutdownLimit  = 10 * time.Second
 	maxStreamBytes = 16 << 20
 )
 
@@ -76,6 +76,23 @@
 	return c.process
 }
 
+// listen opens both listeners; port 0 becomes the port that the system chose.
+func (c *Common) listen() (links, pages net.Listener, cleanup func(), err error) {
+	links, c.linkAddress, err = web.Listen(c.linkAddress)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	pages, c.httpAddress, err = web.Listen(c.httpAddress)
+	if err != nil {
+		_ = links.Close()
+		return nil, nil, nil, err
+	}
+	return links, pages, func() {
+		_ = links.Close()
+		_ = pages.Close()
+	}, nil
+}
+
 // role runs one decision: it pops events, wakes the decision at an interval, and
 // applies the effects.
 type role struct {
@@ -125,54 +142,31 @@
 	}
 }
 
-// serveHTTP returns a duty that serves e, and its clean-up function.
-func serveHTTP(address string, e *echo.Echo) (duty.Duty, func(), error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return duty.Duty{}, nil, errors.Wrap(err, "listen for HTTP")
-	}
-	server := &http.Server{
-		Handler:           e,
-		ReadHeaderTimeout: shutdownLimit,
-	}
-	d, err := duty.New("http", "Serves callers, operators and targets.", nil, func(ctx context.Context) error {
-		stopped := make(chan struct{})
-		go func() {
-			defer close(stopped)
-			<-ctx.Done()
-			limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownLimit)
-			defer cancel()
-			_ = server.Shutdown(limit)
-		}()
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrap(err, "serve HTTP")
-		}
-		<-stopped
-		return nil
-	})
-	return d, func() { _ = server.Close() }, err
-}
-
 // serveLinks returns a duty that serves the links of other processes.
-func serveLinks(address string, register func(*grpc.Server)) (duty.Duty, func(), error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return duty.Duty{}, nil, errors.Wrap(err, "listen for links")
-	}
+func serveLinks(l net.Listener, register func(*grpc.Server)) (duty.Duty, func(), error) {
 	g := grpc.NewServer(grpc.MaxRecvMsgSize(maxStreamBytes), grpc.MaxSendMsgSize(maxStreamBytes))
 	register(g)
 	d, err := duty.New("links", "Accepts the streams of other processes.", nil, func(ctx context.Context) error {
+		ended := make(chan struct{})
 		stopped := make(chan struct{})
 		go func() {
 			defer close(stopped)
-			<-ctx.Done()
-			g.Stop()
+			select {
+			case <-ctx.Done():
+				g.Stop()
+			case <-ended:
+			}
 		}()
 		err := g.Serve(l)
+		close(ended)
 		<-stopped
 		return errors.Wrap(err, "serve links")
 	})
-	return d, g.Stop, err
+	return d, func() {
+		g.Stop()
+		// A server that was never started does not know its listener.
+		_ = l.Close()
+	}, err
 }
 
 // newEcho returns an HTTP router with the pages that every process has.
--- /dev/null
+++ b/internal/process/role/local/local.go
@@ -0,0 +1,288 @@
+// Package local assembles the whole system in one process on loopback.
+//
+// It starts the stand-ins for the platform (store, worker pool, targets), one
+// agent in each of three availability zones and two entries, each role with the
+// code and the links that it has as a process of its own. It serves to try the
+// system out, to run sample jobs against it, and for tests that need all of it.
+package local
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"greengagedoor.example/greengagedoor/internal/connection/announcement"
+	"greengagedoor.example/greengagedoor/internal/process/duty"
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/role/agent"
+	"greengagedoor.example/greengagedoor/internal/process/role/host"
+	"greengagedoor.example/greengagedoor/internal/process/standin/keyvalue"
+	"greengagedoor.example/greengagedoor/internal/process/standin/pool"
+	"greengagedoor.example/greengagedoor/internal/process/standin/record"
+	"greengagedoor.example/greengagedoor/internal/process/standin/target"
+	"greengagedoor.example/greengagedoor/internal/process/store"
+	"greengagedoor.example/greengagedoor/internal/process/web"
+	"greengagedoor.example/greengagedoor/internal/version/configuration"
+)
+
+// The size of the system.
+const (
+	entries         = 2
+	targetsPerAgent = 2
+	targetSlots     = 8
+	targetConns     = 64
+	shards          = 64
+	anyPort         = "127.0.0.1:0"
+)
+
+var zones = []string{"a", "b", "c"}
+
+// System is the assembled system.
+type System struct {
+	log      *logrus.Entry
+	seed     uint64
+	record   *record.Record
+	store    *store.Store
+	storeURL string
+	poolURL  string
+	entries  []*host.Entry
+	duties   []duty.Duty
+	cleanups []func()
+}
+
+// New assembles the system; the seed drives every random choice of its roles.
+func New(seed uint64, log *logrus.Entry) (*System, func(), error) {
+	s := &System{
+		log:  log,
+		seed: seed,
+	}
+	for _, step := range []func() error{s.buildStore, s.buildPool, s.buildAgents, s.buildEntries} {
+		if err := step(); err != nil {
+			s.cleanup()
+			return nil, nil, err
+		}
+	}
+	return s, s.cleanup, nil
+}
+
+func (s *System) cleanup() {
+	for i := len(s.cleanups) - 1; i >= 0; i-- {
+		s.cleanups[i]()
+	}
+}
+
+// Entries are the addresses of the entries for callers.
+func (s *System) Entries() []string {
+	var urls []string
+	for _, e := range s.entries {
+		urls = append(urls, "http://"+e.HTTPAddress())
+	}
+	return urls
+}
+
+// StoreURL is the address of the stand-in for the store.
+func (s *System) StoreURL() string {
+	return s.storeURL
+}
+
+// Record counts the starts of tasks at targets and workers.
+func (s *System) Record() *record.Record {
+	return s.record
+}
+
+// Start runs the system. The clean-up function stops entries, agents, targets and
+// platform in this order, so that a server stops after its clients: an HTTP server
+// waits 5 s for connections that a client opened and has not used.
+func (s *System) Start(ctx context.Context) (failed <-chan error, cleanup func(), err error) {
+	table, err := duty.NewTable(s.duties...)
+	if err != nil {
+		return nil, nil, err
+	}
+	failed, cleanup = table.Start(ctx)
+	return failed, cleanup, nil
+}
+
+// run adds a duty.
+func (s *System) run(name, purpose string, f func(context.Context) error) error {
+	d, err := duty.New(name, purpose, nil, f)
+	s.duties = append(s.duties, d)
+	return err
+}
+
+// serve adds an HTTP server on a free port and returns its address. Routes may be
+// added to e until the system starts.
+func (s *System) serve(name string, e *echo.Echo) (string, error) {
+	l, address, err := web.Listen(anyPort)
+	if err != nil {
+		return "", err
+	}
+	d, cleanup, err := web.Serve(l, name, "Serves a stand-in of the platform.", e)
+	s.cleanups = append(s.cleanups, cleanup)
+	s.duties = append(s.duties, d)
+	return "http://" + address, err
+}
+
+func (s *System) buildStore() error {
+	kv, err := keyvalue.New(time.Now)
+	if err != nil {
+		return err
+	}
+	if err := s.run("keyvalue", "Owns the keys and sessions of the store.", kv.Run); err != nil {
+		return err
+	}
+	e := echo.New()
+	kv.Register(e)
+	s.storeURL, err = s.serve("store", e)
+	if err != nil {
+		return err
+	}
+	var cleanup func()
+	s.store, cleanup, err = store.New(s.storeURL, host.StoreTimeout)
+	if err != nil {
+		return err
+	}
+	s.cleanups = append(s.cleanups, cleanup)
+	return nil
+}
+
+func (s *System) buildPool() error {
+	var err error
+	s.record, err = record.New()
+	if err != nil {
+		return err
+	}
+	if err := s.run("record", "Counts the starts of tasks.", s.record.Run); err != nil {
+		return err
+	}
+	r, err := workerResources()
+	if err != nil {
+		return err
+	}
+	var workers []pool.Worker
+	for _, zone := range zones {
+		workers = append(workers, pool.NewWorker("worker_"+zone, zone, "rack_"+zone, r))
+	}
+	p, err := pool.New(workers, s.record, time.Now)
+	if err != nil {
+		return err
+	}
+	if err := s.run("pool", "Owns the leases of the workers.", p.Run); err != nil {
+		return err
+	}
+	e := echo.New()
+	p.Register(e)
+	s.poolURL, err = s.serve("workers", e)
+	return err
+}
+
+func workerResources() (configuration.Resources, error) {
+	return configuration.NewResources(16_000, 32<<30, 2)
+}
+
+func (s *System) common(name, zone string) (host.Common, error) {
+	p, err := identity.NewProcess(name, s.seed|1)
+	if err != nil {
+		return host.Common{}, err
+	}
+	st, cleanup, err := store.New(s.storeURL, host.StoreTimeout)
+	if err != nil {
+		return host.Common{}, err
+	}
+	s.cleanups = append(s.cleanups, cleanup)
+	return host.NewCommon(p, 0, 1, shards, zone, anyPort, anyPort, st, s.log.WithField("process", name))
+}
+
+func (s *System) buildAgents() error {
+	for _, zone := range zones {
+		name := "agent_" + zone
+		c, err := s.common(name, zone)
+		if err != nil {
+			return err
+		}
+		r, err := workerResources()
+		if err != nil {
+			return err
+		}
+		a, cleanup, err := host.NewAgent(c, s.poolURL, agent.NewWorker("worker_"+zone, "rack_"+zone, r), s.seed)
+		if err != nil {
+			return err
+		}
+		for i := range targetsPerAgent {
+			if err := s.buildTarget(fmt.Sprintf("target_%s%d", zone, i+1), "http://"+a.HTTPAddress()); err != nil {
+				cleanup()
+				return err
+			}
+		}
+		if err := s.runRole(name, "Runs the agent of availability zone "+zone+".", a.Run, cleanup); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// runRole adds a role's duty, which gives up the role's connections at its end.
+func (s *System) runRole(name, purpose string, run func(context.Context) error, cleanup func()) error {
+	s.cleanups = append(s.cleanups, cleanup)
+	return s.run(name, purpose, func(ctx context.Context) error {
+		defer cleanup()
+		return run(ctx)
+	})
+}
+
+func (s *System) buildTarget(name, agentURL string) error {
+	e := echo.New()
+	url, err := s.serve(name, e)
+	if err != nil {
+		return err
+	}
+	n, err := announcement.New(name, url+"/task", services(), targetSlots, targetConns, false)
+	if err != nil {
+		return err
+	}
+	t, err := target.New(n, agentURL, 1, s.record, s.log.WithField("process", name))
+	if err != nil {
+		return err
+	}
+	t.Register(e)
+	return s.run("announce_"+name, "Announces the target to its agent.", t.Run)
+}
+
+func (s *System) buildEntries() error {
+	for i := range entries {
+		name := fmt.Sprintf("entry_%d", i+1)
+		c, err := s.common(name, zones[i])
+		if err != nil {
+			return err
+		}
+		e, cleanup, err := host.NewEntry(c)
+		if err != nil {
+			return err
+		}
+		s.entries = append(s.entries, e)
+		if err := s.runRole(name, "Runs an entry.", e.Run, cleanup); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Apply stores the configuration as the version in force.
+func (s *System) Apply(ctx context.Context, cfg *configuration.Configuration) error {
+	body, err := configuration.Encode(cfg)
+	if err != nil {
+		return err
+	}
+	number := fmt.Sprint(cfg.Version())
+	ok, err := s.store.Swap(ctx, "config/version/"+number, body, 0)
+	if err == nil && ok {
+		ok, err = s.store.Swap(ctx, "config/head", []byte(number), 0)
+	}
+	if err == nil && !ok {
+		err = errors.New("another version was applied first")
+	}
+	return errors.Wrap(err, "apply configuration")
+}
--- /dev/null
+++ b/internal/process/role/local/run.go
@@ -0,0 +1,187 @@
+package local
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/ring"
+	"greengagedoor.example/greengagedoor/pkg/caller"
+)
+
+const (
+	callers       = 16
+	readyInterval = 50 * time.Millisecond
+	resendDelay   = 20 * time.Millisecond
+)
+
+// Ready waits until every entry takes jobs.
+func (s *System) Ready(ctx context.Context) error {
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	client := &http.Client{
+		Transport: &http.Transport{
+			DisableKeepAlives: true,
+		},
+	}
+	for _, url := range s.Entries() {
+		for !answers(ctx, client, url+"/readyz") {
+			select {
+			case <-ticker.C:
+			case <-ctx.Done():
+				return errors.Wrap(ctx.Err(), "the system did not become ready")
+			}
+		}
+	}
+	return nil
+}
+
+func answers(ctx context.Context, client *http.Client, url string) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// attempt is one submission's answers: the first, and that through the other
+// entry if the job was resubmitted.
+type attempt struct {
+	sample  sampleJob
+	job     caller.Job
+	answers []caller.Answer
+	err     error
+}
+
+// RunSample submits n sample jobs of both teams, waits for their answers, and
+// compares them with what the jobs asked for and with the starts that targets and
+// workers recorded.
+func (s *System) RunSample(ctx context.Context, seed uint64, n int) (Summary, error) {
+	began := time.Now()
+	todo, err := ring.New[sampleJob]("sample", max(n, 1))
+	if err != nil {
+		return Summary{}, err
+	}
+	done, err := ring.New[attempt]("answered", max(n, 1))
+	if err != nil {
+		return Summary{}, err
+	}
+	for _, j := range sampleJobs(seed, n) {
+		if err := todo.TryPush(j); err != nil {
+			return Summary{}, err
+		}
+	}
+	stop, err := s.startCallers(ctx, todo, done)
+	if err != nil {
+		return Summary{}, err
+	}
+	defer stop()
+	var sum Summary
+	for range n {
+		a, err := done.Pop(ctx)
+		if err != nil {
+			return sum, errors.Wrapf(err, "%d of %d sample jobs have an answer", sum.answered, n)
+		}
+		sum.add(a)
+	}
+	starts, err := s.record.Tasks(ctx)
+	if err != nil {
+		return sum, err
+	}
+	sum.compare(starts)
+	sum.took = time.Since(began)
+	return sum, nil
+}
+
+// startCallers runs callers that submit the jobs of todo.
+func (s *System) startCallers(ctx context.Context, todo *ring.Ring[sampleJob], done *ring.Ring[attempt]) (func(), error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var clients []*caller.Client
+	var cleanups []func()
+	urls := s.Entries()
+	for i := range urls {
+		// Each client prefers another entry.
+		c, cleanup, err := caller.New(append(append([]string(nil), urls[i:]...), urls[:i]...)...)
+		if err != nil {
+			cancel()
+			return nil, err
+		}
+		clients = append(clients, c)
+		cleanups = append(cleanups, cleanup)
+	}
+	var running sync.WaitGroup
+	for range callers {
+		running.Go(func() {
+			for {
+				j, err := todo.Pop(ctx)
+				if err != nil {
+					return
+				}
+				_ = done.TryPush(submit(ctx, clients, j))
+			}
+		})
+	}
+	return func() {
+		cancel()
+		running.Wait()
+		for _, c := range cleanups {
+			c()
+		}
+	}, nil
+}
+
+// submit sends a job, and for some jobs the same submission through the other
+// entry while the first is on its way.
+func submit(ctx context.Context, clients []*caller.Client, s sampleJob) attempt {
+	a := attempt{
+		sample: s,
+	}
+	a.job, a.err = caller.NewJob(s.team, s.kind, s.tasks...)
+	if a.err != nil {
+		return a
+	}
+	type end struct {
+		answer caller.Answer
+		err    error
+	}
+	second := make(chan end, 1)
+	if s.resend {
+		go func() {
+			var e end
+			timer := time.NewTimer(resendDelay)
+			defer timer.Stop()
+			select {
+			case <-timer.C:
+				e.answer, e.err = clients[(s.entry+1)%len(clients)].Submit(ctx, a.job)
+			case <-ctx.Done():
+				e.err = ctx.Err()
+			}
+			second <- e
+		}()
+	}
+	first, err := clients[s.entry].Submit(ctx, a.job)
+	a.answers = append(a.answers, first)
+	a.err = err
+	if s.resend {
+		e := <-second
+		a.answers = append(a.answers, e.answer)
+		if a.err == nil {
+			a.err = e.err
+		}
+	}
+	return a
+}
+
+// submission is the job's identity as targets and workers record it.
+func (a attempt) submission() (identity.Submission, error) {
+	return identity.SubmissionOf(a.job.Team(), a.job.Key())
+}
--- /dev/null
+++ b/internal/process/web/web.go
@@ -0,0 +1,81 @@
+// Package web serves HTTP as a duty of a process.
+//
+// The listener opens when the server is made, so that an address with port 0 is
+// known before anything else starts. When the duty's context ends, the server
+// takes no new connection and waits for the requests in flight up to a limit.
+package web
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"greengagedoor.example/greengagedoor/internal/process/duty"
+)
+
+// The limits of a server.
+const (
+	// headerTimeout ends connections that do not send a request.
+	headerTimeout = 10 * time.Second
+	// ShutdownLimit is how long a stopping server waits for requests in flight.
+	ShutdownLimit = 10 * time.Second
+)
+
+// Listen opens a listener and returns the address under which others reach it:
+// the given one, with the chosen port in place of port 0.
+func Listen(address string) (net.Listener, string, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, "", errors.Wrapf(err, "listen on %s", address)
+	}
+	host, port, err := net.SplitHostPort(address)
+	if err == nil && port == "0" {
+		_, port, err = net.SplitHostPort(l.Addr().String())
+		address = net.JoinHostPort(host, port)
+	}
+	return l, address, errors.Wrap(err, "address of listener")
+}
+
+// Serve returns a duty that serves h on l, and its clean-up function.
+func Serve(l net.Listener, name, purpose string, h http.Handler) (duty.Duty, func(), error) {
+	server := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+	}
+	d, err := duty.New(name, purpose, nil, func(ctx context.Context) error {
+		return run(ctx, server, l)
+	})
+	return d, func() {
+		_ = server.Close()
+		// A server that was never started does not know its listener.
+		_ = l.Close()
+	}, err
+}
+
+func run(ctx context.Context, server *http.Server, l net.Listener) error {
+	ended := make(chan struct{})
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		select {
+		case <-ctx.Done():
+		case <-ended:
+			return
+		}
+		limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), ShutdownLimit)
+		defer cancel()
+		if server.Shutdown(limit) != nil {
+			_ = server.Close()
+		}
+	}()
+	err := server.Serve(l)
+	close(ended)
+	<-stopped
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve HTTP")
+}
