Answer callers with whole answers or problem documents

The callers' interface gave errors as plain text without naming the field, ignored a wrong wait_ms, accepted any number of tasks and any key time, and a stopping entry cut off requests after 10 s. Polling with wait_ms=0 could be told after 50 ms that the owner did not answer.

Refusals are now application/problem+json with reason, field and not_run; the body, the parameters and the key are checked before anything changes. The decision judges task count, payload size and key time; whether a kind exists is left to the owner, which may know the submission from an earlier configuration. A request keeps two times: when the caller takes what is known, and when a silent owner is given up (6 s, above the 5 s in which a shard serves again). Requests are walked in the order of arrival, so the effects no longer depend on map order. On shutdown the entry refuses new requests, answers those it holds for 5 s, then tells the rest what it knows. Entry, owner and agent log with submission_id.

Ruled out: refusing an unknown kind at the entry, since a resubmission must get its stored answer after the kind was removed.

--- a/cmd/greengagedoor/main.go
+++ b/cmd/greengagedoor/main.go
@@ -28,11 +28,14 @@
 			agentCommand(),
 			entryCommand(),
 			localCommand(),
+			keyCommand(),
 		},
 		EnableBashCompletion: true,
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	// A second signal ends the process without waiting for requests in flight.
+	context.AfterFunc(ctx, stop)
 	if err := app.RunContext(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "greengagedoor:", err)
 		os.Exit(exitCode(err))
--- a/internal/process/role/entry/entry.go
+++ b/internal/process/role/entry/entry.go
@@ -8,6 +8,7 @@
 package entry
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,8 +21,21 @@
 	"greengagedoor.example/greengagedoor/internal/version/configuration"
 )
 
-// MaxRequests bounds the requests that one entry holds.
-const MaxRequests = 20_000
+// The bounds and times of an entry.
+const (
+	// MaxRequests bounds the requests that one entry holds.
+	MaxRequests = 20_000
+	// MaxCallerSkew is how far ahead a caller's clock may be.
+	MaxCallerSkew = 5 * time.Second
+	// ownerLimit is how long an entry waits for an owner to say anything: a shard
+	// whose owner died serves again within 5 s.
+	ownerLimit = 6 * time.Second
+	// askInterval is how long an entry waits before it asks an owner again that
+	// could not act.
+	askInterval = 200 * time.Millisecond
+	// drainRetry is short, since another entry can take the request at once.
+	drainRetry = 100 * time.Millisecond
+)
 
 // Submit is an event: a caller submits a job. Until is when the caller stops
 // waiting and takes whatever is known.
@@ -47,7 +61,7 @@
 	until      time.Time
 }
 
-// NewQuery returns the event.
+// NewQuery returns the event. If until has passed, the first reply is the answer.
 func NewQuery(request uint64, s identity.Submission, until time.Time) Query {
 	return Query{
 		request:    request,
@@ -84,6 +98,19 @@
 	}
 }
 
+// Drain is an event: the process is stopping. The entry takes no new request, and
+// answers those it holds with what is known at the given time.
+type Drain struct {
+	until time.Time
+}
+
+// NewDrain returns the event.
+func NewDrain(until time.Time) Drain {
+	return Drain{
+		until: until,
+	}
+}
+
 // Respond is an effect: answer a caller's request.
 type Respond struct {
 	request uint64
@@ -100,13 +127,15 @@
 	return r.answer
 }
 
-// pending is a request that waits for its owner.
+// pending is a request that waits for its owner. From until on the caller takes
+// what the owner last said; at limit the entry gives up an owner that said nothing.
 type pending struct {
 	submission identity.Submission
 	body       func(request uint64) any
 	until      time.Time
-	wait       bool
+	limit      time.Time
 	sentTo     identity.Process
+	askAt      time.Time
 	last       answer.Answer
 	heard      bool
 }
@@ -118,6 +147,11 @@
 	cfg      *configuration.Configuration
 	routes   map[identity.Shard]membership.Route
 	requests map[uint64]*pending
+	// order has the numbers of requests in the order of their arrival, so that the
+	// effects of an event do not depend on the order of a map. Numbers of ended
+	// requests are dropped by the next wake.
+	order    []uint64
+	draining bool
 	effects  []any
 }
 
@@ -141,20 +175,22 @@
 	e.effects = e.effects[:0]
 	switch v := event.(type) {
 	case Submit:
-		e.submit(v)
+		e.submit(now, v)
 	case Query:
 		e.query(now, v)
 	case Cancel:
-		e.open(v.request, &pending{
+		e.open(now, v.request, &pending{
 			submission: v.submission,
 			until:      v.until,
 			body:       func(n uint64) any { return message.NewCancel(n, v.submission) },
 		})
 	case Abandon:
 		delete(e.requests, v.request)
+	case Drain:
+		e.startDrain(now, v)
 	case message.Received:
 		if m, ok := v.Body().(message.Reply); ok {
-			e.reply(v.From(), m)
+			e.reply(now, v.From(), m)
 		}
 	case message.Undelivered:
 		e.undelivered(v)
@@ -172,7 +208,12 @@
 
 // Ready tells whether the entry knows a configuration and at least one owner.
 func (e *Entry) Ready() bool {
-	return e.cfg != nil && len(e.routes) > 0
+	return e.cfg != nil && len(e.routes) > 0 && !e.draining
+}
+
+// Drained tells whether a stopping entry has answered every request.
+func (e *Entry) Drained() bool {
+	return e.draining && len(e.requests) == 0
 }
 
 // Requests is the number of requests held.
@@ -180,21 +221,51 @@
 	return len(e.requests)
 }
 
-func (e *Entry) submit(v Submit) {
-	e.open(v.request, &pending{
-		submission: v.order.Submission(),
+func (e *Entry) submit(now time.Time, v Submit) {
+	s := v.order.Submission()
+	if s.FirstSent().After(now.Add(MaxCallerSkew)) {
+		e.respond(v.request, answer.NotPassed(answer.KeyInFuture,
+			"key: its time is "+s.FirstSent().UTC().Format(time.RFC3339)+", at most 5 s ahead are allowed", 0))
+		return
+	}
+	if detail, ok := e.check(v.order); !ok {
+		e.respond(v.request, answer.NotPassed(answer.InvalidRequest, detail, 0))
+		return
+	}
+	e.open(now, v.request, &pending{
+		submission: s,
 		until:      v.until,
-		wait:       true,
 		body:       func(n uint64) any { return message.NewSubmit(n, v.order) },
 	})
 }
 
+// check compares an order with the limits of the configuration. Whether the kind
+// exists is left to the owner, which may know the submission from an earlier
+// version.
+func (e *Entry) check(o job.Order) (string, bool) {
+	if e.cfg == nil {
+		return "", true
+	}
+	if n := e.cfg.Limits().MaxTasks(); len(o.Payloads()) > n {
+		return fmt.Sprintf("tasks: the job has %d, at most %d are allowed", len(o.Payloads()), n), false
+	}
+	kind, ok := e.cfg.Kind(o.Submission().Team(), o.Kind())
+	if !ok {
+		return "", true
+	}
+	for i, p := range o.Payloads() {
+		if len(p) > kind.PayloadBytes() {
+			return fmt.Sprintf("tasks[%d]: the payload has %d bytes, at most %d are allowed", i, len(p), kind.PayloadBytes()), false
+		}
+	}
+	return "", true
+}
+
 func (e *Entry) query(now time.Time, v Query) {
 	wait := v.until.After(now)
-	e.open(v.request, &pending{
+	e.open(now, v.request, &pending{
 		submission: v.submission,
 		until:      v.until,
-		wait:       wait,
 		body:       func(n uint64) any { return message.NewQuery(n, v.submission, wait) },
 	})
 }
@@ -207,7 +278,11 @@
 	})
 }
 
-func (e *Entry) open(request uint64, p *pending) {
+func (e *Entry) open(now time.Time, request uint64, p *pending) {
+	if e.draining {
+		e.respond(request, answer.NotPassed(answer.ShuttingDown, "the entry is stopping", drainRetry))
+		return
+	}
 	if len(e.requests) >= MaxRequests {
 		e.respond(request, answer.NotPassed(answer.Overloaded, "the entry holds too many requests", time.Second))
 		return
@@ -220,7 +295,12 @@
 		e.respond(request, answer.NotPassed(answer.UnknownTeam, p.submission.Team(), 0))
 		return
 	}
+	p.limit = now.Add(ownerLimit)
+	if p.until.After(p.limit) {
+		p.limit = p.until
+	}
 	e.requests[request] = p
+	e.order = append(e.order, request)
 	e.pass(request, p)
 }
 
@@ -239,7 +319,7 @@
 	e.effects = append(e.effects, message.NewSend(p.sentTo, p.body(request)))
 }
 
-func (e *Entry) reply(from identity.Process, m message.Reply) {
+func (e *Entry) reply(now time.Time, from identity.Process, m message.Reply) {
 	p, ok := e.requests[m.Request()]
 	if !ok || p.sentTo != from {
 		return
@@ -248,11 +328,12 @@
 	if a.Reason() == answer.Unavailable {
 		// The owner has lost the shard; the next route tells whom to ask.
 		p.sentTo = identity.Process{}
+		p.askAt = now.Add(askInterval)
 		return
 	}
 	p.last = a
 	p.heard = true
-	if a.Ended() || !p.wait {
+	if a.Ended() || !p.until.After(now) {
 		e.respond(m.Request(), a)
 	}
 }
@@ -281,7 +362,11 @@
 			e.routes[r.Shard()] = r
 		}
 	}
-	for n, p := range e.requests {
+	for _, n := range e.order {
+		p, ok := e.requests[n]
+		if !ok {
+			continue
+		}
 		team, ok := e.cfg.Team(p.submission.Team())
 		if !ok {
 			continue
@@ -296,17 +381,46 @@
 // expire answers the callers that do not want to wait longer, and asks again for
 // those whose owner was not available.
 func (e *Entry) expire(now time.Time) {
-	for n, p := range e.requests {
-		if p.until.After(now) {
-			if p.sentTo.IsZero() {
-				e.pass(n, p)
-			}
+	kept := e.order[:0]
+	for _, n := range e.order {
+		p, ok := e.requests[n]
+		if !ok {
 			continue
 		}
-		if p.heard {
-			e.respond(n, p.last)
+		if p.limit.After(now) && (!p.heard || p.until.After(now)) {
+			kept = append(kept, n)
+			if p.sentTo.IsZero() && !p.askAt.After(now) {
+				p.askAt = now.Add(askInterval)
+				e.pass(n, p)
+			}
 			continue
 		}
+		e.conclude(n, p)
+	}
+	e.order = kept
+}
+
+// conclude answers a request with what is known.
+func (e *Entry) conclude(n uint64, p *pending) {
+	switch {
+	case p.heard:
+		e.respond(n, p.last)
+	case e.draining:
+		e.respond(n, answer.NotPassed(answer.ShuttingDown, "the entry stopped before the owner answered", drainRetry))
+	default:
 		e.respond(n, answer.NotPassed(answer.Unavailable, "the owner of the submission did not answer in time", time.Second))
 	}
 }
+
+func (e *Entry) startDrain(now time.Time, v Drain) {
+	e.draining = true
+	for _, p := range e.requests {
+		if p.until.After(v.until) {
+			p.until = v.until
+		}
+		if p.limit.After(v.until) {
+			p.limit = v.until
+		}
+	}
+	e.expire(now)
+}
--- /dev/null
+++ b/internal/process/role/entry/entry_test.go
@@ -0,0 +1,260 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/membership"
+	"greengagedoor.example/greengagedoor/internal/process/role/entry"
+	"greengagedoor.example/greengagedoor/internal/request/answer"
+	"greengagedoor.example/greengagedoor/internal/request/job"
+	"greengagedoor.example/greengagedoor/internal/request/message"
+	"greengagedoor.example/greengagedoor/internal/version/configuration"
+)
+
+const team = "tegnestuen"
+
+var (
+	start  = time.UnixMilli(1_800_000_000_000)
+	first  = process("agent_a", 1)
+	second = process("agent_b", 1)
+)
+
+func process(name string, incarnation uint64) identity.Process {
+	p, err := identity.NewProcess(name, incarnation)
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
+
+func orderOf(t *testing.T, tasks int) job.Order {
+	t.Helper()
+	key := uuid.MustParse("01a3185c-5000-7000-8000-000000000001") // 1,800,000,000,000 ms
+	s, err := identity.SubmissionOf(team, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := job.NewOrder(s, "log_sale", time.Time{}, make([][]byte, tasks))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return o
+}
+
+// ready returns an entry that knows its configuration and one owner of all shards.
+func ready(t *testing.T) *entry.Entry {
+	t.Helper()
+	e, err := entry.New(1, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	limits, err := configuration.NewLimits(10, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tm, err := configuration.NewTeam(team, 1, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := configuration.New(1, limits, []configuration.Team{tm}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Handle(start, cfg)
+	e.Handle(start, routes(1, first))
+	return e
+}
+
+func routes(epoch identity.Epoch, owner identity.Process) membership.Routes {
+	return membership.NewRoutes([]membership.Route{membership.NewRoute(0, epoch, owner)})
+}
+
+func replyFrom(p identity.Process, request uint64, a answer.Answer) message.Received {
+	return message.NewReceived(p, 0, nil, message.NewReply(request, a))
+}
+
+// sentTo lists the receivers of an event's messages.
+func sentTo(effects []any) []identity.Process {
+	var to []identity.Process
+	for _, e := range effects {
+		if s, ok := e.(message.Send); ok {
+			to = append(to, s.To())
+		}
+	}
+	return to
+}
+
+// answers lists what callers are told by an event's effects, by request.
+func answers(effects []any) map[uint64]answer.Answer {
+	found := map[uint64]answer.Answer{}
+	for _, e := range effects {
+		if r, ok := e.(entry.Respond); ok {
+			found[r.Request()] = r.Answer()
+		}
+	}
+	return found
+}
+
+// TestSubmit guards against a request that is lost, answered twice, or answered
+// by a process that no longer owns the shard.
+func TestSubmit(t *testing.T) {
+	whole := answer.Completion([][]byte{[]byte("1")})
+	until := start.Add(time.Minute)
+	tests := map[string]func(e *entry.Entry) map[uint64]answer.Answer{
+		"answered_by_owner": func(e *entry.Entry) map[uint64]answer.Answer {
+			return answers(e.Handle(start, replyFrom(first, 1, whole)))
+		},
+		"answered_after_acceptance": func(e *entry.Entry) map[uint64]answer.Answer {
+			So(e.Handle(start, replyFrom(first, 1, answer.Pending())), ShouldBeEmpty)
+			return answers(e.Handle(start, replyFrom(first, 1, whole)))
+		},
+		"moved_to_new_owner": func(e *entry.Entry) map[uint64]answer.Answer {
+			So(sentTo(e.Handle(start, routes(2, second))), ShouldResemble, []identity.Process{second})
+			So(e.Handle(start, replyFrom(first, 1, answer.NotPassed(answer.KeyExpired, "", 0))), ShouldBeEmpty)
+			return answers(e.Handle(start, replyFrom(second, 1, whole)))
+		},
+		"old_route_ignored": func(e *entry.Entry) map[uint64]answer.Answer {
+			e.Handle(start, routes(3, second))
+			So(e.Handle(start, routes(2, first)), ShouldBeEmpty)
+			return answers(e.Handle(start, replyFrom(second, 1, whole)))
+		},
+		"owner_without_lease": func(e *entry.Entry) map[uint64]answer.Answer {
+			So(e.Handle(start, replyFrom(first, 1, answer.NotPassed(answer.Unavailable, "", 0))), ShouldBeEmpty)
+			So(e.Handle(start, message.Wake{}), ShouldBeEmpty)
+			So(sentTo(e.Handle(start.Add(time.Second), message.Wake{})), ShouldResemble, []identity.Process{first})
+			return answers(e.Handle(start, replyFrom(first, 1, whole)))
+		},
+	}
+	for name, run := range tests {
+		t.Run(name, func(t *testing.T) {
+			Convey("the caller gets the whole answer once", t, func() {
+				e := ready(t)
+				So(sentTo(e.Handle(start, entry.NewSubmit(1, orderOf(t, 1), until))), ShouldResemble, []identity.Process{first})
+				got := run(e)
+				So(got, ShouldHaveLength, 1)
+				So(got[1].State(), ShouldEqual, answer.Complete)
+				So(e.Handle(start, replyFrom(first, 1, whole)), ShouldBeEmpty)
+				So(e.Handle(until, message.Wake{}), ShouldBeEmpty)
+				So(e.Requests(), ShouldEqual, 0)
+			})
+		})
+	}
+}
+
+// TestExpiry guards against a caller that waits longer than it asked, or that is
+// told of an owner's silence while the owner was not asked long enough.
+func TestExpiry(t *testing.T) {
+	tests := map[string]struct {
+		wait   time.Duration
+		heard  bool
+		after  time.Duration
+		ends   bool
+		reason answer.Reason
+	}{
+		"running_in_time": {
+			wait:  time.Second,
+			heard: true,
+			after: time.Second - 1,
+		},
+		"running_at_the_end": {
+			wait:  time.Second,
+			heard: true,
+			after: time.Second,
+			ends:  true,
+		},
+		"silent_owner_is_given_time": {
+			wait:  time.Second,
+			after: 5 * time.Second,
+		},
+		"silent_owner_is_given_up": {
+			wait:   time.Second,
+			after:  6 * time.Second,
+			ends:   true,
+			reason: answer.Unavailable,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			Convey("the wait ends when it should", t, func() {
+				e := ready(t)
+				e.Handle(start, entry.NewSubmit(1, orderOf(t, 1), start.Add(tt.wait)))
+				if tt.heard {
+					e.Handle(start, replyFrom(first, 1, answer.Pending()))
+				}
+				a, ended := answers(e.Handle(start.Add(tt.after), message.Wake{}))[1]
+				So(ended, ShouldEqual, tt.ends)
+				So(a.Reason(), ShouldEqual, tt.reason)
+				So(a.NotRun(), ShouldBeFalse)
+			})
+		})
+	}
+}
+
+// TestDrain guards against a stopping entry that takes new requests, drops those
+// it holds, or claims that they did not run.
+func TestDrain(t *testing.T) {
+	Convey("a stopping entry", t, func() {
+		e := ready(t)
+		until := start.Add(time.Minute)
+		e.Handle(start, entry.NewSubmit(1, orderOf(t, 1), until))
+		e.Handle(start, entry.NewSubmit(2, orderOf(t, 1), until))
+		e.Handle(start, entry.NewSubmit(3, orderOf(t, 1), until))
+		e.Handle(start, replyFrom(first, 2, answer.Pending()))
+		So(e.Handle(start, entry.NewDrain(start.Add(5*time.Second))), ShouldBeEmpty)
+		So(e.Ready(), ShouldBeFalse)
+		So(e.Drained(), ShouldBeFalse)
+		refused := answers(e.Handle(start, entry.NewSubmit(4, orderOf(t, 1), until)))[4]
+		So(refused.Reason(), ShouldEqual, answer.ShuttingDown)
+		So(refused.NotRun(), ShouldBeFalse)
+		done := answers(e.Handle(start, replyFrom(first, 1, answer.Completion([][]byte{nil}))))
+		So(done[1].State(), ShouldEqual, answer.Complete)
+		rest := answers(e.Handle(start.Add(5*time.Second), message.Wake{}))
+		So(rest, ShouldHaveLength, 2)
+		So(rest[2].State(), ShouldEqual, answer.Running)
+		So(rest[3].Reason(), ShouldEqual, answer.ShuttingDown)
+		So(rest[3].NotRun(), ShouldBeFalse)
+		So(e.Drained(), ShouldBeTrue)
+	})
+}
+
+// TestLimits guards against jobs that pass the limits of the configuration.
+func TestLimits(t *testing.T) {
+	tests := map[string]struct {
+		now    time.Time
+		tasks  int
+		reason answer.Reason
+	}{
+		"within": {
+			now:   start,
+			tasks: 10,
+		},
+		"too_many_tasks": {
+			now:    start,
+			tasks:  11,
+			reason: answer.InvalidRequest,
+		},
+		"clock_just_in_bounds": {
+			now:   start.Add(-entry.MaxCallerSkew),
+			tasks: 1,
+		},
+		"clock_ahead": {
+			now:    start.Add(-entry.MaxCallerSkew - time.Millisecond),
+			tasks:  1,
+			reason: answer.KeyInFuture,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			Convey("the submission is judged", t, func() {
+				effects := ready(t).Handle(tt.now, entry.NewSubmit(1, orderOf(t, tt.tasks), tt.now.Add(time.Second)))
+				So(answers(effects)[1].Reason(), ShouldEqual, tt.reason)
+				So(len(sentTo(effects)) == 0, ShouldEqual, tt.reason != answer.NoReason)
+			})
+		})
+	}
+}
--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -147,7 +147,7 @@
 		return err
 	}
 	a.cleanups = append(a.cleanups, cleanup)
-	e := newEcho(func() bool { return true })
+	e := a.common.newEcho(func() bool { return true })
 	e.POST("/v1/announce", a.announce)
 	pages, cleanup, err := web.Serve(a.pages, "http", "Serves callers, operators and targets.", e)
 	if err != nil {
@@ -232,6 +232,7 @@
 
 func (a *Agent) applyOwner(now time.Time, o *owner.Owner, event any) {
 	for _, s := range o.Handle(now, event) {
+		a.common.logOwner(event, s)
 		if a.network.Post(s) != nil {
 			// The owner is inside Handle's result; the event goes through its ring.
 			_ = a.owner.ring.TryPush(message.NewUndelivered(s))
@@ -241,6 +242,7 @@
 
 func (a *Agent) applyAgent(now time.Time, d *agent.Agent, event any) {
 	for _, effect := range d.Handle(now, event) {
+		a.common.logAgent(effect)
 		var err error
 		switch e := effect.(type) {
 		case message.Send:
@@ -272,11 +274,11 @@
 	dec := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, announceMaxBytes))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&d); err != nil {
-		return c.String(http.StatusBadRequest, err.Error())
+		return bodyFault(err)
 	}
 	n, err := announcement.New(d.Target, d.URL, d.Services, d.Slots, d.Connections, d.Leaving)
 	if err != nil {
-		return c.String(http.StatusBadRequest, err.Error())
+		return bad(http.StatusBadRequest, "", "%v", err)
 	}
 	if err := a.agent.ring.TryPush(n); err != nil {
 		return c.String(http.StatusServiceUnavailable, err.Error())
--- a/internal/process/role/host/caller.go
+++ b/internal/process/role/host/caller.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -11,102 +10,78 @@
 	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/role/entry"
 	"greengagedoor.example/greengagedoor/internal/request/answer"
-	"greengagedoor.example/greengagedoor/internal/request/job"
 )
 
 const (
-	maxBodyBytes = 8 << 20
-	defaultWait  = 30 * time.Second
-	maxWait      = 2 * time.Minute
+	defaultWait = 30 * time.Second
+	maxWait     = 2 * time.Minute
+	jobsPath    = "/v1/teams/:team/jobs"
+	jobPath     = jobsPath + "/:key"
 )
 
-type submitDocument struct {
-	Key        string            `json:"key"`
-	Kind       string            `json:"kind"`
-	DeadlineMS int64             `json:"deadline_ms"`
-	Tasks      []json.RawMessage `json:"tasks"`
-}
-
+// answerDocument is the response about a submission that is running or ended.
 type answerDocument struct {
-	Submission   string            `json:"submission_id"`
-	State        string            `json:"state"`
-	Reason       string            `json:"reason,omitempty"`
-	Detail       string            `json:"detail,omitempty"`
-	Ran          string            `json:"ran,omitempty"`
-	NotRun       *bool             `json:"not_run,omitempty"`
-	RetryAfterMS int64             `json:"retry_after_ms,omitempty"`
-	Results      []json.RawMessage `json:"results,omitempty"`
+	Submission string            `json:"submission_id"`
+	State      string            `json:"state"`
+	Reason     string            `json:"reason,omitempty"`
+	Detail     string            `json:"detail,omitempty"`
+	Ran        string            `json:"ran,omitempty"`
+	Results    []json.RawMessage `json:"results,omitempty"`
 }
 
 func (e *Entry) register(router *echo.Echo) {
-	router.POST("/v1/teams/:team/jobs", e.submit)
-	router.GET("/v1/teams/:team/jobs/:key", e.query)
-	router.DELETE("/v1/teams/:team/jobs/:key", e.cancel)
-}
-
-func (e *Entry) until(c echo.Context) time.Time {
-	wait := defaultWait
-	if ms, err := strconv.ParseInt(c.QueryParam("wait_ms"), 10, 64); err == nil && ms >= 0 {
-		wait = min(time.Duration(ms)*time.Millisecond, maxWait)
-	}
-	return e.common.now().Add(wait)
+	router.POST(jobsPath, e.submit)
+	router.GET(jobPath, e.query)
+	router.DELETE(jobPath, e.cancel)
+	router.GET("/v1/reasons", reasons)
 }
 
 func (e *Entry) submit(c echo.Context) error {
-	var d submitDocument
-	dec := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&d); err != nil {
-		return c.String(http.StatusBadRequest, err.Error())
-	}
-	s, err := identity.NewSubmission(c.Param("team"), d.Key)
+	wait, err := readWait(c, defaultWait)
 	if err != nil {
-		return c.String(http.StatusBadRequest, err.Error())
-	}
-	var deadline time.Time
-	if d.DeadlineMS > 0 {
-		deadline = time.UnixMilli(d.DeadlineMS)
-	}
-	payloads := make([][]byte, 0, len(d.Tasks))
-	for _, t := range d.Tasks {
-		payloads = append(payloads, t)
+		return err
 	}
-	order, err := job.NewOrder(s, d.Kind, deadline, payloads)
+	order, err := readOrder(c)
 	if err != nil {
-		return c.String(http.StatusBadRequest, err.Error())
+		return err
 	}
-	a, err := e.ask(c, func(n uint64) any { return entry.NewSubmit(n, order, e.until(c)) })
-	return write(c, s, a, err)
+	until := e.common.now().Add(wait)
+	return e.answer(c, order.Submission(), func(n uint64) any { return entry.NewSubmit(n, order, until) })
 }
 
 func (e *Entry) query(c echo.Context) error {
-	s, err := identity.NewSubmission(c.Param("team"), c.Param("key"))
+	s, wait, err := readSubmission(c, 0)
 	if err != nil {
-		return c.String(http.StatusBadRequest, err.Error())
+		return err
 	}
-	a, err := e.ask(c, func(n uint64) any { return entry.NewQuery(n, s, e.until(c)) })
-	return write(c, s, a, err)
+	until := e.common.now().Add(wait)
+	return e.answer(c, s, func(n uint64) any { return entry.NewQuery(n, s, until) })
 }
 
 func (e *Entry) cancel(c echo.Context) error {
-	s, err := identity.NewSubmission(c.Param("team"), c.Param("key"))
+	s, wait, err := readSubmission(c, defaultWait)
 	if err != nil {
-		return c.String(http.StatusBadRequest, err.Error())
+		return err
 	}
-	a, err := e.ask(c, func(n uint64) any { return entry.NewCancel(n, s, e.until(c)) })
-	return write(c, s, a, err)
+	until := e.common.now().Add(wait)
+	return e.answer(c, s, func(n uint64) any { return entry.NewCancel(n, s, until) })
 }
 
-func write(c echo.Context, s identity.Submission, a answer.Answer, err error) error {
+// answer asks the entry's duty and writes what it says.
+func (e *Entry) answer(c echo.Context, s identity.Submission, event func(request uint64) any) error {
+	a, err := e.ask(c, event)
 	if err != nil {
 		return err
 	}
+	e.logAnswer(s, a)
+	if a.State() == answer.Refused {
+		return refuse(c, s, a)
+	}
 	d := answerDocument{
-		Submission:   s.String(),
-		State:        a.State().String(),
-		Reason:       a.Reason().String(),
-		Detail:       a.Detail(),
-		RetryAfterMS: a.RetryAfter().Milliseconds(),
+		Submission: s.String(),
+		State:      a.State().String(),
+		Reason:     a.Reason().String(),
+		Detail:     a.Detail(),
 	}
 	status := http.StatusOK
 	switch a.State() {
@@ -114,10 +89,8 @@
 		status = http.StatusAccepted
 	case answer.Failed:
 		d.Ran = a.Ran().String()
-	case answer.Refused:
-		notRun := a.NotRun()
-		d.NotRun = &notRun
-		status = a.Reason().Entry().Status()
+	case answer.Complete:
+		d.Results = make([]json.RawMessage, 0, len(a.Results()))
 	}
 	for _, r := range a.Results() {
 		if !json.Valid(r) {
@@ -127,3 +100,25 @@
 	}
 	return c.JSON(status, d)
 }
+
+type reasonDocument struct {
+	Reason  string `json:"reason"`
+	Status  int    `json:"status"`
+	Meaning string `json:"meaning"`
+}
+
+// reasons serves the table of reasons, so that a caller can look one up.
+func reasons(c echo.Context) error {
+	out := []reasonDocument{}
+	for _, r := range answer.Reasons() {
+		if r.Reason() == answer.NoReason {
+			continue
+		}
+		out = append(out, reasonDocument{
+			Reason:  r.Name(),
+			Status:  r.Status(),
+			Meaning: r.Meaning(),
+		})
+	}
+	return c.JSON(http.StatusOK, out)
+}
--- a/internal/process/role/host/entry.go
+++ b/internal/process/role/host/entry.go
@@ -21,6 +21,10 @@
 	"greengagedoor.example/greengagedoor/internal/version/configuration"
 )
 
+// DrainLimit is how long a stopping entry waits for the answers of the requests
+// that it holds. Writing the answers may take web.ShutdownLimit more.
+const DrainLimit = 5 * time.Second
+
 // Entry is an assembled entry process.
 type Entry struct {
 	common   Common
@@ -28,6 +32,7 @@
 	entry    *role
 	network  *network.Network
 	ready    atomic.Bool
+	drained  chan struct{}
 	requests atomic.Uint64
 	links    net.Listener
 	pages    net.Listener
@@ -44,7 +49,8 @@
 // NewEntry assembles an entry process.
 func NewEntry(c Common) (*Entry, func(), error) {
 	e := &Entry{
-		common: c,
+		common:  c,
+		drained: make(chan struct{}),
 	}
 	if err := e.build(); err != nil {
 		e.cleanup()
@@ -103,7 +109,7 @@
 		return err
 	}
 	e.cleanups = append(e.cleanups, cleanup)
-	router := newEcho(e.ready.Load)
+	router := e.common.newEcho(e.ready.Load)
 	e.register(router)
 	pages, cleanup, err := web.Serve(e.pages, "http", "Serves callers, operators and targets.", router)
 	if err != nil {
@@ -139,10 +145,26 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
+		e.drain(context.WithoutCancel(ctx))
 		return nil
 	}
 }
 
+// drain refuses new requests and waits until those held have their answers. The
+// duties stop after it, the HTTP server first.
+func (e *Entry) drain(ctx context.Context) {
+	// The limit leaves the duty time to answer what is still open when it passes.
+	ctx, cancel := context.WithTimeout(ctx, DrainLimit+time.Second)
+	defer cancel()
+	err := e.entry.ring.Push(ctx, entry.NewDrain(e.common.now().Add(DrainLimit)))
+	if err == nil {
+		select {
+		case <-e.drained:
+		case <-ctx.Done():
+		}
+	}
+}
+
 func (e *Entry) publish(ctx context.Context, v any) {
 	switch v.(type) {
 	case *configuration.Configuration, membership.Routes:
@@ -174,6 +196,13 @@
 		}
 	}
 	e.ready.Store(d.Ready())
+	if d.Drained() {
+		select {
+		case <-e.drained:
+		default:
+			close(e.drained)
+		}
+	}
 }
 
 // ask hands a caller's event to the entry's duty and waits for the answer.
--- a/internal/process/role/host/host.go
+++ b/internal/process/role/host/host.go
@@ -170,8 +170,9 @@
 }
 
 // newEcho returns an HTTP router with the pages that every process has.
-func newEcho(ready func() bool) *echo.Echo {
+func (c Common) newEcho(ready func() bool) *echo.Echo {
 	e := echo.New()
+	e.HTTPErrorHandler = c.handleError
 	e.HideBanner = true
 	e.HidePort = true
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
--- /dev/null
+++ b/internal/process/role/local/refusal_test.go
@@ -0,0 +1,131 @@
+package local_test
+
+import (
+	"encoding/binary"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// keyAt returns a key that was made at a time.
+func keyAt(at time.Time) string {
+	key := uuid.Must(uuid.NewV7())
+	var ms [8]byte
+	binary.BigEndian.PutUint64(ms[:], uint64(at.UnixMilli()))
+	copy(key[:6], ms[2:])
+	return key.String()
+}
+
+// refusal is a request that must not change anything.
+type refusal struct {
+	method string
+	path   string
+	header map[string]string
+	body   string
+	status int
+	reason string
+	field  string
+}
+
+const invalid = "invalid_request"
+
+func refusalOf(method, path, body string, status int, reason, field string) refusal {
+	return refusal{
+		method: method,
+		path:   path,
+		header: jsonHeader,
+		body:   body,
+		status: status,
+		reason: reason,
+		field:  field,
+	}
+}
+
+func (r refusal) withType(t string) refusal {
+	r.header = map[string]string{
+		"Content-Type": t,
+	}
+	return r
+}
+
+func submission(key, kind, tasks string) string {
+	return `{"key":"` + key + `","kind":"` + kind + `","tasks":` + tasks + `}`
+}
+
+func refusals() map[string]refusal {
+	key := keyAt(time.Now())
+	const jobs = "/v1/teams/tegnestuen/jobs"
+	many := "[" + strings.Repeat("1,", 1100) + "1]"
+	large := `["` + strings.Repeat("x", 64<<10) + `"]`
+	return map[string]refusal{
+		"unknown_team":        refusalOf(http.MethodPost, "/v1/teams/nobody/jobs", submission(key, "log_sale", "[1]"), 404, "unknown_team", "team"),
+		"long_team":           refusalOf(http.MethodPost, "/v1/teams/"+strings.Repeat("x", 65)+"/jobs", submission(key, "log_sale", "[1]"), 400, invalid, "team"),
+		"unknown_kind":        refusalOf(http.MethodPost, jobs, submission(key, "unheard_of", "[1]"), 404, "unknown_kind", "kind"),
+		"no_kind":             refusalOf(http.MethodPost, jobs, `{"key":"`+key+`","tasks":[1]}`, 400, invalid, "kind"),
+		"too_many_tasks":      refusalOf(http.MethodPost, jobs, submission(key, "log_sale", many), 400, invalid, "tasks"),
+		"large_payload":       refusalOf(http.MethodPost, jobs, submission(key, "log_sale", large), 400, invalid, "tasks"),
+		"no_tasks":            refusalOf(http.MethodPost, jobs, submission(key, "log_sale", "[]"), 400, invalid, "tasks"),
+		"tasks_of_other_type": refusalOf(http.MethodPost, jobs, submission(key, "log_sale", `"one"`), 400, invalid, "tasks"),
+		"oversized_body":      refusalOf(http.MethodPost, jobs, submission(key, "log_sale", `["`+strings.Repeat("x", 9<<20)+`"]`), 413, invalid, "body"),
+		"malformed_body":      refusalOf(http.MethodPost, jobs, `{"key":`, 400, invalid, "body"),
+		"empty_body":          refusalOf(http.MethodPost, jobs, "", 400, invalid, "body"),
+		"two_values":          refusalOf(http.MethodPost, jobs, submission(key, "log_sale", "[1]")+"{}", 400, invalid, "body"),
+		"unknown_field":       refusalOf(http.MethodPost, jobs, `{"priority":1}`, 400, invalid, "priority"),
+		"negative_deadline":   refusalOf(http.MethodPost, jobs, `{"key":"`+key+`","kind":"log_sale","deadline_ms":-1,"tasks":[1]}`, 400, invalid, "deadline_ms"),
+		"key_not_uuid":        refusalOf(http.MethodPost, jobs, submission("17", "log_sale", "[1]"), 400, invalid, "key"),
+		"key_of_version_4":    refusalOf(http.MethodPost, jobs, submission(uuid.NewString(), "log_sale", "[1]"), 400, invalid, "key"),
+		"expired_key":         refusalOf(http.MethodPost, jobs, submission(keyAt(time.Now().Add(-time.Hour)), "log_sale", "[1]"), 410, "key_expired", "key"),
+		"future_key":          refusalOf(http.MethodPost, jobs, submission(keyAt(time.Now().Add(time.Minute)), "log_sale", "[1]"), 400, "key_in_future", "key"),
+		"wrong_method":        refusalOf(http.MethodPut, jobs, submission(key, "log_sale", "[1]"), 405, invalid, "method"),
+		"wrong_path":          refusalOf(http.MethodPost, "/v1/jobs", "", 404, invalid, "path"),
+		"wrong_content_type":  refusalOf(http.MethodPost, jobs, submission(key, "log_sale", "[1]"), 415, invalid, "content_type").withType("text/plain"),
+		"wrong_wait":          refusalOf(http.MethodPost, jobs+"?wait_ms=soon", submission(key, "log_sale", "[1]"), 400, invalid, "wait_ms"),
+		"long_wait":           refusalOf(http.MethodPost, jobs+"?wait_ms=120001", submission(key, "log_sale", "[1]"), 400, invalid, "wait_ms"),
+		"unknown_parameter":   refusalOf(http.MethodPost, jobs+"?urgent=1", submission(key, "log_sale", "[1]"), 400, invalid, "urgent"),
+		"query_unknown_key":   refusalOf(http.MethodGet, jobs+"/"+key, "", 404, "unknown_key", "key"),
+		"query_bad_key":       refusalOf(http.MethodGet, jobs+"/x", "", 400, invalid, "key"),
+		"cancel_unknown_key":  refusalOf(http.MethodDelete, jobs+"/"+key, "", 404, "unknown_key", "key"),
+	}
+}
+
+// TestRefusals guards against bad input that is accepted, that gets an answer
+// without the field that is wrong, or that starts something.
+func TestRefusals(t *testing.T) {
+	s := start(t)
+	for name, tt := range refusals() {
+		t.Run(name, func(t *testing.T) {
+			Convey("the request is refused and starts nothing", t, func() {
+				r := send(t, tt.method, s.Entries()[0]+tt.path, tt.header, tt.body)
+				p := problemOf(t, r)
+				So(r.status, ShouldEqual, tt.status)
+				So(r.header.Get("Content-Type"), ShouldEqual, "application/problem+json")
+				So(p.Reason, ShouldEqual, tt.reason)
+				So(p.Field, ShouldEqual, tt.field)
+				So(p.State, ShouldEqual, "refused")
+				So(p.NotRun, ShouldBeFalse)
+				So(started(t, s), ShouldEqual, 0)
+			})
+		})
+	}
+}
+
+// TestKeyConflict guards against a key whose second body replaces or joins the
+// first.
+func TestKeyConflict(t *testing.T) {
+	s := start(t)
+	Convey("another body under a key is refused and leaves the answer as it is", t, func() {
+		key := keyAt(time.Now())
+		url := s.Entries()[0] + "/v1/teams/tegnestuen/jobs"
+		first := send(t, http.MethodPost, url, jsonHeader, submission(key, "log_sale", `[{"echo":"a"}]`))
+		So(first.status, ShouldEqual, 200)
+		other := send(t, http.MethodPost, s.Entries()[1]+"/v1/teams/tegnestuen/jobs", jsonHeader, submission(key, "log_sale", `[{"echo":"b"}]`))
+		So(other.status, ShouldEqual, 409)
+		So(problemOf(t, other).Field, ShouldEqual, "key")
+		So(send(t, http.MethodGet, url+"/"+key, nil, "").body, ShouldEqual, first.body)
+		So(started(t, s), ShouldEqual, 1)
+	})
+}
--- /dev/null
+++ b/internal/process/role/local/shutdown_test.go
@@ -0,0 +1,87 @@
+package local_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"greengagedoor.example/greengagedoor/internal/process/role/host"
+)
+
+// waitStarted waits until n tasks have started.
+func waitStarted(t *testing.T, count func() int64, n int64) {
+	t.Helper()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	limit := time.After(testLimit)
+	for count() < n {
+		select {
+		case <-ticker.C:
+		case <-limit:
+			t.Fatal("the tasks did not start")
+		}
+	}
+}
+
+// TestShutdown guards against an entry that cuts off a request in flight, takes a
+// new one while it stops, or outlives its limit.
+func TestShutdown(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	tests := map[string]struct {
+		runMS  string
+		status int
+		state  string
+	}{
+		"job_ends_in_time": {
+			runMS:  "1000",
+			status: 200,
+			state:  `"complete"`,
+		},
+		"job_outlasts_shutdown": {
+			runMS:  "30000",
+			status: 202,
+			state:  `"running"`,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, stop := startStoppable(t)
+			Convey("the request in flight gets its answer", t, func() {
+				url := s.Entries()[1] + "/v1/teams/tegnestuen/jobs"
+				got := make(chan response, 1)
+				go func() {
+					got <- send(t, http.MethodPost, url, jsonHeader, submission(keyAt(time.Now()), "log_sale", `[{"run_ms":`+tt.runMS+`}]`))
+				}()
+				waitStarted(t, func() int64 { return started(t, s) }, 1)
+				began := time.Now()
+				stopped := make(chan struct{})
+				go func() {
+					defer close(stopped)
+					stop()
+				}()
+				refused := refusedOf(t, s.Entries()[1])
+				r := <-got
+				So(r.status, ShouldEqual, tt.status)
+				So(r.body, ShouldContainSubstring, tt.state)
+				So(problemOf(t, refused).Reason, ShouldEqual, "shutting_down")
+				So(problemOf(t, refused).NotRun, ShouldBeFalse)
+				<-stopped
+				So(time.Since(began), ShouldBeLessThan, host.DrainLimit+5*time.Second)
+			})
+		})
+	}
+}
+
+// refusedOf submits new jobs until the entry refuses one.
+func refusedOf(t *testing.T, entry string) response {
+	t.Helper()
+	for {
+		r := send(t, http.MethodPost, entry+"/v1/teams/tegnestuen/jobs?wait_ms=0", jsonHeader, submission(keyAt(time.Now()), "log_sale", `[{"run_ms":1}]`))
+		if r.status == http.StatusServiceUnavailable {
+			return r
+		}
+	}
+}
