Rebuild the agent's admission with slots, offers and a bounded ledger

Cause: the agent admitted work by a free slot alone. It ignored Interest, Revoke and Undelivered, kept a record behind one long task for good, listed all sealed records in one message, and a start that never reached its back end blocked the task until the record expired.

Ruled out: deleting the record of a start that never reached its back end. Its report may still have to be sent again after a seal, and only the record tells whether the report still holds. The record stays, hinders no start and appears in no seal.

A leaving agent drains for at most 20 s before its duties end.

--- /dev/null
+++ b/internal/process/role/agent/effect.go
@@ -0,0 +1,230 @@
+package agent
+
+import (
+	"time"
+
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/outcome"
+	"greengagedoor.example/greengagedoor/internal/request/message"
+	"greengagedoor.example/greengagedoor/internal/version/configuration"
+)
+
+// Call is an effect: send a task to a target.
+type Call struct {
+	target   string
+	url      string
+	task     identity.Task
+	kind     string
+	payload  []byte
+	deadline time.Time
+	timeout  time.Duration
+}
+
+// Target is the target's name.
+func (c Call) Target() string {
+	return c.target
+}
+
+// URL is where the target takes tasks.
+func (c Call) URL() string {
+	return c.url
+}
+
+// Task names the task.
+func (c Call) Task() identity.Task {
+	return c.task
+}
+
+// Kind is the request kind.
+func (c Call) Kind() string {
+	return c.kind
+}
+
+// Payload is handed to the target.
+func (c Call) Payload() []byte {
+	return c.payload
+}
+
+// Deadline is the end of the caller's interest, zero for none.
+func (c Call) Deadline() time.Time {
+	return c.deadline
+}
+
+// Timeout is how long the target may take.
+func (c Call) Timeout() time.Duration {
+	return c.timeout
+}
+
+// Place is an effect: start a task on the worker under a lease.
+type Place struct {
+	worker    string
+	task      identity.Task
+	kind      string
+	payload   []byte
+	resources configuration.Resources
+	timeout   time.Duration
+}
+
+// Worker is the worker's name.
+func (p Place) Worker() string {
+	return p.worker
+}
+
+// Task names the task.
+func (p Place) Task() identity.Task {
+	return p.task
+}
+
+// Kind is the request kind.
+func (p Place) Kind() string {
+	return p.kind
+}
+
+// Payload is handed to the worker.
+func (p Place) Payload() []byte {
+	return p.payload
+}
+
+// Resources is what the task takes.
+func (p Place) Resources() configuration.Resources {
+	return p.resources
+}
+
+// Timeout is how long the task may take.
+func (p Place) Timeout() time.Duration {
+	return p.timeout
+}
+
+// Means is what is done to a task on a worker.
+type Means uint8
+
+// The means, from the mildest to the strongest.
+const (
+	Checkpoint Means = iota + 1
+	Throttle
+	Stop
+	Resume
+)
+
+var meansNames = [...]string{
+	Checkpoint: "checkpoint",
+	Throttle:   "throttle",
+	Stop:       "stop",
+	Resume:     "resume",
+}
+
+// String is the name in the worker pool's interface and in logs.
+func (m Means) String() string {
+	if m == 0 || int(m) >= len(meansNames) {
+		return "invalid"
+	}
+	return meansNames[m]
+}
+
+// Control is an effect: do something to a task that runs on the worker.
+type Control struct {
+	task  identity.Task
+	means Means
+}
+
+// Task names the task.
+func (c Control) Task() identity.Task {
+	return c.task
+}
+
+// Means is what to do.
+func (c Control) Means() Means {
+	return c.means
+}
+
+// Free is an effect: the new capacity hint.
+type Free struct {
+	rooms []message.Room
+	few   [fewRooms]message.Room
+}
+
+// fewRooms is how many rooms a hint holds without a second allocation.
+const fewRooms = 4
+
+// Rooms is the capacity by service.
+func (f *Free) Rooms() []message.Room {
+	return f.rooms
+}
+
+// Barrier is a message of the agent to itself. It comes back after the reports
+// on all messages sent before it, so that the agent knows whether they left.
+type Barrier struct {
+	number uint64
+}
+
+// Drained is an effect: no task runs any more and no end waits to be reported.
+type Drained struct{}
+
+// Drain is an event: the process is leaving and takes no new work.
+type Drain struct{}
+
+// Ended is an event: a back end's answer to a Call or a Place.
+type Ended struct {
+	task     identity.Task
+	result   outcome.Result
+	uncalled bool
+}
+
+// NewEnded returns the event.
+func NewEnded(task identity.Task, result outcome.Result) Ended {
+	return Ended{
+		task:   task,
+		result: result,
+	}
+}
+
+// NewUncalled returns the event that this process could not carry out a Call or a
+// Place, which says nothing about the back end.
+func NewUncalled(task identity.Task, detail string) Ended {
+	return Ended{
+		task:     task,
+		result:   outcome.Revocation(detail),
+		uncalled: true,
+	}
+}
+
+// Unpublished is an event: a capacity hint was lost on its way.
+type Unpublished struct{}
+
+// Used is an event: what the pool reports a task of a kind to have taken. The
+// report comes late, often after the task's end.
+type Used struct {
+	team      string
+	kind      string
+	resources configuration.Resources
+}
+
+// NewUsed returns the event.
+func NewUsed(team, kind string, resources configuration.Resources) Used {
+	return Used{
+		team:      team,
+		kind:      kind,
+		resources: resources,
+	}
+}
+
+// Worker is an event: what the worker beside this process has.
+type Worker struct {
+	name      string
+	rack      string
+	resources configuration.Resources
+}
+
+// Name is the worker's name.
+func (w Worker) Name() string {
+	return w.name
+}
+
+// NewWorker returns the event.
+func NewWorker(name, rack string, resources configuration.Resources) Worker {
+	return Worker{
+		name:      name,
+		rack:      rack,
+		resources: resources,
+	}
+}
--- /dev/null
+++ b/internal/process/role/agent/target.go
@@ -0,0 +1,215 @@
+package agent
+
+import (
+	"math"
+	"time"
+
+	"greengagedoor.example/greengagedoor/internal/connection/announcement"
+	"greengagedoor.example/greengagedoor/internal/process/outcome"
+)
+
+// The rules for the slots of a target.
+const (
+	// reservedSlots are kept for urgency critical, so that a critical task need
+	// not wait behind work of other urgencies.
+	reservedSlots = 1
+	// reserveFrom is the number of slots from which some are reserved; a smaller
+	// target would lose too much of its capacity.
+	reserveFrom = 4
+	// longDivisor caps kinds marked long at this part of the slots.
+	longDivisor = 2
+	// speedWeight is the weight of one observation in the mean speed.
+	speedWeight = 0.1
+	minSpeed    = 0.01
+	maxSpeed    = 100
+)
+
+// The rules for ejecting a target.
+const (
+	// ejectAfter is how many quick failures in a row show that a target fails
+	// everything.
+	ejectAfter  = 5
+	ejectFirst  = time.Second
+	ejectLimit  = time.Minute
+	quickFactor = 0.5
+)
+
+// class is what decides which slots a task may take.
+type class uint8
+
+// The classes; a critical task may take reserved slots, a long one only its
+// share.
+const (
+	general class = iota
+	critical
+	long
+	criticalLong
+	classes
+)
+
+func classOf(isCritical, isLong bool) class {
+	c := general
+	if isCritical {
+		c |= critical
+	}
+	if isLong {
+		c |= long
+	}
+	return c
+}
+
+func (c class) critical() bool {
+	return c&critical != 0
+}
+
+func (c class) long() bool {
+	return c&long != 0
+}
+
+// target is an announced target with the slots in use.
+type target struct {
+	announced announcement.Announcement
+	until     time.Time
+	leaving   bool
+	used      int
+	usedLong  int
+	offered   int
+	speed     float64
+	failures  int
+	backoff   time.Duration
+	ejected   time.Time
+	probing   bool
+	worker    bool
+	capacity  int
+	places    []place
+	shown     contribution
+}
+
+// place is a target's membership in a service.
+type place struct {
+	service *service
+	at      [classes]int
+}
+
+func newTarget(n announcement.Announcement) *target {
+	return &target{
+		announced: n,
+		speed:     1,
+	}
+}
+
+// slots is how many tasks may run at a time. A call holds a connection, so both
+// numbers bound it.
+func (t *target) slots() int {
+	n := min(t.announced.Slots(), t.announced.Connections())
+	if t.worker {
+		n = t.capacity
+	}
+	if t.probing {
+		return min(n, 1)
+	}
+	return n
+}
+
+func (t *target) open() bool {
+	return !t.leaving && t.ejected.IsZero()
+}
+
+func (t *target) reserve() int {
+	if t.slots() < reserveFrom {
+		return 0
+	}
+	return reservedSlots
+}
+
+// free is the number of slots that a class may take now.
+func (t *target) free(c class) int {
+	if !t.open() {
+		return 0
+	}
+	n := t.slots() - t.used - t.offered
+	if !c.critical() {
+		n -= t.reserve()
+	}
+	if c.long() {
+		n = min(n, t.longFree())
+	}
+	return max(n, 0)
+}
+
+// longFree is the part of the slots for kinds marked long that is not in use.
+func (t *target) longFree() int {
+	return max(t.slots()/longDivisor, 1) - t.usedLong
+}
+
+// load orders targets for a class; infinite without a free slot.
+func (t *target) load(c class) float64 {
+	if t.free(c) == 0 {
+		return math.Inf(1)
+	}
+	return float64(t.used+t.offered+1) / (float64(t.slots()) * t.speed)
+}
+
+func (t *target) take(isLong bool) {
+	t.used++
+	if isLong {
+		t.usedLong++
+	}
+}
+
+func (t *target) give(isLong bool) {
+	t.used--
+	if isLong {
+		t.usedLong--
+	}
+}
+
+// observe learns from the end of a task. The speed is measured by the kind's
+// declared run time, since that is the same at all agents; what is a quick failure
+// is measured by the learned one.
+func (t *target) observe(now time.Time, r outcome.Result, took time.Duration, k *kindStats) {
+	switch r.State() {
+	case outcome.Succeeded:
+		t.failures = 0
+		t.backoff = 0
+		t.probing = false
+		if r.RunTime() > 0 {
+			s := min(max(float64(k.declared)/float64(r.RunTime()), minSpeed), maxSpeed)
+			t.speed += speedWeight * (s - t.speed)
+		}
+		return
+	case outcome.Failed, outcome.Unknown:
+		if float64(took) > quickFactor*float64(k.runTime()) {
+			t.failures = 0
+			t.probing = false
+			return
+		}
+	case outcome.Revoked:
+		// The connection was refused, which is the quickest failure of all.
+	}
+	t.failures++
+	if t.failures >= ejectAfter || t.probing {
+		t.eject(now)
+	}
+}
+
+func (t *target) eject(now time.Time) {
+	if !t.ejected.IsZero() {
+		// An end of a task that was started before the ejection.
+		return
+	}
+	t.backoff = min(max(2*t.backoff, ejectFirst), ejectLimit)
+	t.ejected = now.Add(t.backoff)
+	t.failures = 0
+	t.probing = false
+}
+
+// readmit brings an ejected target back for one task at a time.
+func (t *target) readmit(now time.Time) bool {
+	if t.ejected.IsZero() || t.ejected.After(now) {
+		return false
+	}
+	t.ejected = time.Time{}
+	t.probing = true
+	return true
+}
--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -24,10 +24,14 @@
 )
 
 const (
-	callers          = 64
+	callers          = 256
 	ledgerLimit      = 200_000
-	ledgerRetention  = 10*time.Minute + 10*time.Second
+	ledgerBytes      = 32 << 20
+	retention        = 10 * time.Minute
 	announceMaxBytes = 64 << 10
+	// drainLimit is how long a leaving agent waits for its running tasks; most take
+	// less than a second, a few several.
+	drainLimit = 20 * time.Second
 )
 
 // Agent is an assembled agent process.
@@ -38,6 +42,7 @@
 	owner    *role
 	network  *network.Network
 	backend  *backend.Backend
+	drained  chan struct{}
 	cleanups []func()
 }
 
@@ -45,7 +50,8 @@
 // and worker the worker of this node, both empty if it has none.
 func NewAgent(c Common, pool string, worker agent.Worker, seed uint64) (*Agent, func(), error) {
 	a := &Agent{
-		common: c,
+		common:  c,
+		drained: make(chan struct{}),
 	}
 	if err := a.build(pool, worker, seed); err != nil {
 		a.cleanup()
@@ -65,11 +71,11 @@
 	issue := func(now time.Time) uint64 {
 		return uint64(now.Sub(began).Milliseconds()) + 1
 	}
-	l, err := ledger.New(ledgerRetention, ledgerLimit)
+	l, err := ledger.New(began, ledger.Keep(retention, agent.MaxCallerSkew), ledgerLimit, ledgerBytes)
 	if err != nil {
 		return err
 	}
-	admission, err := agent.New(l, issue)
+	admission, err := agent.New(a.common.process, l, issue)
 	if err != nil {
 		return err
 	}
@@ -90,16 +96,17 @@
 	if err != nil {
 		return err
 	}
+	a.agent.next = admission.Next
 	a.owner, err = newRole("owner", a.common.now, message.Wake{}, func(now time.Time, e any) {
 		a.applyOwner(now, dispatch, e)
 	})
 	if err != nil {
 		return err
 	}
-	return a.connect(pool, func() uint64 { return issue(a.common.now()) })
+	return a.connect(pool, worker.Name(), func() uint64 { return issue(a.common.now()) })
 }
 
-func (a *Agent) connect(pool string, credit func() uint64) error {
+func (a *Agent) connect(pool, worker string, credit func() uint64) error {
 	var err error
 	var cleanup func()
 	a.network, cleanup, err = network.New(a.common.process, a.common.linkAddress, network.Seams{
@@ -112,7 +119,7 @@
 		return err
 	}
 	a.cleanups = append(a.cleanups, cleanup)
-	a.backend, cleanup, err = backend.New(pool, a.common.now, func(ctx context.Context, e agent.Ended) error {
+	a.backend, cleanup, err = backend.New(pool, worker, a.common.now, func(ctx context.Context, e any) error {
 		return a.agent.ring.Push(ctx, e)
 	}, a.common.log)
 	if err != nil {
@@ -163,11 +170,14 @@
 	if err != nil {
 		return err
 	}
-	a.table, err = duty.NewTable(append([]duty.Duty{net, links, admission, dispatch, member, web}, duties...)...)
+	a.table, err = duty.NewTable(append([]duty.Duty{links, net, admission, dispatch, member, web}, duties...)...)
 	return err
 }
 
-// Run runs all duties until ctx ends or one fails.
+// Run runs all duties until ctx ends or one fails. When ctx ends, the agent first
+// drains: it takes no new work, and its duties go on until the running tasks have
+// ended and are reported, or drainLimit is over. The network then waits a moment
+// for the acknowledgements of the last reports.
 func (a *Agent) Run(ctx context.Context) error {
 	failed, stop := a.table.Start(context.WithoutCancel(ctx))
 	defer stop()
@@ -175,8 +185,18 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
-		return nil
 	}
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainLimit)
+	defer cancel()
+	_ = a.agent.ring.Push(limit, agent.Drain{})
+	select {
+	case err := <-failed:
+		return err
+	case <-a.drained:
+	case <-limit.Done():
+		a.common.log.Warn("tasks still ran when the time for leaving was over")
+	}
+	return nil
 }
 
 // publish hands a fact about the process to its roles.
@@ -194,7 +214,7 @@
 func (a *Agent) deliver(ctx context.Context, e any) {
 	if r, ok := e.(message.Received); ok {
 		switch r.Body().(type) {
-		case message.Start, message.Interest, message.Revoke, message.Seal:
+		case message.Start, message.Interest, message.Revoke, message.Seal, agent.Barrier:
 			_ = a.agent.ring.Push(ctx, e)
 			return
 		}
@@ -207,7 +227,7 @@
 
 func (a *Agent) undelivered(ctx context.Context, u message.Undelivered) {
 	switch u.Send().Body().(type) {
-	case message.Finished, message.Rejected, message.Offer, message.Revoked, message.Sealed:
+	case message.Finished, message.Rejected, message.Offer, message.Revoked, message.Sealed, agent.Barrier:
 		_ = a.agent.ring.Push(ctx, u)
 	default:
 		_ = a.owner.ring.Push(ctx, u)
@@ -224,22 +244,46 @@
 }
 
 func (a *Agent) applyAgent(now time.Time, d *agent.Agent, event any) {
-	for _, effect := range d.Handle(now, event) {
-		var err error
-		switch e := effect.(type) {
-		case message.Send:
-			if a.network.Post(e) != nil {
-				err = a.agent.ring.TryPush(message.NewUndelivered(e))
+	events := []any{event}
+	for len(events) > 0 {
+		// What could not be carried out is handled at once: through the ring it could
+		// be lost, and a slot would stay taken for good.
+		var failed []any
+		for _, effect := range d.Handle(now, events[0]) {
+			if e, ok := a.carryOut(effect); !ok {
+				failed = append(failed, e)
 			}
-		case agent.Call, agent.Place:
-			err = a.backend.Post(e)
-		case agent.Free:
-			err = a.network.Post(network.NewHint(e.Rooms()))
-		}
-		if err != nil {
-			a.common.log.WithError(err).Error("effect of the agent was not carried out")
 		}
+		events = append(events[1:], failed...)
+	}
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return "no caller is free: " + err.Error()
+}
+
+// carryOut returns the event that reports an effect which was not possible.
+func (a *Agent) carryOut(effect any) (any, bool) {
+	switch e := effect.(type) {
+	case message.Send:
+		return message.NewUndelivered(e), a.network.Post(e) == nil
+	case agent.Call:
+		err := a.backend.Post(e)
+		return agent.NewUncalled(e.Task(), errText(err)), err == nil
+	case agent.Place:
+		err := a.backend.Post(e)
+		return agent.NewUncalled(e.Task(), errText(err)), err == nil
+	case agent.Control:
+		return agent.NewControlled(e.Task(), e.Means(), false), a.backend.Post(e) == nil
+	case *agent.Free:
+		return agent.Unpublished{}, a.network.Post(network.NewHint(e.Rooms())) == nil
+	case agent.Drained:
+		close(a.drained)
 	}
+	return nil, true
 }
 
 type announceDocument struct {
--- a/internal/process/role/host/host.go
+++ b/internal/process/role/host/host.go
@@ -84,6 +84,8 @@
 	now    func() time.Time
 	handle func(now time.Time, event any)
 	wake   any
+	// next is when the decision wants to be woken; nil for every wakeInterval.
+	next func(now time.Time) time.Time
 }
 
 func newRole(name string, now func() time.Time, wake any, handle func(time.Time, any)) (*role, error) {
@@ -101,20 +103,35 @@
 }
 
 func (r *role) run(ctx context.Context) error {
-	ticker := time.NewTicker(wakeInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(wakeInterval)
+	defer timer.Stop()
+	woken := r.now()
 	for {
 		select {
 		case m := <-r.ring.Out():
 			r.handle(r.now(), m)
-		case <-ticker.C:
-			r.handle(r.now(), r.wake)
+		case <-timer.C:
+			woken = r.now()
+			r.handle(woken, r.wake)
 		case <-ctx.Done():
 			return nil
 		}
+		timer.Reset(r.wait(woken))
 	}
 }
 
+// wait is the time until the next wake, which no stream of events puts off.
+func (r *role) wait(woken time.Time) time.Duration {
+	now := r.now()
+	at := woken.Add(wakeInterval)
+	if r.next != nil {
+		if n := r.next(now); n.Before(at) {
+			at = n
+		}
+	}
+	return max(at.Sub(now), 0)
+}
+
 func (r *role) duty(purpose string) (duty.Duty, error) {
 	return duty.New(r.name, purpose, gauge(r.ring), r.run)
 }
--- a/internal/request/message/cause.go
+++ b/internal/request/message/cause.go
@@ -15,6 +15,7 @@
 	Draining                    // The agent or its back end is leaving.
 	LedgerFull                  // The agent has no room for another start record.
 	PastDeadline                // The task's deadline has passed.
+	Withdrawn                   // The submission was revoked before.
 )
 
 var causeNames = [...]string{
@@ -28,6 +29,7 @@
 	Draining:       "draining",
 	LedgerFull:     "ledger_full",
 	PastDeadline:   "past_deadline",
+	Withdrawn:      "withdrawn",
 }
 
 // String is the cause's name in logs and dumps.
