Check the promises across roles on a virtual clock

Cause: the promises hold only if entry, owner and agent decisions together keep them under pauses, cuts, deaths and resubmissions. Change: a world of the real decisions with a modelled network and directory, and an oracle of starts and answers that shares no code with the product.

--- /dev/null
+++ b/internal/process/role/promise/world_test.go
@@ -0,0 +1,477 @@
+package promise
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+
+	"greengagedoor.example/greengagedoor/internal/connection/announcement"
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/ledger"
+	"greengagedoor.example/greengagedoor/internal/process/membership"
+	"greengagedoor.example/greengagedoor/internal/process/outcome"
+	"greengagedoor.example/greengagedoor/internal/process/role/agent"
+	"greengagedoor.example/greengagedoor/internal/process/role/entry"
+	"greengagedoor.example/greengagedoor/internal/process/role/owner"
+	"greengagedoor.example/greengagedoor/internal/request/answer"
+	"greengagedoor.example/greengagedoor/internal/request/job"
+	"greengagedoor.example/greengagedoor/internal/request/message"
+	"greengagedoor.example/greengagedoor/internal/version/configuration"
+)
+
+const (
+	shards      = 4
+	memberLease = 1500 * time.Millisecond
+	fenceTime   = 2 * time.Second
+	beatEvery   = 400 * time.Millisecond
+	step        = 20 * time.Millisecond
+)
+
+// node is one process: an agent with its owner, or an entry.
+type node struct {
+	id      identity.Process
+	owner   *owner.Owner
+	agent   *agent.Agent
+	entry   *entry.Entry
+	dead    bool
+	paused  bool
+	cut     bool // Cut off from the directory.
+	diedAt  time.Time
+	beat    time.Time // Last heartbeat that the directory received.
+	sent    time.Time
+	in      []any
+	out     []parcel
+	credit  func(time.Time) uint64
+	room    []message.Room
+	leaving bool
+}
+
+// parcel is a message on its way.
+type parcel struct {
+	from, to int
+	due      time.Time
+	credit   uint64
+	room     []message.Room
+	body     any
+}
+
+// ending is a task that runs at a target.
+type ending struct {
+	node  *node
+	due   time.Time
+	event agent.Ended
+}
+
+type attempt struct {
+	submission identity.Submission
+	width      int
+	order      job.Order
+}
+
+type world struct {
+	now      time.Time
+	rnd      *rand.Rand
+	oracle   *oracle
+	nodes    []*node
+	index    map[identity.Process]int
+	agents   int
+	transit  []parcel
+	linkCut  map[[2]int]bool
+	endings  []ending
+	epochs   [shards]identity.Epoch
+	owners   [shards]int
+	requests uint64
+	open     map[uint64]attempt
+	orders   []attempt
+	seq      uint64
+	complete int
+}
+
+func newWorld(agents, entries int, seed uint64) *world {
+	w := &world{
+		now:     time.UnixMilli(1_800_000_000_000),
+		rnd:     rand.New(rand.NewPCG(seed, 7)),
+		oracle:  newOracle(),
+		index:   map[identity.Process]int{},
+		agents:  agents,
+		linkCut: map[[2]int]bool{},
+		open:    map[uint64]attempt{},
+	}
+	for i := range agents {
+		w.add(w.newAgent(i, 1))
+	}
+	for i := range entries {
+		w.add(w.newEntry(i))
+	}
+	for s := range shards {
+		w.grant(s, s%agents, nil)
+	}
+	w.tick()
+	return w
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+func (w *world) add(n *node) {
+	w.index[n.id] = len(w.nodes)
+	w.nodes = append(w.nodes, n)
+}
+
+func (w *world) configuration() *configuration.Configuration {
+	limits := must(configuration.NewLimits(1100, 10*time.Minute))
+	team := must(configuration.NewTeam("team", 1, 0))
+	kind := must(configuration.NewKind("team", "kind", "service", configuration.Critical, 10*time.Second, 50*time.Millisecond))
+	return must(configuration.New(1, limits, []configuration.Team{team}, []configuration.Kind{kind}))
+}
+
+func (w *world) newAgent(i int, incarnation uint64) *node {
+	id := must(identity.NewProcess(fmt.Sprintf("a%d", i), incarnation))
+	began := w.now
+	issue := func(now time.Time) uint64 { return uint64(now.Sub(began).Milliseconds()) + 1 }
+	l := must(ledger.New(10*time.Minute+10*time.Second, 100_000))
+	n := &node{
+		id:     id,
+		owner:  must(owner.New(id, must(owner.NewTopology(1, shards)), rand.New(rand.NewPCG(uint64(i), incarnation)))),
+		agent:  must(agent.New(l, issue)),
+		credit: issue,
+		beat:   w.now,
+	}
+	n.in = append(n.in, w.configuration(), w.announced(i))
+	return n
+}
+
+func (w *world) announced(i int) announcement.Announcement {
+	return must(announcement.New(fmt.Sprintf("t%d", i), "http://127.0.0.1:1/task", []string{"service"}, 4, 8, false))
+}
+
+func (w *world) newEntry(i int) *node {
+	n := &node{
+		id:    must(identity.NewProcess(fmt.Sprintf("e%d", i), 1)),
+		entry: must(entry.New(1, shards)),
+	}
+	n.in = append(n.in, w.configuration())
+	return n
+}
+
+// tick moves the clock by one step and lets everything happen that is due.
+func (w *world) tick() {
+	w.now = w.now.Add(step)
+	w.directory()
+	for _, e := range w.takeEndings() {
+		e.node.in = append(e.node.in, e.event)
+	}
+	w.deliver()
+	for i, n := range w.nodes {
+		if n.dead || n.paused {
+			continue
+		}
+		n.in = append(n.in, message.Wake{})
+		if n.agent != nil {
+			n.in = append(n.in, w.announced(i))
+			// A heartbeat frame to everybody carries credit and room.
+			for j := range w.nodes {
+				if w.nodes[j].owner != nil {
+					n.out = append(n.out, parcel{
+						from: i,
+						to:   j,
+					})
+				}
+			}
+		}
+		w.process(i, n)
+	}
+}
+
+// process hands a node its events. Messages leave at the end, so that a pause
+// between a decision and its sending can happen.
+func (w *world) process(i int, n *node) {
+	events := n.in
+	n.in = nil
+	for _, e := range events {
+		for _, r := range n.roles() {
+			if concerns(r.name, e) {
+				w.apply(i, n, r.handle(w.now, e))
+			}
+		}
+	}
+	if w.rnd.IntN(200) > 0 {
+		w.flush(i, n)
+	}
+}
+
+// flush puts what a node has sent onto the network.
+func (w *world) flush(i int, n *node) {
+	for _, p := range n.out {
+		if n.credit != nil {
+			p.credit = n.credit(w.now)
+			p.room = n.room
+		}
+		p.due = w.now.Add(time.Duration(w.rnd.IntN(40)) * time.Millisecond)
+		w.transit = append(w.transit, p)
+	}
+	n.out = nil
+}
+
+// role is a decision of a process.
+type role struct {
+	name   string
+	handle func(time.Time, any) []any
+}
+
+func (n *node) roles() []role {
+	if n.entry != nil {
+		return []role{{
+			name:   "entry",
+			handle: n.entry.Handle,
+		}}
+	}
+	return []role{
+		{
+			name:   "agent",
+			handle: n.agent.Handle,
+		},
+		{
+			name: "owner",
+			handle: func(now time.Time, e any) []any {
+				var out []any
+				for _, s := range n.owner.Handle(now, e) {
+					out = append(out, s)
+				}
+				return out
+			},
+		},
+	}
+}
+
+// concerns tells whether an event goes to a role, as the process would route it.
+func concerns(role string, e any) bool {
+	r, ok := e.(message.Received)
+	if !ok {
+		switch e.(type) {
+		case agent.Ended, announcement.Announcement:
+			return role == "agent"
+		case membership.Granted, membership.Released, membership.WorkingSet:
+			return role == "owner"
+		case entry.Submit, entry.Query, entry.Cancel, membership.Routes:
+			return role == "entry"
+		}
+		return true
+	}
+	switch r.Body().(type) {
+	case message.Start, message.Interest, message.Revoke, message.Seal:
+		return role == "agent"
+	}
+	return role != "agent"
+}
+
+func (w *world) apply(i int, n *node, effects []any) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case message.Send:
+			j, ok := w.index[e.To()]
+			if !ok {
+				continue
+			}
+			n.out = append(n.out, parcel{
+				from: i,
+				to:   j,
+				body: e.Body(),
+			})
+		case agent.Call:
+			w.call(n, e)
+		case agent.Free:
+			n.room = e.Rooms()
+		case entry.Respond:
+			w.respond(e)
+		}
+	}
+}
+
+func (w *world) call(n *node, c agent.Call) {
+	w.oracle.call(c.Task().Submission().String(), c.Task().String())
+	run := time.Duration(20+w.rnd.IntN(300)) * time.Millisecond
+	result := outcome.Success([]byte(c.Task().String()), run)
+	if w.rnd.IntN(60) == 0 {
+		result = outcome.Lost("the target died")
+	} else if w.rnd.IntN(60) == 0 {
+		result = outcome.Failure("the target failed", run)
+	}
+	w.endings = append(w.endings, ending{
+		node:  n,
+		due:   w.now.Add(run),
+		event: agent.NewEnded(c.Task(), result),
+	})
+}
+
+func (w *world) takeEndings() []ending {
+	var due, rest []ending
+	for _, e := range w.endings {
+		switch {
+		case e.due.After(w.now):
+			rest = append(rest, e)
+		case !e.node.dead:
+			due = append(due, e)
+		}
+	}
+	w.endings = rest
+	return due
+}
+
+func (w *world) respond(r entry.Respond) {
+	a, ok := w.open[r.Request()]
+	if !ok {
+		return
+	}
+	delete(w.open, r.Request())
+	var results []string
+	for _, b := range r.Answer().Results() {
+		results = append(results, string(b))
+	}
+	if r.Answer().State() == answer.Complete {
+		w.complete++
+	}
+	w.oracle.answer(a.submission.String(), r.Answer().State().String(), r.Answer().NotRun(), results)
+}
+
+// deliver hands over what is due, in order for each pair. A cut link keeps its
+// messages until it heals, as the numbered frames of a link do.
+func (w *world) deliver() {
+	var rest []parcel
+	blocked := map[[2]int]bool{}
+	for _, p := range w.transit {
+		pair := [2]int{p.from, p.to}
+		to := w.nodes[p.to]
+		switch {
+		case to.dead:
+		case blocked[pair] || w.linkCut[pair] || p.due.After(w.now):
+			blocked[pair] = true
+			rest = append(rest, p)
+		default:
+			to.in = append(to.in, message.NewReceived(w.nodes[p.from].id, p.credit, p.room, p.body))
+		}
+	}
+	w.transit = rest
+}
+
+// directory grants leases, and moves the shards of processes that have been
+// silent for the fence time.
+func (w *world) directory() {
+	for i := range w.agents {
+		n := w.nodes[i]
+		if n.dead || n.paused || n.cut || w.now.Sub(n.sent) < beatEvery {
+			continue
+		}
+		n.sent = w.now
+		n.beat = w.now
+		n.in = append(n.in, membership.NewLease(w.now.Add(memberLease)), w.workingSet())
+	}
+	for s := range shards {
+		o := w.nodes[w.owners[s]]
+		if w.now.Sub(o.beat) <= fenceTime {
+			continue
+		}
+		if next, ok := w.anyLive(); ok {
+			o.in = append(o.in, membership.NewReleased(identity.Shard(s)))
+			w.grant(s, next, w.roster())
+		}
+	}
+}
+
+func (w *world) live(n *node) bool {
+	return !n.dead && w.now.Sub(n.beat) <= fenceTime
+}
+
+func (w *world) anyLive() (int, bool) {
+	var live []int
+	for i := range w.agents {
+		if w.live(w.nodes[i]) && !w.nodes[i].paused {
+			live = append(live, i)
+		}
+	}
+	if len(live) == 0 {
+		return 0, false
+	}
+	return live[w.rnd.IntN(len(live))], true
+}
+
+func (w *world) grant(s, to int, roster []membership.Member) {
+	w.epochs[s]++
+	w.owners[s] = to
+	n := w.nodes[to]
+	n.in = append(n.in, membership.NewGranted(identity.Shard(s), w.epochs[s], roster))
+	route := membership.NewRoute(identity.Shard(s), w.epochs[s], n.id)
+	for _, e := range w.nodes {
+		if e.entry != nil {
+			e.in = append(e.in, membership.NewRoutes([]membership.Route{route}))
+		}
+	}
+}
+
+func (w *world) roster() []membership.Member {
+	var members []membership.Member
+	for i := range w.nodes {
+		n := w.nodes[i]
+		if n.agent == nil {
+			continue
+		}
+		var lost time.Time
+		if n.dead && w.now.Sub(n.beat) > fenceTime {
+			lost = n.beat.Add(fenceTime)
+		}
+		members = append(members, membership.NewMember(n.id, n.id.Name(), "a", lost))
+	}
+	return members
+}
+
+func (w *world) workingSet() membership.WorkingSet {
+	var members []membership.Member
+	for i := range w.agents {
+		if w.live(w.nodes[i]) {
+			members = append(members, membership.NewMember(w.nodes[i].id, "", "a", time.Time{}))
+		}
+	}
+	return membership.NewWorkingSet(members)
+}
+
+// key makes a UUIDv7 of the given time with a running number.
+func (w *world) key(at time.Time) uuid.UUID {
+	w.seq++
+	var k uuid.UUID
+	binary.BigEndian.PutUint64(k[0:8], uint64(at.UnixMilli())<<16)
+	binary.BigEndian.PutUint64(k[8:16], w.seq)
+	k[6] = 0x70 | k[6]&0x0f
+	k[8] = 0x80 | k[8]&0x3f
+	return k
+}
+
+// submit sends an attempt through an entry.
+func (w *world) submit(e int, a attempt) {
+	w.requests++
+	w.open[w.requests] = a
+	w.oracle.submit(a.submission.String(), a.width)
+	n := w.nodes[e]
+	n.in = append(n.in, entry.NewSubmit(w.requests, a.order, w.now.Add(20*time.Second)))
+}
+
+func (w *world) newJob(width int, skew time.Duration) attempt {
+	s := must(identity.SubmissionOf("team", w.key(w.now.Add(skew))))
+	payloads := make([][]byte, width)
+	for i := range payloads {
+		payloads[i] = []byte{byte(i)}
+	}
+	a := attempt{
+		submission: s,
+		width:      width,
+		order:      must(job.NewOrder(s, "kind", time.Time{}, payloads)),
+	}
+	w.orders = append(w.orders, a)
+	return a
+}
