Apply the sample configuration through the publisher

Change: System.Apply uses the publisher's service, and the sample names the size of its workers, without which the publisher refuses kinds on workers. Conclusion: the local system becomes ready again.

--- a/internal/process/role/local/local.go
+++ b/internal/process/role/local/local.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -20,6 +21,8 @@
 	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/role/agent"
 	"greengagedoor.example/greengagedoor/internal/process/role/host"
+	"greengagedoor.example/greengagedoor/internal/process/role/publisher"
+	"greengagedoor.example/greengagedoor/internal/process/role/publisher/service"
 	"greengagedoor.example/greengagedoor/internal/process/standin/keyvalue"
 	"greengagedoor.example/greengagedoor/internal/process/standin/pool"
 	"greengagedoor.example/greengagedoor/internal/process/standin/record"
@@ -270,19 +273,18 @@
 	return nil
 }
 
-// Apply stores the configuration as the version in force.
+// Apply publishes the configuration as the first version in force.
 func (s *System) Apply(ctx context.Context, cfg *configuration.Configuration) error {
-	body, err := configuration.Encode(cfg)
+	p, err := service.New(s.store, time.Now)
 	if err != nil {
 		return err
 	}
-	number := fmt.Sprint(cfg.Version())
-	ok, err := s.store.Swap(ctx, "config/version/"+number, body, 0)
-	if err == nil && ok {
-		ok, err = s.store.Swap(ctx, "config/head", []byte(number), 0)
+	r, err := p.Execute(ctx, publisher.NewApply(uuid.NewString(), "local", 0, cfg))
+	if err != nil {
+		return errors.Wrap(err, "apply configuration")
 	}
-	if err == nil && !ok {
-		err = errors.New("another version was applied first")
+	if r.State() != publisher.Applied {
+		return errors.Errorf("apply configuration: %v: %s %v", r.State(), r.Detail(), r.Problems())
 	}
-	return errors.Wrap(err, "apply configuration")
+	return nil
 }
--- a/internal/process/role/local/sample.go
+++ b/internal/process/role/local/sample.go
@@ -136,7 +136,19 @@
 		}
 		kinds = append(kinds, k)
 	}
-	return configuration.New(1, limits, teams, kinds)
+	c, err := configuration.New(1, limits, teams, kinds)
+	if err != nil {
+		return nil, err
+	}
+	r, err := workerResources()
+	if err != nil {
+		return nil, err
+	}
+	w, err := configuration.NewWorkerClass("local", r)
+	if err != nil {
+		return nil, err
+	}
+	return c.WithWorkers([]configuration.WorkerClass{w}), nil
 }
 
 // services lists what the sample targets offer.
