--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -31,9 +31,9 @@
 	ledgerBytes      = 32 << 20
 	retention        = 10 * time.Minute
 	announceMaxBytes = 64 << 10
-	// drainLimit is how long a leaving agent waits for its running tasks; most take
+	// AgentDrainLimit is how long a leaving agent waits for its running tasks; most take
 	// less than a second, a few several.
-	drainLimit = 20 * time.Second
+	AgentDrainLimit = 20 * time.Second
 )
 
 // Agent is an assembled agent process.
@@ -192,7 +192,7 @@
 
 // Run runs all duties until ctx ends or one fails. When ctx ends, the agent first
 // drains: it takes no new work, and its duties go on until the running tasks have
-// ended and are reported, or drainLimit is over. The network then waits a moment
+// ended and are reported, or AgentDrainLimit is over. The network then waits a moment
 // for the acknowledgements of the last reports.
 func (a *Agent) Run(ctx context.Context) error {
 	failed, stop := a.table.Start(context.WithoutCancel(ctx))
@@ -202,7 +202,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainLimit)
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), AgentDrainLimit)
 	defer cancel()
 	_ = a.agent.ring.Push(limit, agent.Drain{})
 	select {
--- a/internal/process/role/local/shutdown_test.go
+++ b/internal/process/role/local/shutdown_test.go
@@ -64,12 +64,14 @@
 				}()
 				refused := refusedOf(t, s.Entries()[1])
 				r := <-got
+				So(time.Since(began), ShouldBeLessThan, host.DrainLimit+5*time.Second)
 				So(r.status, ShouldEqual, tt.status)
 				So(r.body, ShouldContainSubstring, tt.state)
 				So(problemOf(t, refused).Reason, ShouldEqual, "shutting_down")
 				So(problemOf(t, refused).NotRun, ShouldBeFalse)
 				<-stopped
-				So(time.Since(began), ShouldBeLessThan, host.DrainLimit+5*time.Second)
+				// The agents stop after the entries and wait for the task, too.
+				So(time.Since(began), ShouldBeLessThan, host.DrainLimit+5*time.Second+host.AgentDrainLimit)
 			})
 		})
 	}
--- a/internal/process/web/web.go
+++ b/internal/process/web/web.go
@@ -20,8 +20,10 @@
 const (
 	// headerTimeout ends connections that do not send a request.
 	headerTimeout = 10 * time.Second
-	// ShutdownLimit is how long a stopping server waits for requests in flight.
-	ShutdownLimit = 10 * time.Second
+	// ShutdownLimit is how long a stopping server waits for requests in flight. Roles
+	// drain before; a longer wait would only be spent on connections that a client
+	// opened and never used, which net/http waits 5 s for.
+	ShutdownLimit = 4 * time.Second
 )
 
 // Listen opens a listener and returns the address under which others reach it:
