Let operators drain a target through the configuration

Cause: an operator could not take a target out of service; only the target itself could announce that it leaves. Ruled out: a message from the entry to the agent beside the target, since the entry knows no targets and a restarted agent would forget it. Change: a version lists drained targets. The publisher keeps the list when other changes are applied and changes one name on a drain; an agent treats a drained target as a leaving one. Conclusion: a drain reaches every agent as fast as a version and is audited.

--- a/internal/process/role/agent/agent.go
+++ b/internal/process/role/agent/agent.go
@@ -176,6 +176,11 @@
 		return
 	}
 	a.cfg = cfg
+	for _, name := range cfg.Drained() {
+		if t, ok := a.targets[name]; ok {
+			a.leave(t)
+		}
+	}
 	a.ledger.Extend(ledger.Keep(cfg.Limits().Retention(), MaxCallerSkew))
 	for key, k := range a.kinds {
 		kind, ok := cfg.Kind(key.team, key.name)
--- a/internal/process/role/publisher/event.go
+++ b/internal/process/role/publisher/event.go
@@ -43,6 +43,25 @@
 	}
 }
 
+// Drain is an event: an operator wants a target to get no new work, or to get it
+// again, whatever version is in force.
+type Drain struct {
+	key    string
+	who    string
+	target string
+	undo   bool
+}
+
+// NewDrain returns the event.
+func NewDrain(key, who, target string, undo bool) Drain {
+	return Drain{
+		key:    key,
+		who:    who,
+		target: target,
+		undo:   undo,
+	}
+}
+
 // Outcome is the end of one call of the store.
 type Outcome uint8
 
--- a/internal/process/role/publisher/publisher.go
+++ b/internal/process/role/publisher/publisher.go
@@ -10,6 +10,7 @@
 package publisher
 
 import (
+	"slices"
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/version/configuration"
@@ -53,6 +54,8 @@
 	base      uint64
 	to        uint64
 	rollback  bool
+	drain     string
+	undo      bool
 	content   *configuration.Configuration
 	head      configuration.Head
 	index     uint64
@@ -104,6 +107,13 @@
 			to:       e.to,
 			rollback: true,
 		})
+	case Drain:
+		return p.begin(now, attempt{
+			key:   e.key,
+			who:   e.who,
+			drain: e.target,
+			undo:  e.undo,
+		})
 	case HeadRead:
 		if p.phase == readingBack {
 			return p.headReadBack(e)
@@ -162,6 +172,9 @@
 			version: v,
 		}}
 	}
+	if p.at.drain != "" {
+		return p.prepareDrain()
+	}
 	if p.at.rollback {
 		p.phase = readingTarget
 		return []any{ReadVersion{
@@ -177,6 +190,50 @@
 		p.phase = readingRecords
 		return []any{ReadAudit{}}
 	}
+	if p.at.base > 0 {
+		p.phase = readingBase
+		return []any{ReadVersion{
+			version: p.at.base,
+		}}
+	}
+	return p.checked()
+}
+
+// prepareDrain takes the version in force as the base.
+func (p *Publisher) prepareDrain() []any {
+	p.at.base = p.at.head.Version()
+	if p.at.base > 0 {
+		return p.prepare()
+	}
+	return p.finish(Result{
+		state:  NoVersion,
+		detail: "no version is in force, in which a target could be drained",
+	})
+}
+
+// merge keeps the drained targets of the base, which operators change apart from
+// their answers, or changes one of them.
+func (p *Publisher) merge(o Outcome) []any {
+	if o != Done {
+		return p.finish(Result{
+			state:  Failed,
+			detail: "the base cannot be read; nothing was changed",
+		})
+	}
+	base := p.at.before
+	if p.at.drain == "" {
+		p.at.content = p.at.content.WithDrained(base.Drained())
+		return p.checked()
+	}
+	drained := slices.DeleteFunc(slices.Clone(base.Drained()), func(t string) bool { return t == p.at.drain })
+	if !p.at.undo {
+		drained = append(drained, p.at.drain)
+	}
+	p.at.content = base.WithDrained(drained)
+	return p.checked()
+}
+
+func (p *Publisher) checked() []any {
 	if ps := p.at.content.Check(); len(ps) > 0 {
 		return p.finish(Result{
 			state:    Invalid,
@@ -184,12 +241,6 @@
 			problems: ps,
 		})
 	}
-	if p.at.base > 0 {
-		p.phase = readingBase
-		return []any{ReadVersion{
-			version: p.at.base,
-		}}
-	}
 	return p.create()
 }
 
@@ -233,7 +284,7 @@
 	case readingBase:
 		p.at.before = e.content
 		if p.at.head.Version() == p.at.base {
-			return p.create()
+			return p.merge(e.outcome)
 		}
 		p.phase = readingCurrent
 		return []any{ReadVersion{
@@ -248,7 +299,8 @@
 // repeated answers a request whose key has applied a version before.
 func (p *Publisher) repeated(e VersionRead) []any {
 	v := p.at.result.version
-	if !p.at.rollback && e.outcome == Done && len(configuration.Diff(e.content, p.at.content)) > 0 {
+	given := p.at.content != nil && !p.at.rollback && p.at.drain == ""
+	if given && e.outcome == Done && len(configuration.Diff(e.content, p.at.content.WithDrained(e.content.Drained()))) > 0 {
 		return p.finish(Result{
 			state:  Conflict,
 			detail: "the key has applied another content before",
@@ -327,69 +379,6 @@
 	})
 }
 
-func (p *Publisher) wasMoved(o Outcome) []any {
-	if o == Done {
-		return p.applied()
-	}
-	if o == Unknown {
-		p.at.uncertain = true
-	}
-	if o == Unavailable && !p.at.uncertain {
-		return p.finish(Result{
-			state:  Failed,
-			detail: "the head cannot be moved; nothing was changed",
-		})
-	}
-	return p.readBack()
-}
-
-func (p *Publisher) readBack() []any {
-	p.at.tries++
-	if p.at.tries > maxTries {
-		return p.unclear()
-	}
-	p.phase = readingBack
-	return []any{ReadHead{
-		pause: firstPause << (p.at.tries - 1),
-	}}
-}
-
-func (p *Publisher) unclear() []any {
-	return p.finish(Result{
-		state:  Unclear,
-		detail: "the store did not answer; the change may have taken effect; check with config history, or repeat with the same key",
-	})
-}
-
-// headReadBack resolves a move whose answer was lost or refused.
-func (p *Publisher) headReadBack(e HeadRead) []any {
-	if e.outcome != Done && e.outcome != Missing {
-		return p.readBack()
-	}
-	if v, ok := e.head.Find(p.at.key); ok {
-		p.at.head = e.head
-		if v == p.at.next.Version() {
-			return p.applied()
-		}
-		// Another publisher carried out a request with the same key.
-		p.at.result.version = v
-		p.phase = readingOwn
-		return []any{ReadVersion{
-			version: v,
-		}}
-	}
-	if e.index == p.at.index {
-		// The move may still be under way. Repeating it is safe, since only one of
-		// both can find this index.
-		return p.move()
-	}
-	p.at.head = e.head
-	if !e.head.Covers(p.at.base) {
-		return p.unclear()
-	}
-	return p.diverged()
-}
-
 func (p *Publisher) applied() []any {
 	r := Result{
 		state:   Applied,
--- a/internal/process/role/publisher/service/service_test.go
+++ b/internal/process/role/publisher/service/service_test.go
@@ -225,6 +225,34 @@
 	})
 }
 
+// TestDrain guards against a drained target that gets work again when operators
+// apply their answers, or that cannot be taken back.
+func TestDrain(t *testing.T) {
+	Convey("drained targets outlive other changes", t, func() {
+		s := newService(newMemory(t, 1, 0))
+		execute := func(event any) publisher.Result {
+			r, err := s.Execute(context.Background(), event)
+			So(err, ShouldBeNil)
+			return r
+		}
+		So(execute(publisher.NewDrain("d0", "ann", "t1", false)).State(), ShouldEqual, publisher.NoVersion)
+		So(apply(t, s, "k1", 0, content(10)).Version(), ShouldEqual, 1)
+		So(execute(publisher.NewDrain("d1", "ann", "t1", false)).Version(), ShouldEqual, 2)
+		So(apply(t, s, "k2", 2, content(20)).Version(), ShouldEqual, 3)
+		So(execute(publisher.NewRollback("k3", "ann", 3, 1)).Version(), ShouldEqual, 4)
+		So(apply(t, s, "k2", 2, content(20)).Repeated(), ShouldBeTrue)
+		So(execute(publisher.NewDrain("d1", "ann", "t1", false)).Repeated(), ShouldBeTrue)
+		c, err := s.Current(context.Background())
+		So(err, ShouldBeNil)
+		So(c.IsDrained("t1"), ShouldBeTrue)
+		So(c.IsDrained("t2"), ShouldBeFalse)
+		So(execute(publisher.NewDrain("d2", "ann", "t1", true)).Version(), ShouldEqual, 5)
+		c, err = s.Current(context.Background())
+		So(err, ShouldBeNil)
+		So(c.Drained(), ShouldBeEmpty)
+	})
+}
+
 // TestManyVersions guards against a store that grows with the number of changes.
 func TestManyVersions(t *testing.T) {
 	Convey("3,200 versions and 6,500 refusals in a row leave the store bounded", t, func() {
--- a/internal/version/configuration/codec.go
+++ b/internal/version/configuration/codec.go
@@ -21,6 +21,7 @@
 	Admission admissionDocument `json:"admission"`
 	Tokens    []tokenDocument   `json:"tokens,omitempty"`
 	Workers   []workerDocument  `json:"workers,omitempty"`
+	Drained   []string          `json:"drained,omitempty"`
 	Teams     []teamDocument    `json:"teams"`
 }
 
@@ -72,7 +73,8 @@
 			RetryBudget:   c.limits.admission.retryBudget,
 			MaxWaiting:    c.limits.admission.maxWaiting,
 		},
-		Tokens: encodeTokens(c.tokens),
+		Tokens:  encodeTokens(c.tokens),
+		Drained: c.drained,
 	}
 	for _, w := range c.workers {
 		d.Workers = append(d.Workers, workerDocument{
@@ -166,7 +168,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.WithWorkers(workers).WithTokens(tokens), nil
+	return c.WithWorkers(workers).WithTokens(tokens).WithDrained(d.Drained), nil
 }
 
 // builder gathers the problems of a document.
