--- a/internal/process/role/local/local.go
+++ b/internal/process/role/local/local.go
@@ -279,23 +279,9 @@
 	if err != nil {
 		return err
 	}
-<<<<<<< HEAD
 	r, err := p.Execute(ctx, publisher.NewApply(uuid.NewString(), "local", 0, cfg))
 	if err != nil {
 		return errors.Wrap(err, "apply configuration")
-=======
-	head, err := configuration.NewHead(cfg.Version(), body, "local")
-	if err != nil {
-		return err
-	}
-	value, err := configuration.EncodeHead(head)
-	if err != nil {
-		return err
-	}
-	ok, err := s.store.Swap(ctx, head.Key(), body, 0)
-	if err == nil && ok {
-		ok, err = s.store.Swap(ctx, configuration.HeadKey, value, 0)
->>>>>>> main
 	}
 	if r.State() != publisher.Applied {
 		return errors.Errorf("apply configuration: %v: %s %v", r.State(), r.Detail(), r.Problems())
