Write the head of the sample configuration in its stored form

The head now names the body's digest and a writer mark, and the sample system still wrote a bare number, so no process became ready: every test of internal/process/role/local ended at its limit of 30 s. It now uses the constructors of the configuration package. The limit of these tests is 15 s, which is above twice the longest of them (5.5 s).

--- a/internal/process/role/local/local.go
+++ b/internal/process/role/local/local.go
@@ -276,10 +276,17 @@
 	if err != nil {
 		return err
 	}
-	number := fmt.Sprint(cfg.Version())
-	ok, err := s.store.Swap(ctx, "config/version/"+number, body, 0)
+	head, err := configuration.NewHead(cfg.Version(), body, "local")
+	if err != nil {
+		return err
+	}
+	value, err := configuration.EncodeHead(head)
+	if err != nil {
+		return err
+	}
+	ok, err := s.store.Swap(ctx, head.Key(), body, 0)
 	if err == nil && ok {
-		ok, err = s.store.Swap(ctx, "config/head", []byte(number), 0)
+		ok, err = s.store.Swap(ctx, configuration.HeadKey, value, 0)
 	}
 	if err == nil && !ok {
 		err = errors.New("another version was applied first")
--- a/internal/process/role/local/local_test.go
+++ b/internal/process/role/local/local_test.go
@@ -15,7 +15,7 @@
 	"greengagedoor.example/greengagedoor/internal/process/role/local"
 )
 
-const testLimit = 30 * time.Second
+const testLimit = 15 * time.Second
 
 // TestRunSample guards against a system that breaks a promise in a plain run, and
 // against goroutines that outlive the clean-up.
