Read settings from one table and complete the command line

The roles took unchecked flags, an error stopped at the first fault, and callers had no client and no commands.

Each role now has one table of settings from which come the INI reading, the environment and flags that override it, the checks, the flags' help and docs/settings.md. The commands submit, status, cancel, dump, version, key and completion have documented exit codes.

Ruled out: the library's required flags, since their error cannot be told from others and would end with another code than documented.

--- a/cmd/greengagedoor/key.go
+++ b/cmd/greengagedoor/key.go
@@ -10,8 +10,9 @@
 
 func keyCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "key",
-		Usage: "print a new idempotency key, a UUIDv7 of this moment",
+		Name:        "key",
+		Usage:       "print a new idempotency key, a UUIDv7 of this moment",
+		Description: exitCodes,
 		Action: func(c *cli.Context) error {
 			key, err := uuid.NewV7()
 			if err != nil {
--- a/cmd/greengagedoor/main.go
+++ b/cmd/greengagedoor/main.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,173 +11,99 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v2"
 
-	"greengagedoor.example/greengagedoor/internal/process/identity"
-	"greengagedoor.example/greengagedoor/internal/process/log"
-	"greengagedoor.example/greengagedoor/internal/process/role/agent"
-	"greengagedoor.example/greengagedoor/internal/process/role/host"
-	"greengagedoor.example/greengagedoor/internal/process/store"
-	"greengagedoor.example/greengagedoor/internal/version/configuration"
+	"greengagedoor.example/greengagedoor/internal/process/setting"
 )
 
-func main() {
-	app := &cli.App{
-		Name:  "greengagedoor",
-		Usage: "dispatch sub-second tasks that many teams share",
-		Commands: []*cli.Command{
-			agentCommand(),
-			entryCommand(),
-			localCommand(),
-			keyCommand(),
-		},
-		EnableBashCompletion: true,
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	// A second signal ends the process without waiting for requests in flight.
-	context.AfterFunc(ctx, stop)
-	if err := app.RunContext(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "greengagedoor:", err)
-		os.Exit(exitCode(err))
-	}
-}
-
-// The exit codes other than 0.
+// The exit codes; every command documents them in its description.
 const (
-	exitFailed = 1
-	exitUsage  = 2
+	exitFailed    = 1
+	exitUsage     = 2
+	exitJobFailed = 3
+	exitRefused   = 4
+	exitUndecided = 5
 )
 
-// errUsage reports flags or settings that are not allowed.
+const exitCodes = "Exit codes: 0 success; 1 the command could not do its work; 2 flags, arguments or\n" +
+	"settings are not allowed."
+
+const answerCodes = "Exit codes: 0 the job is complete, or runs and the command does not wait; 1 the\n" +
+	"command could not do its work; 2 flags or arguments are not allowed; 3 the job\n" +
+	"failed; 4 the request was refused; 5 no final answer came in time, and the job may\n" +
+	"still run."
+
+// errUsage reports flags or arguments that are not allowed.
 var errUsage = errors.New("wrong use")
 
 func usage(err error) error {
 	return errors.Wrap(errUsage, err.Error())
 }
 
+// coded is an error with the exit code that it leads to.
+type coded struct {
+	code int
+	err  error
+}
+
+// Error is the text of the error.
+func (c *coded) Error() string {
+	return c.err.Error()
+}
+
 func exitCode(err error) int {
-	if errors.Is(err, errUsage) {
+	var c *coded
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &c):
+		return c.code
+	case errors.Is(err, errUsage), errors.Is(err, setting.ErrSettings):
 		return exitUsage
 	}
 	return exitFailed
 }
 
-func commonFlags() []cli.Flag {
-	return []cli.Flag{
-		&cli.StringFlag{
-			Name:     "name",
-			Required: true,
-			Usage:    "`NAME` of the process",
-		},
-		&cli.StringFlag{
-			Name:  "zone",
-			Value: "a",
-			Usage: "availability `ZONE`",
-		},
-		&cli.StringFlag{
-			Name:     "link",
-			Required: true,
-			Usage:    "`ADDRESS` for other processes",
-		},
-		&cli.StringFlag{
-			Name:     "http",
-			Required: true,
-			Usage:    "`ADDRESS` for HTTP",
-		},
-		&cli.StringFlag{
-			Name:     "store",
-			Required: true,
-			Usage:    "`URL` of the key-value service",
-		},
-		&cli.IntFlag{
-			Name:  "shards",
-			Value: 64,
-			Usage: "`NUMBER` of shards",
-		},
-		&cli.StringFlag{
-			Name:  "log-format",
-			Value: "text",
-			Usage: "json or text",
-		},
-		&cli.StringFlag{
-			Name:  "log-level",
-			Value: "info",
-			Usage: "`LEVEL` of the log",
+func newApp() *cli.App {
+	app := &cli.App{
+		Name:  "greengagedoor",
+		Usage: "dispatch sub-second tasks that many teams share",
+		Description: "Runs the roles of the system and asks it. For completion in a shell, see\n" +
+			"'greengagedoor completion --help'.\n" + exitCodes,
+		Commands:             commands(),
+		EnableBashCompletion: true,
+		OnUsageError: func(_ *cli.Context, err error, _ bool) error {
+			return usage(err)
 		},
+		// The library would end the process itself.
+		ExitErrHandler: func(*cli.Context, error) {},
 	}
-}
-
-func common(c *cli.Context) (host.Common, func(), error) {
-	l, err := log.New(os.Stderr, c.String("log-format"), c.String("log-level"), c.String("name"))
-	if err != nil {
-		return host.Common{}, nil, err
+	for _, c := range app.Commands {
+		c.OnUsageError = app.OnUsageError
 	}
-	p, err := identity.NewProcess(c.String("name"), rand.Uint64()|1)
-	if err != nil {
-		return host.Common{}, nil, err
-	}
-	s, cleanup, err := store.New(c.String("store"), host.StoreTimeout)
-	if err != nil {
-		return host.Common{}, nil, err
-	}
-	com, err := host.NewCommon(p, 0, 1, c.Int("shards"), c.String("zone"), c.String("link"), c.String("http"), s, l)
-	return com, cleanup, err
+	return app
 }
 
-func agentCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "agent",
-		Usage: "run the process beside targets and worker",
-		Flags: append(commonFlags(),
-			&cli.StringFlag{
-				Name:  "pool",
-				Usage: "`URL` of the worker pool",
-			},
-			&cli.StringFlag{
-				Name:  "worker",
-				Usage: "`NAME` of this node's worker",
-			},
-		),
-		Action: func(c *cli.Context) error {
-			com, cleanup, err := common(c)
-			if err != nil {
-				return err
-			}
-			defer cleanup()
-			var w agent.Worker
-			if c.String("worker") != "" {
-				r, err := configuration.NewResources(16_000, 32<<30, 2)
-				if err != nil {
-					return err
-				}
-				w = agent.NewWorker(c.String("worker"), "r1", r)
-			}
-			a, cleanup, err := host.NewAgent(com, c.String("pool"), w, rand.Uint64())
-			if err != nil {
-				return err
-			}
-			defer cleanup()
-			return a.Run(c.Context)
-		},
+func commands() []*cli.Command {
+	return []*cli.Command{
+		agentCommand(),
+		entryCommand(),
+		localCommand(),
+		submitCommand(),
+		statusCommand(),
+		cancelCommand(),
+		dumpCommand(),
+		keyCommand(),
+		versionCommand(),
+		completionCommand(),
 	}
 }
 
-func entryCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "entry",
-		Usage: "run the HTTP interface of callers and operators",
-		Flags: commonFlags(),
-		Action: func(c *cli.Context) error {
-			com, cleanup, err := common(c)
-			if err != nil {
-				return err
-			}
-			defer cleanup()
-			e, cleanup, err := host.NewEntry(com)
-			if err != nil {
-				return err
-			}
-			defer cleanup()
-			return e.Run(c.Context)
-		},
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	// A second signal ends the process without waiting for requests in flight.
+	context.AfterFunc(ctx, stop)
+	if err := newApp().RunContext(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "greengagedoor:", err)
+		os.Exit(exitCode(err))
 	}
 }
--- a/internal/process/role/host/host.go
+++ b/internal/process/role/host/host.go
@@ -45,6 +45,7 @@
 	store       *store.Store
 	log         *logrus.Entry
 	now         func() time.Time
+	settings    []string
 }
 
 // NewCommon joins the settings that every process has. The link address is where
@@ -71,6 +72,18 @@
 	}, nil
 }
 
+// WithSettings adds the settings for the dump; secrets must be left out.
+func (c Common) WithSettings(lines []string) Common {
+	c.settings = append([]string(nil), lines...)
+	return c
+}
+
+// WithClock replaces the clock, for tests.
+func (c Common) WithClock(now func() time.Time) Common {
+	c.now = now
+	return c
+}
+
 // Process is the process's identity.
 func (c Common) Process() identity.Process {
 	return c.process
--- /dev/null
+++ b/internal/process/setting/table.go
@@ -0,0 +1,123 @@
+package setting
+
+import (
+	"fmt"
+	"strings"
+)
+
+// common are the settings of every process.
+func common() []Setting {
+	return []Setting{
+		row("process", "name", "name", "The process id. Unique in the installation; a process that is started again keeps it.").word(),
+		row("process", "availability_zone", "zone", "The availability zone that the process stands in.").word(),
+		row("process", "region", "region", "The region that the process stands in, counted from 0.").number(0, 0, 15, ""),
+		row("process", "region_count", "regions", "The number of regions of the installation.").number(1, 1, 16, "regions"),
+		row("process", "shard_count", "shards", "The number of shards. Fixed for an installation and the same in every process.").number(1024, 1, 65_536, "shards"),
+		row("listen", "link", "link", "Where other processes reach this one. The address must be the one that they use; port 0 lets the system choose.").address(),
+		row("listen", "http", "http", "Where callers, operators and targets reach this process by HTTP.").address(),
+		row("store", "url", "store", "The key-value service.").url(),
+		row("store", "timeout_ms", "store-timeout-ms", "How long one call of the key-value service may take.").number(2000, 10, 60_000, "ms"),
+		row("log", "format", "log-format", "The format of the log on standard error.").choice("text", "json"),
+		row("log", "level", "log-level", "The least severe lines that are logged; debug has a line for each task.").choice("info", "debug", "warn", "error"),
+	}
+}
+
+// Entry is the table of the entry role.
+func Entry() Table {
+	return Table{
+		role:     "entry",
+		settings: common(),
+		whole:    wholeCommon,
+	}
+}
+
+// Agent is the table of the agent role.
+func Agent() Table {
+	return Table{
+		role: "agent",
+		settings: append(common(),
+			row("worker", "pool_url", "pool", "The worker pool; empty on a node without worker.").url().orEmpty(),
+			row("worker", "name", "worker", "The worker of this node as the pool names it; empty on a node without worker.").word().orEmpty(),
+			row("worker", "rack", "rack", "The rack of the worker. The tasks of a job are spread over racks.").word().orEmpty(),
+			row("worker", "milli_cores", "milli-cores", "What the worker has for tasks.").number(0, 0, 1_024_000, "thousandths of a core"),
+			row("worker", "memory_bytes", "memory-bytes", "What the worker has for tasks.").number(0, 0, 1<<44, "bytes"),
+			row("worker", "accelerators", "accelerators", "What the worker has for tasks.").number(0, 0, 64, "accelerators"),
+		),
+		whole: wholeAgent,
+	}
+}
+
+// Tables lists the tables of all roles.
+func Tables() []Table {
+	return []Table{Agent(), Entry()}
+}
+
+func (v *Values) wrong(section, key, allowed string) []Fault {
+	s, _ := v.table.find(section, key)
+	return []Fault{v.fault(s, allowed)}
+}
+
+func wholeCommon(v *Values) []Fault {
+	var faults []Fault
+	if v.Number("process", "region") >= v.Number("process", "region_count") {
+		faults = append(faults, v.wrong("process", "region", "less than process.region_count")...)
+	}
+	if v.Number("process", "shard_count") < v.Number("process", "region_count") {
+		faults = append(faults, v.wrong("process", "shard_count", "at least process.region_count")...)
+	}
+	link := v.Text("listen", "link")
+	if link == v.Text("listen", "http") && !strings.HasSuffix(link, ":0") {
+		faults = append(faults, v.wrong("listen", "http", "an address other than listen.link")...)
+	}
+	return faults
+}
+
+func wholeAgent(v *Values) []Fault {
+	faults := wholeCommon(v)
+	name := v.Text("worker", "name")
+	if (name == "") != (v.Text("worker", "pool_url") == "") {
+		faults = append(faults, v.wrong("worker", "name", "set together with worker.pool_url, or neither")...)
+	}
+	if name == "" {
+		return faults
+	}
+	if v.Text("worker", "rack") == "" {
+		faults = append(faults, v.wrong("worker", "rack", "a rack, since the node has a worker")...)
+	}
+	if v.Number("worker", "milli_cores") == 0 {
+		faults = append(faults, v.wrong("worker", "milli_cores", "at least 1, since the node has a worker")...)
+	}
+	if v.Number("worker", "memory_bytes") == 0 {
+		faults = append(faults, v.wrong("worker", "memory_bytes", "at least 1, since the node has a worker")...)
+	}
+	return faults
+}
+
+// Markdown is the documentation of all tables.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("# Settings\n\n" +
+		"Each role reads an INI file (`--settings FILE`). An environment variable overrides\n" +
+		"the file, and a flag overrides both. All settings are checked before anything\n" +
+		"starts; every fault is reported with its source, section, key, value and what is\n" +
+		"allowed, and an unknown key is a fault. `--check` only checks. Samples are in\n" +
+		"`samples/`. A password in a URL is neither logged nor dumped.\n\n" +
+		"The variable of a setting is `" + environmentPrefix + "SECTION_KEY`, for example\n" +
+		"`GREENGAGEDOOR_STORE_URL`.\n")
+	for _, t := range Tables() {
+		fmt.Fprintf(&b, "\n## %s\n\n| section | key | flag | default | allowed | meaning |\n|---|---|---|---|---|---|\n", t.role)
+		for _, s := range t.settings {
+			def := s.def
+			switch {
+			case s.required:
+				def = "required"
+			case def == "":
+				def = "empty"
+			case s.unit != "":
+				def += " " + s.unit
+			}
+			fmt.Fprintf(&b, "| %s | `%s` | `--%s` | %s | %s | %s |\n", s.section, s.key, s.flag, def, s.allowed, s.text)
+		}
+	}
+	return b.String()
+}
