Show a process's metrics and state from one table each

Operators could see nothing of a running process but /healthz, and log lines about a submission existed in no process.

Every process serves /debug/vars and /debug/dump with identity, settings, the table of duties and rings, metrics, and the state of its decisions, which a role's duty describes itself on request, so that nobody else reads its state.

The local system waits until every entry knows shards of all agents. Before, a shard could move from the first agent that joined to a later one after the first job, and the new owner accepted the key again: TestKeyConflict got 200 instead of 409 once. The interim registry moves shards without a seal; the directories replace it.

--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -108,6 +108,7 @@
 		return err
 	}
 	a.agent.next = admission.Next
+	a.agent.snapshot = func() any { return admission.Snapshot() }
 	a.owner, err = newRole("owner", a.common.now, message.Wake{}, func(now time.Time, e any) {
 		a.applyOwner(now, dispatch, e)
 	})
@@ -156,6 +157,9 @@
 	a.cleanups = append(a.cleanups, cleanup)
 	e := a.common.newEcho(func() bool { return true })
 	e.POST("/v1/announce", a.announce)
+	if err := a.common.observe(e, func() *duty.Table { return a.table }, a.agent, a.owner); err != nil {
+		return err
+	}
 	pages, cleanup, err := web.Serve(a.pages, "http", "Serves callers, operators and targets.", e)
 	if err != nil {
 		return err
@@ -219,6 +223,7 @@
 func (a *Agent) publish(ctx context.Context, e any) {
 	switch e.(type) {
 	case membership.Lease, *configuration.Configuration:
+		a.common.countVersion(e)
 		_ = a.agent.ring.Push(ctx, e)
 		_ = a.owner.ring.Push(ctx, e)
 	case membership.Granted, membership.Released, membership.WorkingSet:
@@ -252,8 +257,10 @@
 
 func (a *Agent) applyOwner(now time.Time, o *owner.Owner, event any) {
 	for _, s := range o.Handle(now, event) {
-		a.common.logOwner(event, s)
-		if a.network.Post(s) != nil {
+		a.common.observeOwner(event, s)
+		err := a.network.Post(s)
+		a.common.countSend(err)
+		if err != nil {
 			// The owner is inside Handle's result; the event goes through its ring.
 			_ = a.owner.ring.TryPush(message.NewUndelivered(s))
 		}
@@ -267,7 +274,7 @@
 		// be lost, and a slot would stay taken for good.
 		var failed []any
 		for _, effect := range d.Handle(now, events[0]) {
-			a.common.logAgent(effect)
+			a.common.observeAgent(effect)
 			if e, ok := a.carryOut(effect); !ok {
 				failed = append(failed, e)
 			}
@@ -287,7 +294,9 @@
 func (a *Agent) carryOut(effect any) (any, bool) {
 	switch e := effect.(type) {
 	case message.Send:
-		return message.NewUndelivered(e), a.network.Post(e) == nil
+		err := a.network.Post(e)
+		a.common.countSend(err)
+		return message.NewUndelivered(e), err == nil
 	case agent.Call:
 		err := a.backend.Post(e)
 		return agent.NewUncalled(e.Task(), errText(err)), err == nil
--- a/internal/process/role/host/caller.go
+++ b/internal/process/role/host/caller.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	e.logAnswer(s, a)
+	e.observeAnswer(s, a)
 	if a.State() == answer.Refused {
 		return refuse(c, s, a)
 	}
--- a/internal/process/role/host/entry.go
+++ b/internal/process/role/host/entry.go
@@ -12,6 +12,7 @@
 	"greengagedoor.example/greengagedoor/internal/process/duty"
 	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/membership"
+	"greengagedoor.example/greengagedoor/internal/process/metric"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 	"greengagedoor.example/greengagedoor/internal/process/role/entry"
 	"greengagedoor.example/greengagedoor/internal/process/role/network"
@@ -84,6 +85,7 @@
 	if err != nil {
 		return err
 	}
+	e.entry.snapshot = func() any { return decision.Snapshot() }
 	e.network, cleanup, err = network.New(e.common.process, e.common.linkAddress, network.Seams{
 		Now:         e.common.now,
 		Deliver:     func(ctx context.Context, v any) { _ = e.entry.ring.Push(ctx, v) },
@@ -111,6 +113,9 @@
 	e.cleanups = append(e.cleanups, cleanup)
 	router := e.common.newEcho(e.ready.Load)
 	e.register(router)
+	if err := e.common.observe(router, func() *duty.Table { return e.table }, e.entry); err != nil {
+		return err
+	}
 	pages, cleanup, err := web.Serve(e.pages, "http", "Serves callers, operators and targets.", router)
 	if err != nil {
 		return err
@@ -137,6 +142,11 @@
 	return e.common.httpAddress
 }
 
+// Owners is the number of processes that own a shard as far as the entry knows.
+func (e *Entry) Owners() int {
+	return int(e.common.metrics.Value(metric.ShardOwners))
+}
+
 // Run runs all duties until ctx ends or one fails.
 func (e *Entry) Run(ctx context.Context) error {
 	failed, stop := e.table.Start(context.WithoutCancel(ctx))
@@ -168,6 +178,7 @@
 func (e *Entry) publish(ctx context.Context, v any) {
 	switch v.(type) {
 	case *configuration.Configuration, membership.Routes:
+		e.common.countVersion(v)
 		_ = e.entry.ring.Push(ctx, v)
 	}
 }
@@ -184,7 +195,9 @@
 	for _, effect := range d.Handle(now, event) {
 		switch v := effect.(type) {
 		case message.Send:
-			if e.network.Post(v) != nil {
+			err := e.network.Post(v)
+			e.common.countSend(err)
+			if err != nil {
 				_ = e.entry.ring.TryPush(message.NewUndelivered(v))
 			}
 		case entry.Respond:
@@ -195,7 +208,11 @@
 			}
 		}
 	}
+	if _, ok := event.(membership.Routes); ok {
+		e.common.metrics.Store(metric.ShardOwners, int64(d.Owners()))
+	}
 	e.ready.Store(d.Ready())
+	e.common.metrics.Store(metric.RequestsHeld, int64(d.Requests()))
 	if d.Drained() {
 		select {
 		case <-e.drained:
@@ -207,6 +224,7 @@
 
 // ask hands a caller's event to the entry's duty and waits for the answer.
 func (e *Entry) ask(c echo.Context, event func(request uint64) any) (answer.Answer, error) {
+	e.common.metrics.Add(metric.RequestsReceived, 1)
 	n := e.requests.Add(1)
 	reply, err := ring.New[answer.Answer]("reply", 1)
 	if err != nil {
--- a/internal/process/role/host/host.go
+++ b/internal/process/role/host/host.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"net/http"
+	"reflect"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -18,6 +19,7 @@
 
 	"greengagedoor.example/greengagedoor/internal/process/duty"
 	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/metric"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 	"greengagedoor.example/greengagedoor/internal/process/store"
 	"greengagedoor.example/greengagedoor/internal/process/web"
@@ -46,6 +48,7 @@
 	log         *logrus.Entry
 	now         func() time.Time
 	settings    []string
+	metrics     *metric.Set
 }
 
 // NewCommon joins the settings that every process has. The link address is where
@@ -69,6 +72,7 @@
 		store:       s,
 		log:         log,
 		now:         time.Now,
+		metrics:     metric.NewSet(),
 	}, nil
 }
 
@@ -116,6 +120,8 @@
 	wake   any
 	// next is when the decision wants to be woken; nil for every wakeInterval.
 	next func(now time.Time) time.Time
+	// snapshot is the decision's state in numbers; nil if it has none to show.
+	snapshot func() any
 }
 
 func newRole(name string, now func() time.Time, wake any, handle func(time.Time, any)) (*role, error) {
@@ -139,6 +145,10 @@
 	for {
 		select {
 		case m := <-r.ring.Out():
+			if i, ok := m.(inspect); ok {
+				_ = i.reply.TryPush(describeValue("", reflect.ValueOf(r.snapshot())))
+				break
+			}
 			r.handle(r.now(), m)
 		case <-timer.C:
 			woken = r.now()
--- a/internal/process/role/host/logging.go
+++ b/internal/process/role/host/logging.go
@@ -4,9 +4,11 @@
 	"github.com/sirupsen/logrus"
 
 	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/metric"
 	"greengagedoor.example/greengagedoor/internal/process/role/agent"
 	"greengagedoor.example/greengagedoor/internal/request/answer"
 	"greengagedoor.example/greengagedoor/internal/request/message"
+	"greengagedoor.example/greengagedoor/internal/version/configuration"
 )
 
 // submissionField joins the lines of all processes about one submission.
@@ -20,8 +22,41 @@
 	return c.log.Logger.IsLevelEnabled(level)
 }
 
-// logAnswer writes the line of an entry about a caller's answer.
-func (e *Entry) logAnswer(s identity.Submission, a answer.Answer) {
+// answerMetrics and replyMetrics count answers by state at entry and owner.
+var (
+	answerMetrics = map[answer.State]metric.Name{
+		answer.Running:  metric.AnswersRunning,
+		answer.Complete: metric.AnswersComplete,
+		answer.Failed:   metric.AnswersFailed,
+		answer.Refused:  metric.AnswersRefused,
+	}
+	replyMetrics = map[answer.State]metric.Name{
+		answer.Running:  metric.JobsAccepted,
+		answer.Complete: metric.JobsComplete,
+		answer.Failed:   metric.JobsFailed,
+		answer.Refused:  metric.JobsRefused,
+	}
+)
+
+// countSend counts a message that the network took or had no room for.
+func (c Common) countSend(err error) {
+	if err != nil {
+		c.metrics.Add(metric.MessagesNotSent, 1)
+		return
+	}
+	c.metrics.Add(metric.MessagesSent, 1)
+}
+
+func (c Common) countVersion(e any) {
+	if cfg, ok := e.(*configuration.Configuration); ok {
+		c.metrics.Store(metric.ConfigVersion, int64(cfg.Version()))
+		c.log.WithField("config_version", cfg.Version()).Info("configuration in force")
+	}
+}
+
+// observeAnswer counts and logs a caller's answer at an entry.
+func (e *Entry) observeAnswer(s identity.Submission, a answer.Answer) {
+	e.common.metrics.Add(answerMetrics[a.State()], 1)
 	if e.common.logs(logrus.InfoLevel) {
 		describe(e.common.about(s), a).Info("caller answered")
 	}
@@ -40,10 +75,11 @@
 	return l.WithFields(fields)
 }
 
-// logOwner writes the lines of an owner about one effect of an event.
-func (c Common) logOwner(event any, effect message.Send) {
+// observeOwner counts and logs one effect of an event at an owner.
+func (c Common) observeOwner(event any, effect message.Send) {
 	switch m := effect.Body().(type) {
 	case message.Start:
+		c.metrics.Add(metric.StartsSent, 1)
 		if c.logs(logrus.DebugLevel) {
 			c.about(m.Task().Submission()).WithFields(logrus.Fields{
 				"task":  m.Task().Index(),
@@ -51,6 +87,7 @@
 			}).Debug("task sent")
 		}
 	case message.Reply:
+		c.metrics.Add(replyMetrics[m.Answer().State()], 1)
 		if s, ok := submissionOf(event); ok && c.logs(logrus.InfoLevel) {
 			c.logReply(event, s, m.Answer())
 		}
@@ -98,26 +135,28 @@
 	return identity.Submission{}, false
 }
 
-// logAgent writes the lines of an agent about one effect.
-func (c Common) logAgent(effect any) {
-	if !c.logs(logrus.DebugLevel) {
-		return
-	}
+// observeAgent counts and logs one effect of an agent.
+func (c Common) observeAgent(effect any) {
 	switch e := effect.(type) {
 	case agent.Call:
-		c.logTask(e.Task()).WithField("target", e.Target()).Debug("task started")
+		c.observeTask(metric.TasksStarted, e.Task(), "target", e.Target(), "task started")
 	case agent.Place:
-		c.logTask(e.Task()).WithField("worker", e.Worker()).Debug("task started")
+		c.observeTask(metric.TasksStarted, e.Task(), "worker", e.Worker(), "task started")
 	case message.Send:
 		switch m := e.Body().(type) {
 		case message.Finished:
-			c.logTask(m.Task()).WithField("state", m.Result().State().String()).Debug("task ended")
+			c.observeTask(metric.TasksEnded, m.Task(), "state", m.Result().State().String(), "task ended")
 		case message.Rejected:
-			c.logTask(m.Task()).WithField("cause", m.Cause().String()).Debug("start refused")
+			c.observeTask(metric.StartsRejected, m.Task(), "cause", m.Cause().String(), "start refused")
 		}
 	}
 }
 
-func (c Common) logTask(t identity.Task) *logrus.Entry {
-	return c.about(t.Submission()).WithField("task", t.Index())
+// observeTask has no fields built unless the line is written: it is called for
+// every task.
+func (c Common) observeTask(name metric.Name, t identity.Task, field, value, line string) {
+	c.metrics.Add(name, 1)
+	if c.logs(logrus.DebugLevel) {
+		c.about(t.Submission()).WithField("task", t.Index()).WithField(field, value).Debug(line)
+	}
 }
--- a/internal/process/role/host/problem.go
+++ b/internal/process/role/host/problem.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/metric"
 	"greengagedoor.example/greengagedoor/internal/request/answer"
 )
 
@@ -130,6 +131,7 @@
 	default:
 		c.log.WithError(err).Error("request failed")
 	}
+	c.metrics.Add(metric.RequestsInvalid, 1)
 	if err := writeProblem(ctx, d); err != nil {
 		c.log.WithError(err).Debug("problem not written")
 	}
--- a/internal/process/role/local/local.go
+++ b/internal/process/role/local/local.go
@@ -50,6 +50,7 @@
 	storeURL string
 	poolURL  string
 	entries  []*host.Entry
+	agents   []string
 	duties   []duty.Duty
 	cleanups []func()
 }
@@ -84,6 +85,11 @@
 	return urls
 }
 
+// Agents are the addresses of the agents' pages.
+func (s *System) Agents() []string {
+	return append([]string(nil), s.agents...)
+}
+
 // StoreURL is the address of the stand-in for the store.
 func (s *System) StoreURL() string {
 	return s.storeURL
@@ -211,6 +217,7 @@
 		if err != nil {
 			return err
 		}
+		s.agents = append(s.agents, "http://"+a.HTTPAddress())
 		for i := range targetsPerAgent {
 			if err := s.buildTarget(fmt.Sprintf("target_%s%d", zone, i+1), "http://"+a.HTTPAddress()); err != nil {
 				cleanup()
--- a/internal/process/role/local/run.go
+++ b/internal/process/role/local/run.go
@@ -19,7 +19,8 @@
 	resendDelay   = 20 * time.Millisecond
 )
 
-// Ready waits until every entry takes jobs.
+// Ready waits until every entry takes jobs and knows shards of every agent, so
+// that no shard moves to an agent that joins after the first job.
 func (s *System) Ready(ctx context.Context) error {
 	ticker := time.NewTicker(readyInterval)
 	defer ticker.Stop()
@@ -28,8 +29,8 @@
 			DisableKeepAlives: true,
 		},
 	}
-	for _, url := range s.Entries() {
-		for !answers(ctx, client, url+"/readyz") {
+	for _, e := range s.entries {
+		for e.Owners() < len(zones) || !answers(ctx, client, "http://"+e.HTTPAddress()+"/readyz") {
 			select {
 			case <-ticker.C:
 			case <-ctx.Done():
--- a/internal/process/role/local/shutdown_test.go
+++ b/internal/process/role/local/shutdown_test.go
@@ -1,7 +1,10 @@
 package local_test
 
 import (
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +12,7 @@
 	"go.uber.org/goleak"
 
 	"greengagedoor.example/greengagedoor/internal/process/role/host"
+	"greengagedoor.example/greengagedoor/internal/process/web"
 )
 
 // waitStarted waits until n tasks have started.
@@ -41,14 +45,14 @@
 			state:  `"complete"`,
 		},
 		"job_outlasts_shutdown": {
-			runMS:  "30000",
+			runMS:  "8000",
 			status: 202,
 			state:  `"running"`,
 		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			s, stop := startStoppable(t)
+			s, stop := startStoppable(t, io.Discard)
 			Convey("the request in flight gets its answer", t, func() {
 				url := s.Entries()[1] + "/v1/teams/tegnestuen/jobs"
 				got := make(chan response, 1)
@@ -68,13 +72,29 @@
 				So(r.body, ShouldContainSubstring, tt.state)
 				So(problemOf(t, refused).Reason, ShouldEqual, "shutting_down")
 				So(problemOf(t, refused).NotRun, ShouldBeFalse)
+				So(time.Since(began), ShouldBeLessThan, host.DrainLimit+time.Second)
+				waitClosed(t, strings.TrimPrefix(s.Entries()[1], "http://"))
+				So(time.Since(began), ShouldBeLessThan, host.DrainLimit+time.Second+web.ShutdownLimit)
 				<-stopped
-				So(time.Since(began), ShouldBeLessThan, host.DrainLimit+5*time.Second)
 			})
 		})
 	}
 }
 
+// waitClosed waits until nothing listens at an address.
+func waitClosed(t *testing.T, address string) {
+	t.Helper()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for range ticker.C {
+		c, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			return
+		}
+		_ = c.Close()
+	}
+}
+
 // refusedOf submits new jobs until the entry refuses one.
 func refusedOf(t *testing.T, entry string) response {
 	t.Helper()
--- a/internal/process/role/local/system_test.go
+++ b/internal/process/role/local/system_test.go
@@ -15,14 +15,14 @@
 // start runs a system with the sample configuration until the test ends.
 func start(t *testing.T) *local.System {
 	t.Helper()
-	s, _ := startStoppable(t)
+	s, _ := startStoppable(t, io.Discard)
 	return s
 }
 
-// startStoppable also returns the function that stops the system.
-func startStoppable(t *testing.T) (*local.System, func()) {
+// startStoppable takes the log and also returns the function that stops the system.
+func startStoppable(t *testing.T, lines io.Writer) (*local.System, func()) {
 	t.Helper()
-	l, err := log.New(io.Discard, "text", "debug", "test")
+	l, err := log.New(lines, "json", "debug", "test")
 	if err != nil {
 		t.Fatal(err)
 	}
