--- a/internal/process/role/agent/agent.go
+++ b/internal/process/role/agent/agent.go
@@ -44,10 +44,12 @@
 	drained   bool
 	ledger    *ledger.Ledger
 	targets   map[string]*target
+	entered   uint64
 	services  map[string]*service
 	listed    []*service
 	worker    *worker
-	running   map[identity.Task]running
+	running   map[identity.Task]*running
+	spare     []*running
 	kinds     map[kindKey]*kindStats
 	owners    map[identity.Shard]identity.Process
 	interests map[identity.Process]*interest
@@ -81,7 +83,7 @@
 		ledger:    l,
 		targets:   map[string]*target{},
 		services:  map[string]*service{},
-		running:   map[identity.Task]running{},
+		running:   map[identity.Task]*running{},
 		kinds:     map[kindKey]*kindStats{},
 		owners:    map[identity.Shard]identity.Process{},
 		interests: map[identity.Process]*interest{},
@@ -97,7 +99,7 @@
 	a.expire(now)
 	a.handle(now, event)
 	a.distribute(now)
-	a.hint(now)
+	a.hint()
 	a.finish()
 	return a.effects
 }
@@ -217,8 +219,9 @@
 	a.draining = true
 	a.changed = true
 	a.release(func(*offer) bool { return true })
-	clear(a.interests)
-	a.queue = nil
+	for len(a.queue) > 0 {
+		a.forget(a.queue[0].owner)
+	}
 }
 
 // finish reports once that a draining agent has nothing left to do.
@@ -235,7 +238,7 @@
 }
 
 // hint publishes the free capacity by service when it has changed.
-func (a *Agent) hint(now time.Time) {
+func (a *Agent) hint() {
 	if !a.changed {
 		return
 	}
@@ -243,7 +246,9 @@
 	a.rooms = a.rooms[:0]
 	if a.active() {
 		for _, s := range a.listed {
-			a.rooms = append(a.rooms, s.room(a.wanted(now, s)))
+			if !s.empty() {
+				a.rooms = append(a.rooms, s.room())
+			}
 		}
 	}
 	if a.hinted != nil && sameRooms(a.rooms, a.hinted) {
--- a/internal/process/role/agent/announce.go
+++ b/internal/process/role/agent/announce.go
@@ -23,7 +23,7 @@
 	case !ok && len(a.targets) >= maxTargets:
 		return
 	case !ok:
-		t = newTarget(n)
+		t = a.newTarget(n)
 		a.targets[n.Target()] = t
 	}
 	t.until = now.Add(announcement.Lifetime)
@@ -31,9 +31,10 @@
 		t.announced = n
 		return
 	}
+	// Offers count on the former slots and services.
+	a.release(func(o *offer) bool { return o.target == t })
 	moved := ok && !slices.Equal(t.announced.Services(), n.Services())
 	if moved {
-		a.release(func(o *offer) bool { return o.target == t })
 		a.unserve(t)
 	}
 	t.leaving = false
@@ -44,6 +45,11 @@
 	a.touch(t)
 }
 
+func (a *Agent) newTarget(n announcement.Announcement) *target {
+	a.entered++
+	return newTarget(n, a.entered)
+}
+
 // sameOffer tells whether an announcement changes nothing that is decided by.
 func sameOffer(a, b announcement.Announcement) bool {
 	return a.Slots() == b.Slots() && a.Connections() == b.Connections() && slices.Equal(a.Services(), b.Services())
--- a/internal/process/role/agent/offer.go
+++ b/internal/process/role/agent/offer.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/process/identity"
@@ -24,7 +25,7 @@
 
 // demand is work of one service and class that waits at an owner.
 type demand struct {
-	service string
+	service *service
 	class   class
 	urgency configuration.Urgency
 	since   time.Time
@@ -33,7 +34,16 @@
 }
 
 func (d *demand) open() int {
-	return d.count - d.offered
+	return max(d.count-d.offered, 0)
+}
+
+// change adds to the count and to the slots offered for it, and keeps the
+// service's sum of open demand.
+func (d *demand) change(count, offered int) {
+	before := d.open()
+	d.count += count
+	d.offered += offered
+	d.service.open[d.class] += d.open() - before
 }
 
 // interest is the whole demand of one owner.
@@ -80,17 +90,31 @@
 		a.interests[owner] = i
 		a.queue = append(a.queue, i)
 	}
+	former := i.demands
 	i.demands = make([]demand, 0, len(m.Demands()))
 	for _, d := range m.Demands() {
 		i.demands = append(i.demands, demand{
-			service: d.Service(),
+			service: a.service(d.Service()),
 			class:   classOf(d.Urgency() == configuration.Critical, d.Long()),
 			urgency: d.Urgency(),
 			since:   now.Add(-d.Oldest()),
-			count:   int(min(d.Count(), maxDemand)),
 		})
+		n := &i.demands[len(i.demands)-1]
+		n.service.demands++
+		n.change(int(min(d.Count(), maxDemand)), 0)
 	}
 	a.release(func(o *offer) bool { return o.owner == owner && !i.cover(o) })
+	a.clear(former)
+}
+
+// clear takes demands out of the sums of their services.
+func (a *Agent) clear(demands []demand) {
+	for n := range demands {
+		d := &demands[n]
+		d.change(-d.count, 0)
+		d.service.demands--
+		a.discard(d.service)
+	}
 }
 
 // maxDemand bounds a count, so that sums cannot overflow.
@@ -98,11 +122,14 @@
 
 // cover assigns an outstanding offer to a demand that may use it.
 func (i *interest) cover(o *offer) bool {
-	o.covers = nil
+	if o.covers != nil {
+		o.covers.change(0, -1)
+		o.covers = nil
+	}
 	for n := range i.demands {
 		d := &i.demands[n]
-		if d.service == o.service.name && d.open() > 0 && (d.class.critical() || !o.urgent) {
-			d.offered++
+		if d.service == o.service && d.open() > 0 && (d.class.critical() || !o.urgent) {
+			d.change(0, 1)
 			o.covers = d
 			return true
 		}
@@ -112,17 +139,14 @@
 
 // forget drops an owner's demand and takes back its offers.
 func (a *Agent) forget(owner identity.Process) {
-	if _, ok := a.interests[owner]; !ok {
+	i, ok := a.interests[owner]
+	if !ok {
 		return
 	}
 	a.release(func(o *offer) bool { return o.owner == owner })
 	delete(a.interests, owner)
-	for n, i := range a.queue {
-		if i.owner == owner {
-			a.queue = append(a.queue[:n], a.queue[n+1:]...)
-			break
-		}
-	}
+	a.queue = slices.DeleteFunc(a.queue, func(o *interest) bool { return o == i })
+	a.clear(i.demands)
 	a.changed = true
 }
 
@@ -146,8 +170,8 @@
 	}
 	for n := range i.demands {
 		d := &i.demands[n]
-		if d.service == name && d.urgency == kind.Urgency() && d.class.long() == kind.Long() && d.count > 0 {
-			d.count--
+		if d.service.name == name && d.urgency == kind.Urgency() && d.class.long() == kind.Long() && d.count > 0 {
+			d.change(-1, 0)
 			break
 		}
 	}
@@ -177,7 +201,7 @@
 		o.target.usedLong--
 	}
 	if o.covers != nil {
-		o.covers.offered--
+		o.covers.change(0, -1)
 	}
 	a.touch(o.target)
 }
@@ -223,7 +247,7 @@
 // distribute offers every free slot that a registered demand may use. Slots for
 // one owner go out in one message.
 func (a *Agent) distribute(now time.Time) {
-	if !a.changed && !a.anyMuted() || !a.active() || len(a.queue) == 0 {
+	if !a.active() || !a.matched() {
 		return
 	}
 	a.batch = a.batch[:0]
@@ -239,11 +263,13 @@
 	}
 }
 
-// anyMuted tells whether an owner waits for the end of its pause.
-func (a *Agent) anyMuted() bool {
-	for _, i := range a.queue {
-		if !i.muted.IsZero() {
-			return true
+// matched tells whether any slot is free for any demand.
+func (a *Agent) matched() bool {
+	for _, s := range a.listed {
+		for c, n := range s.open {
+			if n > 0 && s.best(class(c)) != nil {
+				return true
+			}
 		}
 	}
 	return false
@@ -260,7 +286,7 @@
 		}
 		for n := range i.demands {
 			d := &i.demands[n]
-			if d.open() <= 0 || !a.available(d) {
+			if d.open() == 0 || d.service.best(d.class) == nil {
 				continue
 			}
 			if best == nil || d.urgency < best.urgency || (d.urgency == best.urgency && d.since.Before(best.since)) {
@@ -277,13 +303,8 @@
 	return owner, best
 }
 
-func (a *Agent) available(d *demand) bool {
-	s, ok := a.services[d.service]
-	return ok && s.best(d.class) != nil
-}
-
 func (a *Agent) offer(now time.Time, i *interest, d *demand) {
-	s := a.services[d.service]
+	s := d.service
 	t := s.best(d.class)
 	o := offer{
 		owner:   i.owner,
@@ -298,7 +319,7 @@
 	if d.class.long() {
 		t.usedLong++
 	}
-	d.offered++
+	d.change(0, 1)
 	a.offered++
 	a.offers = append(a.offers, o)
 	a.touch(t)
@@ -316,19 +337,3 @@
 		slots:   1,
 	})
 }
-
-// wanted tells for which classes of a service demand waits that no offer covers.
-func (a *Agent) wanted(now time.Time, s *service) [classes]bool {
-	var w [classes]bool
-	for _, i := range a.queue {
-		if i.muted.After(now) {
-			continue
-		}
-		for n := range i.demands {
-			if d := &i.demands[n]; d.service == s.name && d.open() > 0 {
-				w[d.class] = true
-			}
-		}
-	}
-	return w
-}
--- a/internal/process/role/agent/service.go
+++ b/internal/process/role/agent/service.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"container/heap"
 	"slices"
 	"strings"
 
@@ -36,8 +35,11 @@
 // same with many targets.
 type service struct {
 	name    string
-	ranking [classes]*ranking
+	ranking [classes]ranking
 	sum     contribution
+	// open is the demand that no offer covers, by class.
+	open    [classes]int
+	demands int
 }
 
 func newService(name string) *service {
@@ -45,46 +47,48 @@
 		name: name,
 	}
 	for c := range s.ranking {
-		s.ranking[c] = &ranking{
-			class:   class(c),
-			service: s,
-		}
+		s.ranking[c].class = class(c)
+		s.ranking[c].service = s
 	}
 	return s
 }
 
 // best is the target for a task of a class; nil if no slot is free.
 func (s *service) best(c class) *target {
-	r := s.ranking[c]
-	if len(r.targets) == 0 || r.targets[0].free(c) == 0 {
+	r := &s.ranking[c]
+	if len(r.entries) == 0 || r.entries[0].load == full {
 		return nil
 	}
-	return r.targets[0]
+	return r.entries[0].target
 }
 
 func (s *service) add(t *target) {
 	t.places = append(t.places, place{
 		service: s,
 	})
-	for _, r := range s.ranking {
-		heap.Push(r, t)
+	for c := range s.ranking {
+		s.ranking[c].push(t, t.load(class(c)))
 	}
 }
 
 func (s *service) remove(t *target) {
 	p := t.place(s)
-	for c, r := range s.ranking {
-		heap.Remove(r, p.at[c])
+	for c := range s.ranking {
+		s.ranking[c].remove(p.at[c])
 	}
 }
 
 // update renews a target's rank and the sums of its services after a change.
 func (t *target) update() {
 	n := t.contribution()
+	var loads [classes]float64
+	for c := range loads {
+		loads[c] = t.load(class(c))
+	}
 	for i := range t.places {
 		p := &t.places[i]
-		for c, r := range p.service.ranking {
-			heap.Fix(r, p.at[c])
+		for c := range loads {
+			p.service.ranking[c].fix(p.at[c], loads[c])
 		}
 		s := &p.service.sum
 		s.free += n.free - t.shown.free
@@ -108,58 +112,14 @@
 	return nil
 }
 
-// ranking orders the targets of a service for one class.
-type ranking struct {
-	class   class
-	service *service
-	targets []*target
-}
-
-// Len is part of heap.Interface.
-func (r *ranking) Len() int {
-	return len(r.targets)
-}
-
-// Less is part of heap.Interface; the name decides between equals.
-func (r *ranking) Less(i, j int) bool {
-	a, b := r.targets[i], r.targets[j]
-	if x, y := a.load(r.class), b.load(r.class); x != y {
-		return x < y
-	}
-	return strings.Compare(a.announced.Target(), b.announced.Target()) < 0
-}
-
-// Swap is part of heap.Interface.
-func (r *ranking) Swap(i, j int) {
-	r.targets[i], r.targets[j] = r.targets[j], r.targets[i]
-	r.targets[i].place(r.service).at[r.class] = i
-	r.targets[j].place(r.service).at[r.class] = j
-}
-
-// Push is part of heap.Interface.
-func (r *ranking) Push(x any) {
-	t := x.(*target)
-	t.place(r.service).at[r.class] = len(r.targets)
-	r.targets = append(r.targets, t)
-}
-
-// Pop is part of heap.Interface.
-func (r *ranking) Pop() any {
-	n := len(r.targets) - 1
-	t := r.targets[n]
-	r.targets[n] = nil
-	r.targets = r.targets[:n]
-	return t
-}
-
 // room is what the hint says of the service. Slots that a waiting owner may take
 // are shown as none, so that nobody takes what is about to be offered.
-func (s *service) room(wanted [classes]bool) message.Room {
+func (s *service) room() message.Room {
 	free, reserved := s.sum.free, s.sum.reserved
-	if wanted[general] || (wanted[long] && s.sum.long > 0) {
+	if s.open[general] > 0 || (s.open[long] > 0 && s.sum.long > 0) {
 		free = 0
 	}
-	if wanted[critical] || (wanted[criticalLong] && s.best(criticalLong) != nil) {
+	if s.open[critical] > 0 || (s.open[criticalLong] > 0 && s.best(criticalLong) != nil) {
 		free, reserved = 0, 0
 	}
 	speed := 1.0
@@ -169,16 +129,34 @@
 	return message.NewRoom(s.name, uint32(free), uint32(reserved), uint32(min(s.sum.long, free)), speed)
 }
 
+// service returns the service of a name, which is entered if it is new.
+func (a *Agent) service(name string) *service {
+	s, ok := a.services[name]
+	if !ok {
+		s = newService(name)
+		a.services[name] = s
+		a.listed = append(a.listed, s)
+		slices.SortFunc(a.listed, func(x, y *service) int { return strings.Compare(x.name, y.name) })
+	}
+	return s
+}
+
+// discard forgets a service without targets and demand.
+func (a *Agent) discard(s *service) {
+	if s.empty() && s.demands == 0 {
+		delete(a.services, s.name)
+		a.listed = slices.DeleteFunc(a.listed, func(o *service) bool { return o == s })
+	}
+}
+
+func (s *service) empty() bool {
+	return len(s.ranking[general].entries) == 0
+}
+
 // serve enters a target into its services.
 func (a *Agent) serve(t *target) {
 	for _, name := range t.announced.Services() {
-		s, ok := a.services[name]
-		if !ok {
-			s = newService(name)
-			a.services[name] = s
-			a.listed = append(a.listed, s)
-			slices.SortFunc(a.listed, func(x, y *service) int { return strings.Compare(x.name, y.name) })
-		}
+		s := a.service(name)
 		if t.place(s) == nil {
 			s.add(t)
 		}
@@ -186,8 +164,7 @@
 	t.update()
 }
 
-// unserve takes a target out of its services. A service without targets is
-// forgotten.
+// unserve takes a target out of its services.
 func (a *Agent) unserve(t *target) {
 	leaving := t.leaving
 	t.leaving = true
@@ -195,10 +172,7 @@
 	for i := range t.places {
 		s := t.places[i].service
 		s.remove(t)
-		if len(s.ranking[general].targets) == 0 {
-			delete(a.services, s.name)
-			a.listed = slices.DeleteFunc(a.listed, func(o *service) bool { return o == s })
-		}
+		a.discard(s)
 	}
 	t.places = nil
 	t.leaving = leaving
--- a/internal/process/role/agent/start.go
+++ b/internal/process/role/agent/start.go
@@ -161,7 +161,7 @@
 		name = WorkerService
 	}
 	s, ok := a.services[name]
-	if !ok {
+	if !ok || s.empty() {
 		return nil, message.NoBackEnd, false
 	}
 	c := classOf(kind.Urgency() == configuration.Critical, kind.Long())
@@ -179,8 +179,8 @@
 
 // staffed tells whether any target of the service takes new work.
 func (s *service) staffed() bool {
-	for _, t := range s.ranking[general].targets {
-		if !t.leaving {
+	for _, e := range s.ranking[general].entries {
+		if !e.target.leaving {
 			return true
 		}
 	}
@@ -189,7 +189,8 @@
 
 func (a *Agent) begin(now time.Time, owner identity.Process, m message.Start, kind configuration.Kind, k *kindStats, t *target) {
 	a.counts.started++
-	r := running{
+	r := a.run()
+	*r = running{
 		owner:     owner,
 		shard:     m.Grant().Shard(),
 		target:    t,
@@ -227,6 +228,27 @@
 	a.touch(t)
 }
 
+// maxSpare bounds the values kept for the next start, which spare it an
+// allocation.
+const maxSpare = 256
+
+func (a *Agent) run() *running {
+	n := len(a.spare)
+	if n == 0 {
+		return &running{}
+	}
+	r := a.spare[n-1]
+	a.spare = a.spare[:n-1]
+	return r
+}
+
+func (a *Agent) reuse(r *running) {
+	if len(a.spare) < maxSpare {
+		*r = running{}
+		a.spare = append(a.spare, r)
+	}
+}
+
 // touch notes that a target's slots have changed.
 func (a *Agent) touch(t *target) {
 	t.update()
@@ -239,6 +261,7 @@
 		return
 	}
 	delete(a.running, e.task)
+	defer a.reuse(r)
 	a.counts.end(e.result.State())
 	a.ledger.End(now, e.task, e.result)
 	r.target.give(r.long)
@@ -261,7 +284,7 @@
 
 // report sends the end to the owner that sealed the shard last, which is the one
 // that waits for it.
-func (a *Agent) report(r running, e Ended) {
+func (a *Agent) report(r *running, e Ended) {
 	owner, ok := a.owners[r.shard]
 	if !ok {
 		owner = r.owner
--- a/internal/process/role/agent/target.go
+++ b/internal/process/role/agent/target.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"math"
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/connection/announcement"
@@ -68,6 +67,7 @@
 
 // target is an announced target with the slots in use.
 type target struct {
+	order     uint64
 	announced announcement.Announcement
 	until     time.Time
 	leaving   bool
@@ -91,8 +91,10 @@
 	at      [classes]int
 }
 
-func newTarget(n announcement.Announcement) *target {
+// newTarget returns a target; order decides between targets of the same load.
+func newTarget(n announcement.Announcement, order uint64) *target {
 	return &target{
+		order:     order,
 		announced: n,
 		speed:     1,
 	}
@@ -145,7 +147,7 @@
 // load orders targets for a class; infinite without a free slot.
 func (t *target) load(c class) float64 {
 	if t.free(c) == 0 {
-		return math.Inf(1)
+		return full
 	}
 	return float64(t.used+t.offered+1) / (float64(t.slots()) * t.speed)
 }
--- a/internal/process/role/agent/worker.go
+++ b/internal/process/role/agent/worker.go
@@ -102,7 +102,7 @@
 		a.fit()
 		return
 	}
-	t := newTarget(n)
+	t := a.newTarget(n)
 	t.worker = true
 	size, err := configuration.NewResources(defaultSize, 0, 0)
 	if err != nil {
@@ -204,7 +204,7 @@
 func (a *Agent) yield(kind configuration.Kind, need, left configuration.Resources) {
 	type candidate struct {
 		task identity.Task
-		run  running
+		run  *running
 	}
 	var list []candidate
 	for _, task := range a.worker.tasks {
@@ -260,9 +260,8 @@
 	return resourcesOf([3]float64{math.Floor(half[0] / 2), 0, 0})
 }
 
-func (a *Agent) control(task identity.Task, r running, m Means) {
+func (a *Agent) control(task identity.Task, r *running, m Means) {
 	r.place.pending = m
-	a.running[task] = r
 	a.counts.controls++
 	a.effects = append(a.effects, Control{
 		task:  task,
@@ -300,7 +299,6 @@
 		r.place.means = e.means
 		a.worker.used = a.worker.used.Sub(room)
 	}
-	a.running[e.task] = r
 	a.fit()
 }
 
@@ -332,7 +330,7 @@
 func (a *Agent) urgentWaits() bool {
 	for _, i := range a.queue {
 		for _, d := range i.demands {
-			if d.service == WorkerService && d.urgency <= configuration.High && d.count > 0 {
+			if d.service.name == WorkerService && d.urgency <= configuration.High && d.count > 0 {
 				return true
 			}
 		}
--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -25,8 +25,8 @@
 
 const (
 	callers          = 256
-	ledgerLimit      = 200_000
-	ledgerBytes      = 32 << 20
+	ledgerLimit      = 150_000
+	ledgerBytes      = 24 << 20
 	retention        = 10 * time.Minute
 	announceMaxBytes = 64 << 10
 	// drainLimit is how long a leaving agent waits for its running tasks; most take
--- a/internal/process/standin/sizing/rows.go
+++ b/internal/process/standin/sizing/rows.go
@@ -147,21 +147,21 @@
 }
 
 func ledgerWith(n int) (*ledger.Ledger, error) {
-	l, err := ledger.New(retention, n+1)
+	now := time.Now()
+	l, err := ledger.New(now, retention, n+1, n*resultBytes)
 	if err != nil {
 		return nil, err
 	}
-	now := time.Now()
 	for i := range n {
 		s, err := identity.SubmissionOf("team-000", key(i))
 		if err != nil {
 			return nil, err
 		}
 		t := identity.NewTask(s, 0)
-		if err := l.Begin(now, t, identity.Shard(i%16), 1); err != nil {
+		if err := l.Begin(now, t, identity.Shard(i%16), 1, 1); err != nil {
 			return nil, err
 		}
-		l.End(t, outcome.Success(make([]byte, resultBytes), time.Millisecond))
+		l.End(now, t, outcome.Success(make([]byte, resultBytes), time.Millisecond))
 	}
 	return l, nil
 }
