--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
@@ -19,6 +20,7 @@
 	"greengagedoor.example/greengagedoor/internal/process/role/backend"
 	"greengagedoor.example/greengagedoor/internal/process/role/network"
 	"greengagedoor.example/greengagedoor/internal/process/role/owner"
+	"greengagedoor.example/greengagedoor/internal/process/web"
 	"greengagedoor.example/greengagedoor/internal/request/message"
 	"greengagedoor.example/greengagedoor/internal/version/configuration"
 )
@@ -42,6 +44,8 @@
 	owner    *role
 	network  *network.Network
 	backend  *backend.Backend
+	links    net.Listener
+	pages    net.Listener
 	drained  chan struct{}
 	cleanups []func()
 }
@@ -67,6 +71,13 @@
 }
 
 func (a *Agent) build(pool string, worker agent.Worker, seed uint64) error {
+	var err error
+	var cleanup func()
+	a.links, a.pages, cleanup, err = a.common.listen()
+	if err != nil {
+		return err
+	}
+	a.cleanups = append(a.cleanups, cleanup)
 	began := a.common.now()
 	issue := func(now time.Time) uint64 {
 		return uint64(now.Sub(began).Milliseconds()) + 1
@@ -138,19 +149,19 @@
 		owned:   map[identity.Shard]bool{},
 		routes:  map[identity.Shard]identity.Process{},
 	}
-	links, cleanup, err := serveLinks(a.common.linkAddress, func(g *grpc.Server) { a.network.Register(g) })
+	links, cleanup, err := serveLinks(a.links, func(g *grpc.Server) { a.network.Register(g) })
 	if err != nil {
 		return err
 	}
 	a.cleanups = append(a.cleanups, cleanup)
-	e := newEcho(func() bool { return true })
+	e := a.common.newEcho(func() bool { return true })
 	e.POST("/v1/announce", a.announce)
-	web, cleanup, err := serveHTTP(a.common.httpAddress, e)
+	pages, cleanup, err := web.Serve(a.pages, "http", "Serves callers, operators and targets.", e)
 	if err != nil {
 		return err
 	}
 	a.cleanups = append(a.cleanups, cleanup)
-	net, err := duty.New("network", "Carries messages between processes.", gauge(a.network.Ring()), a.network.Run)
+	carrier, err := duty.New("network", "Carries messages between processes.", gauge(a.network.Ring()), a.network.Run)
 	if err != nil {
 		return err
 	}
@@ -170,10 +181,15 @@
 	if err != nil {
 		return err
 	}
-	a.table, err = duty.NewTable(append([]duty.Duty{links, net, admission, dispatch, member, web}, duties...)...)
+	a.table, err = duty.NewTable(append([]duty.Duty{links, carrier, admission, dispatch, member, pages}, duties...)...)
 	return err
 }
 
+// HTTPAddress is where targets announce themselves.
+func (a *Agent) HTTPAddress() string {
+	return a.common.httpAddress
+}
+
 // Run runs all duties until ctx ends or one fails. When ctx ends, the agent first
 // drains: it takes no new work, and its duties go on until the running tasks have
 // ended and are reported, or drainLimit is over. The network then waits a moment
@@ -236,6 +252,7 @@
 
 func (a *Agent) applyOwner(now time.Time, o *owner.Owner, event any) {
 	for _, s := range o.Handle(now, event) {
+		a.common.logOwner(event, s)
 		if a.network.Post(s) != nil {
 			// The owner is inside Handle's result; the event goes through its ring.
 			_ = a.owner.ring.TryPush(message.NewUndelivered(s))
@@ -250,6 +267,7 @@
 		// be lost, and a slot would stay taken for good.
 		var failed []any
 		for _, effect := range d.Handle(now, events[0]) {
+			a.common.logAgent(effect)
 			if e, ok := a.carryOut(effect); !ok {
 				failed = append(failed, e)
 			}
@@ -300,11 +318,11 @@
 	dec := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, announceMaxBytes))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&d); err != nil {
-		return c.String(http.StatusBadRequest, err.Error())
+		return bodyFault(err)
 	}
 	n, err := announcement.New(d.Target, d.URL, d.Services, d.Slots, d.Connections, d.Leaving)
 	if err != nil {
-		return c.String(http.StatusBadRequest, err.Error())
+		return bad(http.StatusBadRequest, "", "%v", err)
 	}
 	if err := a.agent.ring.TryPush(n); err != nil {
 		return c.String(http.StatusServiceUnavailable, err.Error())
--- a/internal/process/role/host/entry.go
+++ b/internal/process/role/host/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -14,11 +15,16 @@
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 	"greengagedoor.example/greengagedoor/internal/process/role/entry"
 	"greengagedoor.example/greengagedoor/internal/process/role/network"
+	"greengagedoor.example/greengagedoor/internal/process/web"
 	"greengagedoor.example/greengagedoor/internal/request/answer"
 	"greengagedoor.example/greengagedoor/internal/request/message"
 	"greengagedoor.example/greengagedoor/internal/version/configuration"
 )
 
+// DrainLimit is how long a stopping entry waits for the answers of the requests
+// that it holds. Writing the answers may take web.ShutdownLimit more.
+const DrainLimit = 5 * time.Second
+
 // Entry is an assembled entry process.
 type Entry struct {
 	common   Common
@@ -26,7 +32,10 @@
 	entry    *role
 	network  *network.Network
 	ready    atomic.Bool
+	drained  chan struct{}
 	requests atomic.Uint64
+	links    net.Listener
+	pages    net.Listener
 	cleanups []func()
 }
 
@@ -40,7 +49,8 @@
 // NewEntry assembles an entry process.
 func NewEntry(c Common) (*Entry, func(), error) {
 	e := &Entry{
-		common: c,
+		common:  c,
+		drained: make(chan struct{}),
 	}
 	if err := e.build(); err != nil {
 		e.cleanup()
@@ -56,6 +66,13 @@
 }
 
 func (e *Entry) build() error {
+	var err error
+	var cleanup func()
+	e.links, e.pages, cleanup, err = e.common.listen()
+	if err != nil {
+		return err
+	}
+	e.cleanups = append(e.cleanups, cleanup)
 	decision, err := entry.New(e.common.regions, e.common.shards)
 	if err != nil {
 		return err
@@ -67,7 +84,6 @@
 	if err != nil {
 		return err
 	}
-	var cleanup func()
 	e.network, cleanup, err = network.New(e.common.process, e.common.linkAddress, network.Seams{
 		Now:         e.common.now,
 		Deliver:     func(ctx context.Context, v any) { _ = e.entry.ring.Push(ctx, v) },
@@ -88,19 +104,19 @@
 		owned:   map[identity.Shard]bool{},
 		routes:  map[identity.Shard]identity.Process{},
 	}
-	links, cleanup, err := serveLinks(e.common.linkAddress, func(g *grpc.Server) { e.network.Register(g) })
+	links, cleanup, err := serveLinks(e.links, func(g *grpc.Server) { e.network.Register(g) })
 	if err != nil {
 		return err
 	}
 	e.cleanups = append(e.cleanups, cleanup)
-	router := newEcho(e.ready.Load)
+	router := e.common.newEcho(e.ready.Load)
 	e.register(router)
-	web, cleanup, err := serveHTTP(e.common.httpAddress, router)
+	pages, cleanup, err := web.Serve(e.pages, "http", "Serves callers, operators and targets.", router)
 	if err != nil {
 		return err
 	}
 	e.cleanups = append(e.cleanups, cleanup)
-	net, err := duty.New("network", "Carries messages between processes.", gauge(e.network.Ring()), e.network.Run)
+	carrier, err := duty.New("network", "Carries messages between processes.", gauge(e.network.Ring()), e.network.Run)
 	if err != nil {
 		return err
 	}
@@ -112,10 +128,15 @@
 	if err != nil {
 		return err
 	}
-	e.table, err = duty.NewTable(net, links, decision, member, web)
+	e.table, err = duty.NewTable(carrier, links, decision, member, pages)
 	return err
 }
 
+// HTTPAddress is where callers and operators reach the entry.
+func (e *Entry) HTTPAddress() string {
+	return e.common.httpAddress
+}
+
 // Run runs all duties until ctx ends or one fails.
 func (e *Entry) Run(ctx context.Context) error {
 	failed, stop := e.table.Start(context.WithoutCancel(ctx))
@@ -124,10 +145,26 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
+		e.drain(context.WithoutCancel(ctx))
 		return nil
 	}
 }
 
+// drain refuses new requests and waits until those held have their answers. The
+// duties stop after it, the HTTP server first.
+func (e *Entry) drain(ctx context.Context) {
+	// The limit leaves the duty time to answer what is still open when it passes.
+	ctx, cancel := context.WithTimeout(ctx, DrainLimit+time.Second)
+	defer cancel()
+	err := e.entry.ring.Push(ctx, entry.NewDrain(e.common.now().Add(DrainLimit)))
+	if err == nil {
+		select {
+		case <-e.drained:
+		case <-ctx.Done():
+		}
+	}
+}
+
 func (e *Entry) publish(ctx context.Context, v any) {
 	switch v.(type) {
 	case *configuration.Configuration, membership.Routes:
@@ -159,6 +196,13 @@
 		}
 	}
 	e.ready.Store(d.Ready())
+	if d.Drained() {
+		select {
+		case <-e.drained:
+		default:
+			close(e.drained)
+		}
+	}
 }
 
 // ask hands a caller's event to the entry's duty and waits for the answer.
--- a/internal/process/standin/sizing/rows.go
+++ b/internal/process/standin/sizing/rows.go
@@ -24,6 +24,7 @@
 	payloadBytes = 256
 	resultBytes  = 256
 	retention    = 10 * time.Minute
+	ledgerBytes  = 1 << 30
 )
 
 // Rows measures everything that this package knows.
@@ -148,7 +149,7 @@
 
 func ledgerWith(n int) (*ledger.Ledger, error) {
 	now := time.Now()
-	l, err := ledger.New(now, retention, n+1, n*resultBytes)
+	l, err := ledger.New(now, retention, n+1, ledgerBytes)
 	if err != nil {
 		return nil, err
 	}
