Take the reserve and the share of long work from the configuration

The promise test also still called the former constructors of ledger and agent.

The promise test uses the new constructors, routes the barrier to the agent, and reads the hint by pointer.

--- a/internal/process/role/agent/agent.go
+++ b/internal/process/role/agent/agent.go
@@ -43,6 +43,7 @@
 	draining  bool
 	drained   bool
 	ledger    *ledger.Ledger
+	rules     rules
 	targets   map[string]*target
 	entered   uint64
 	services  map[string]*service
@@ -77,7 +78,7 @@
 	if self.IsZero() || l == nil || issue == nil {
 		return nil, errors.New("agent needs its process, a ledger and a source of credits")
 	}
-	return &Agent{
+	a := &Agent{
 		self:      self,
 		issue:     issue,
 		ledger:    l,
@@ -88,7 +89,9 @@
 		owners:    map[identity.Shard]identity.Process{},
 		interests: map[identity.Process]*interest{},
 		revoked:   newRevocations(),
-	}, nil
+	}
+	a.rules.set(configuration.DefaultAdmission())
+	return a, nil
 }
 
 // Handle takes one event and returns the effects. The slice is valid until the
@@ -179,6 +182,10 @@
 	}
 	a.cfg = cfg
 	a.ledger.Extend(ledger.Keep(cfg.Limits().Retention(), MaxCallerSkew))
+	a.rules.set(cfg.Limits().Admission())
+	for _, t := range a.targets {
+		a.touch(t)
+	}
 	for key, k := range a.kinds {
 		kind, ok := cfg.Kind(key.team, key.name)
 		if !ok {
--- a/internal/process/role/agent/announce.go
+++ b/internal/process/role/agent/announce.go
@@ -47,7 +47,7 @@
 
 func (a *Agent) newTarget(n announcement.Announcement) *target {
 	a.entered++
-	return newTarget(n, a.entered)
+	return newTarget(n, a.entered, &a.rules)
 }
 
 // sameOffer tells whether an announcement changes nothing that is decided by.
--- a/internal/process/role/agent/target.go
+++ b/internal/process/role/agent/target.go
@@ -5,18 +5,14 @@
 
 	"greengagedoor.example/greengagedoor/internal/connection/announcement"
 	"greengagedoor.example/greengagedoor/internal/process/outcome"
+	"greengagedoor.example/greengagedoor/internal/version/configuration"
 )
 
 // The rules for the slots of a target.
 const (
-	// reservedSlots are kept for urgency critical, so that a critical task need
-	// not wait behind work of other urgencies.
-	reservedSlots = 1
 	// reserveFrom is the number of slots from which some are reserved; a smaller
 	// target would lose too much of its capacity.
 	reserveFrom = 4
-	// longDivisor caps kinds marked long at this part of the slots.
-	longDivisor = 2
 	// speedWeight is the weight of one observation in the mean speed.
 	speedWeight = 0.1
 	minSpeed    = 0.01
@@ -33,6 +29,17 @@
 	quickFactor = 0.5
 )
 
+// rules are the parameters of admission, shared by all targets.
+type rules struct {
+	reserved  int
+	longShare float64
+}
+
+func (r *rules) set(a configuration.Admission) {
+	r.reserved = a.ReservedSlots()
+	r.longShare = a.LongShare()
+}
+
 // class is what decides which slots a task may take.
 type class uint8
 
@@ -67,6 +74,7 @@
 
 // target is an announced target with the slots in use.
 type target struct {
+	rules     *rules
 	order     uint64
 	announced announcement.Announcement
 	until     time.Time
@@ -92,8 +100,9 @@
 }
 
 // newTarget returns a target; order decides between targets of the same load.
-func newTarget(n announcement.Announcement, order uint64) *target {
+func newTarget(n announcement.Announcement, order uint64, r *rules) *target {
 	return &target{
+		rules:     r,
 		order:     order,
 		announced: n,
 		speed:     1,
@@ -121,7 +130,7 @@
 	if t.slots() < reserveFrom {
 		return 0
 	}
-	return reservedSlots
+	return min(t.rules.reserved, t.slots()-1)
 }
 
 // free is the number of slots that a class may take now.
@@ -141,7 +150,7 @@
 
 // longFree is the part of the slots for kinds marked long that is not in use.
 func (t *target) longFree() int {
-	return max(t.slots()/longDivisor, 1) - t.usedLong
+	return max(int(float64(t.slots())*t.rules.longShare), 1) - t.usedLong
 }
 
 // load orders targets for a class; infinite without a free slot.
--- a/internal/process/role/promise/world_test.go
+++ b/internal/process/role/promise/world_test.go
@@ -136,11 +136,11 @@
 	id := must(identity.NewProcess(fmt.Sprintf("a%d", i), incarnation))
 	began := w.now
 	issue := func(now time.Time) uint64 { return uint64(now.Sub(began).Milliseconds()) + 1 }
-	l := must(ledger.New(10*time.Minute+10*time.Second, 100_000))
+	l := must(ledger.New(w.now, ledger.Keep(10*time.Minute, agent.MaxCallerSkew), 100_000, 1<<30))
 	n := &node{
 		id:     id,
 		owner:  must(owner.New(id, must(owner.NewTopology(1, shards)), rand.New(rand.NewPCG(uint64(i), incarnation)))),
-		agent:  must(agent.New(l, issue)),
+		agent:  must(agent.New(id, l, issue)),
 		credit: issue,
 		beat:   w.now,
 	}
@@ -266,7 +266,7 @@
 		return true
 	}
 	switch r.Body().(type) {
-	case message.Start, message.Interest, message.Revoke, message.Seal:
+	case message.Start, message.Interest, message.Revoke, message.Seal, agent.Barrier:
 		return role == "agent"
 	}
 	return role != "agent"
@@ -287,7 +287,7 @@
 			})
 		case agent.Call:
 			w.call(n, e)
-		case agent.Free:
+		case *agent.Free:
 			n.room = e.Rooms()
 		case entry.Respond:
 			w.respond(e)
