--- a/internal/process/role/promise/world_test.go
+++ b/internal/process/role/promise/world_test.go
@@ -136,7 +136,7 @@
 	id := must(identity.NewProcess(fmt.Sprintf("a%d", i), incarnation))
 	began := w.now
 	issue := func(now time.Time) uint64 { return uint64(now.Sub(began).Milliseconds()) + 1 }
-	l := must(ledger.New(w.now, ledger.Keep(10*time.Minute, agent.MaxCallerSkew), 100_000, 1<<30))
+	l := must(ledger.New(w.now, 10*time.Minute+10*time.Second, 100_000, 64<<20))
 	n := &node{
 		id:     id,
 		owner:  must(owner.New(id, must(owner.NewTopology(1, shards)), rand.New(rand.NewPCG(uint64(i), incarnation)))),
@@ -266,7 +266,7 @@
 		return true
 	}
 	switch r.Body().(type) {
-	case message.Start, message.Interest, message.Revoke, message.Seal, agent.Barrier:
+	case message.Start, message.Interest, message.Revoke, message.Seal:
 		return role == "agent"
 	}
 	return role != "agent"
