--- a/internal/process/role/agent/agent.go
+++ b/internal/process/role/agent/agent.go
@@ -43,11 +43,14 @@
 	draining  bool
 	drained   bool
 	ledger    *ledger.Ledger
+	rules     rules
 	targets   map[string]*target
+	entered   uint64
 	services  map[string]*service
 	listed    []*service
 	worker    *worker
-	running   map[identity.Task]running
+	running   map[identity.Task]*running
+	spare     []*running
 	kinds     map[kindKey]*kindStats
 	owners    map[identity.Shard]identity.Process
 	interests map[identity.Process]*interest
@@ -75,18 +78,20 @@
 	if self.IsZero() || l == nil || issue == nil {
 		return nil, errors.New("agent needs its process, a ledger and a source of credits")
 	}
-	return &Agent{
+	a := &Agent{
 		self:      self,
 		issue:     issue,
 		ledger:    l,
 		targets:   map[string]*target{},
 		services:  map[string]*service{},
-		running:   map[identity.Task]running{},
+		running:   map[identity.Task]*running{},
 		kinds:     map[kindKey]*kindStats{},
 		owners:    map[identity.Shard]identity.Process{},
 		interests: map[identity.Process]*interest{},
 		revoked:   newRevocations(),
-	}, nil
+	}
+	a.rules.set(configuration.DefaultAdmission())
+	return a, nil
 }
 
 // Handle takes one event and returns the effects. The slice is valid until the
@@ -97,7 +102,7 @@
 	a.expire(now)
 	a.handle(now, event)
 	a.distribute(now)
-	a.hint(now)
+	a.hint()
 	a.finish()
 	return a.effects
 }
@@ -182,6 +187,10 @@
 		}
 	}
 	a.ledger.Extend(ledger.Keep(cfg.Limits().Retention(), MaxCallerSkew))
+	a.rules.set(cfg.Limits().Admission())
+	for _, t := range a.targets {
+		a.touch(t)
+	}
 	for key, k := range a.kinds {
 		kind, ok := cfg.Kind(key.team, key.name)
 		if !ok {
@@ -222,8 +231,9 @@
 	a.draining = true
 	a.changed = true
 	a.release(func(*offer) bool { return true })
-	clear(a.interests)
-	a.queue = nil
+	for len(a.queue) > 0 {
+		a.forget(a.queue[0].owner)
+	}
 }
 
 // finish reports once that a draining agent has nothing left to do.
@@ -240,7 +250,7 @@
 }
 
 // hint publishes the free capacity by service when it has changed.
-func (a *Agent) hint(now time.Time) {
+func (a *Agent) hint() {
 	if !a.changed {
 		return
 	}
@@ -248,7 +258,9 @@
 	a.rooms = a.rooms[:0]
 	if a.active() {
 		for _, s := range a.listed {
-			a.rooms = append(a.rooms, s.room(a.wanted(now, s)))
+			if !s.empty() {
+				a.rooms = append(a.rooms, s.room())
+			}
 		}
 	}
 	if a.hinted != nil && sameRooms(a.rooms, a.hinted) {
