--- a/cmd/greengagedoor/main.go
+++ b/cmd/greengagedoor/main.go
@@ -82,13 +82,24 @@
 	return app
 }
 
+// documented adds the exit codes to the help of a command and its subcommands.
+func documented(c *cli.Command) *cli.Command {
+	if c.Description == "" {
+		c.Description = exitCodes
+	}
+	for _, s := range c.Subcommands {
+		documented(s)
+	}
+	return c
+}
+
 func commands() []*cli.Command {
 	return []*cli.Command{
 		agentCommand(),
 		entryCommand(),
 		localCommand(),
-		configCommand(),
-		questionnaireCommand(),
+		documented(configCommand()),
+		documented(questionnaireCommand()),
 		submitCommand(),
 		statusCommand(),
 		cancelCommand(),
--- a/internal/process/role/promise/world_test.go
+++ b/internal/process/role/promise/world_test.go
@@ -32,21 +32,19 @@
 
 // node is one process: an agent with its owner, or an entry.
 type node struct {
-	id      identity.Process
-	owner   *owner.Owner
-	agent   *agent.Agent
-	entry   *entry.Entry
-	dead    bool
-	paused  bool
-	cut     bool // Cut off from the directory.
-	diedAt  time.Time
-	beat    time.Time // Last heartbeat that the directory received.
-	sent    time.Time
-	in      []any
-	out     []parcel
-	credit  func(time.Time) uint64
-	room    []message.Room
-	leaving bool
+	id     identity.Process
+	owner  *owner.Owner
+	agent  *agent.Agent
+	entry  *entry.Entry
+	dead   bool
+	paused bool
+	cut    bool      // Cut off from the directory.
+	beat   time.Time // Last heartbeat that the directory received.
+	sent   time.Time
+	in     []any
+	out    []parcel
+	credit func(time.Time) uint64
+	room   []message.Room
 }
 
 // parcel is a message on its way.
