--- a/internal/process/role/host/entry.go
+++ b/internal/process/role/host/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -11,14 +12,20 @@
 	"greengagedoor.example/greengagedoor/internal/process/duty"
 	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/membership"
+	"greengagedoor.example/greengagedoor/internal/process/metric"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 	"greengagedoor.example/greengagedoor/internal/process/role/entry"
 	"greengagedoor.example/greengagedoor/internal/process/role/network"
+	"greengagedoor.example/greengagedoor/internal/process/web"
 	"greengagedoor.example/greengagedoor/internal/request/answer"
 	"greengagedoor.example/greengagedoor/internal/request/message"
 	"greengagedoor.example/greengagedoor/internal/version/configuration"
 )
 
+// DrainLimit is how long a stopping entry waits for the answers of the requests
+// that it holds. Writing the answers may take web.ShutdownLimit more.
+const DrainLimit = 5 * time.Second
+
 // Entry is an assembled entry process.
 type Entry struct {
 	common   Common
@@ -26,7 +33,10 @@
 	entry    *role
 	network  *network.Network
 	ready    atomic.Bool
+	drained  chan struct{}
 	requests atomic.Uint64
+	links    net.Listener
+	pages    net.Listener
 	cleanups []func()
 }
 
@@ -40,7 +50,8 @@
 // NewEntry assembles an entry process.
 func NewEntry(c Common) (*Entry, func(), error) {
 	e := &Entry{
-		common: c,
+		common:  c,
+		drained: make(chan struct{}),
 	}
 	if err := e.build(); err != nil {
 		e.cleanup()
@@ -56,6 +67,13 @@
 }
 
 func (e *Entry) build() error {
+	var err error
+	var cleanup func()
+	e.links, e.pages, cleanup, err = e.common.listen()
+	if err != nil {
+		return err
+	}
+	e.cleanups = append(e.cleanups, cleanup)
 	decision, err := entry.New(e.common.regions, e.common.shards)
 	if err != nil {
 		return err
@@ -67,7 +85,7 @@
 	if err != nil {
 		return err
 	}
-	var cleanup func()
+	e.entry.snapshot = func() any { return decision.Snapshot() }
 	e.network, cleanup, err = network.New(e.common.process, e.common.linkAddress, network.Seams{
 		Now:         e.common.now,
 		Deliver:     func(ctx context.Context, v any) { _ = e.entry.ring.Push(ctx, v) },
@@ -88,19 +106,22 @@
 		owned:   map[identity.Shard]bool{},
 		routes:  map[identity.Shard]identity.Process{},
 	}
-	links, cleanup, err := serveLinks(e.common.linkAddress, func(g *grpc.Server) { e.network.Register(g) })
+	links, cleanup, err := serveLinks(e.links, func(g *grpc.Server) { e.network.Register(g) })
 	if err != nil {
 		return err
 	}
 	e.cleanups = append(e.cleanups, cleanup)
-	router := newEcho(e.ready.Load)
+	router := e.common.newEcho(e.ready.Load)
 	e.register(router)
-	web, cleanup, err := serveHTTP(e.common.httpAddress, router)
+	if err := e.common.observe(router, func() *duty.Table { return e.table }, e.entry); err != nil {
+		return err
+	}
+	pages, cleanup, err := web.Serve(e.pages, "http", "Serves callers, operators and targets.", router)
 	if err != nil {
 		return err
 	}
 	e.cleanups = append(e.cleanups, cleanup)
-	net, err := duty.New("network", "Carries messages between processes.", gauge(e.network.Ring()), e.network.Run)
+	carrier, err := duty.New("network", "Carries messages between processes.", gauge(e.network.Ring()), e.network.Run)
 	if err != nil {
 		return err
 	}
@@ -112,10 +133,20 @@
 	if err != nil {
 		return err
 	}
-	e.table, err = duty.NewTable(net, links, decision, member, web)
+	e.table, err = duty.NewTable(carrier, links, decision, member, pages)
 	return err
 }
 
+// HTTPAddress is where callers and operators reach the entry.
+func (e *Entry) HTTPAddress() string {
+	return e.common.httpAddress
+}
+
+// Owners is the number of processes that own a shard as far as the entry knows.
+func (e *Entry) Owners() int {
+	return int(e.common.metrics.Value(metric.ShardOwners))
+}
+
 // Run runs all duties until ctx ends or one fails.
 func (e *Entry) Run(ctx context.Context) error {
 	failed, stop := e.table.Start(context.WithoutCancel(ctx))
@@ -124,13 +155,30 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
+		e.drain(context.WithoutCancel(ctx))
 		return nil
 	}
 }
 
+// drain refuses new requests and waits until those held have their answers. The
+// duties stop after it, the HTTP server first.
+func (e *Entry) drain(ctx context.Context) {
+	// The limit leaves the duty time to answer what is still open when it passes.
+	ctx, cancel := context.WithTimeout(ctx, DrainLimit+time.Second)
+	defer cancel()
+	err := e.entry.ring.Push(ctx, entry.NewDrain(e.common.now().Add(DrainLimit)))
+	if err == nil {
+		select {
+		case <-e.drained:
+		case <-ctx.Done():
+		}
+	}
+}
+
 func (e *Entry) publish(ctx context.Context, v any) {
 	switch v.(type) {
 	case *configuration.Configuration, membership.Routes:
+		e.common.countVersion(v)
 		_ = e.entry.ring.Push(ctx, v)
 	}
 }
@@ -147,7 +195,9 @@
 	for _, effect := range d.Handle(now, event) {
 		switch v := effect.(type) {
 		case message.Send:
-			if e.network.Post(v) != nil {
+			err := e.network.Post(v)
+			e.common.countSend(err)
+			if err != nil {
 				_ = e.entry.ring.TryPush(message.NewUndelivered(v))
 			}
 		case entry.Respond:
@@ -158,11 +208,23 @@
 			}
 		}
 	}
+	if _, ok := event.(membership.Routes); ok {
+		e.common.metrics.Store(metric.ShardOwners, int64(d.Owners()))
+	}
 	e.ready.Store(d.Ready())
+	e.common.metrics.Store(metric.RequestsHeld, int64(d.Requests()))
+	if d.Drained() {
+		select {
+		case <-e.drained:
+		default:
+			close(e.drained)
+		}
+	}
 }
 
 // ask hands a caller's event to the entry's duty and waits for the answer.
 func (e *Entry) ask(c echo.Context, event func(request uint64) any) (answer.Answer, error) {
+	e.common.metrics.Add(metric.RequestsReceived, 1)
 	n := e.requests.Add(1)
 	reply, err := ring.New[answer.Answer]("reply", 1)
 	if err != nil {
