Wake the owner when it asks and show its counts in the dump

Cause: the shell woke the owner every 50 ms, so a batch of seals or revocations waited longer than its 2 or 5 ms, and the state dump had no counts of the owner. While the lease was invalid, Next could name a time in the past.

Without a lease the next question to sleeping agents is put off as with one.

Ruled out: Next with the shell's interval inside, since the interval is the shell's own matter.

--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -115,6 +115,13 @@
 	if err != nil {
 		return err
 	}
+	a.owner.next = func(now time.Time) time.Time {
+		if n := dispatch.Next(); !n.IsZero() {
+			return n
+		}
+		return now.Add(wakeInterval)
+	}
+	a.owner.snapshot = func() any { return dispatch.Snapshot(a.common.now()) }
 	return a.connect(pool, worker.Name(), func() uint64 { return issue(a.common.now()) })
 }
 
--- a/internal/process/role/owner/dispatch.go
+++ b/internal/process/role/owner/dispatch.go
@@ -106,6 +106,10 @@
 			svc.dirty = false
 		}
 		o.dirty = o.dirty[:0]
+		if !now.Before(o.rouse) {
+			// A time in the past would keep the shell awake until the lease is back.
+			o.rouse = now.Add(rouseInterval)
+		}
 		return
 	}
 	for n := 0; n < len(o.dirty); n++ {
--- a/internal/process/role/owner/snapshot.go
+++ b/internal/process/role/owner/snapshot.go
@@ -9,22 +9,22 @@
 
 // Snapshot is a count of the owner's state for the dump. It holds no payloads.
 type Snapshot struct {
-	leased    bool
-	shards    int
-	sealing   int
-	gaps      int
-	held      int
-	live      int
-	remnants  int
-	waiting   [configuration.Urgencies]int
-	open      int
-	agents    int
-	asleep    int
-	ejected   int
-	departed  int
-	timers    int
-	bytes     int
-	oldestNow time.Duration
+	leased     bool
+	shards     int
+	sealing    int
+	gaps       int
+	held       int
+	live       int
+	remnants   int
+	waiting    [configuration.Urgencies]int
+	open       int
+	agents     int
+	asleep     int
+	ejected    int
+	departed   int
+	timers     int
+	bytes      int
+	oldestWait time.Duration
 }
 
 // Snapshot counts the owner's state.
@@ -55,7 +55,7 @@
 		for c := queue.Class(0); c < queue.Classes; c++ {
 			n, oldest := svc.queue.Waiting(now, c)
 			s.waiting[c.Urgency()] += n
-			s.oldestNow = max(s.oldestNow, oldest)
+			s.oldestWait = max(s.oldestWait, oldest)
 		}
 	}
 	return s
@@ -104,7 +104,7 @@
 
 // Oldest is the wait of the oldest waiting task.
 func (s Snapshot) Oldest() time.Duration {
-	return s.oldestNow
+	return s.oldestWait
 }
 
 // Open is the number of starts without a result.
