Follow the agent's contract for workers, retries and withdrawn work

Cause: agents publish a worker's room under one service of its own, permit a second start of a failed task on the same node, and refuse submissions that were revoked there before. The owner looked for a worker's room under the kind's service, gave a failed task up when no other agent was there, and would have sent a withdrawn task again and again.

Ruled out: a retry at any agent, since what broke a task may last at the first.

Change: worker kinds use the service "worker"; a failed task prefers agents that have not run it; a withdrawn task ends its job as cancelled; a task that an agent already holds ends as unknown.

--- a/internal/process/role/owner/cancel_test.go
+++ b/internal/process/role/owner/cancel_test.go
@@ -125,6 +125,20 @@
 		So(w.answers[n].Reason(), ShouldEqual, answer.DeadlinePassed)
 		So(w.answers[n].NotRun(), ShouldBeTrue)
 	})
+	Convey("a submission that a former owner revoked does not start", t, func() {
+		w := newWorld(1, 1)
+		w.own("owner", 1, nil)
+		w.hold = true
+		s := key(w.now, 1)
+		n := w.submit(s, "plain", 1, time.Time{})
+		w.agents[0].inbox = nil
+		start := sentOf[message.Start](w)[0].Body().(message.Start)
+		w.agents[0].post(w.current, message.NewRejected(start.Task(), message.Withdrawn))
+		w.hold = false
+		w.settle()
+		So(w.answers[n].Reason(), ShouldEqual, answer.Cancelled)
+		So(w.starts, ShouldBeEmpty)
+	})
 	Convey("without a confirmation the answer is unknown after a limit", t, func() {
 		w := newWorld(1, 1)
 		w.own("owner", 1, nil)
--- a/internal/process/role/owner/dispatch.go
+++ b/internal/process/role/owner/dispatch.go
@@ -184,7 +184,7 @@
 	w := i.Value()
 	pool := poolOf(i.Class())
 	r, ok := o.top(now, svc, pool)
-	for ok && (w.submission.unfit(r.agent.process) || w.retry && w.submission.job.Tried(w.index, r.agent.process)) {
+	for ok && !o.takes(w, r.agent) {
 		svc.pools[pool].Remove(r.at[pool])
 		o.skipped = append(o.skipped, r)
 		r, ok = o.top(now, svc, pool)
@@ -244,7 +244,7 @@
 	r := a.room(svc)
 	for r != nil && left > 0 && !r.ejected && (!r.probing || r.open == 0) {
 		i, ok := svc.queue.Next(now, mask)
-		if !ok || !i.Value().takes(a) {
+		if !ok || !o.takes(i.Value(), a) {
 			break
 		}
 		o.start(now, svc, i, r)
@@ -255,7 +255,22 @@
 	}
 }
 
-// takes tells whether the agent can take the work.
-func (w work) takes(a *agent) bool {
-	return !w.submission.unfit(a.process) && (!w.retry || !w.submission.job.Tried(w.index, a.process))
+// takes tells whether the work may go to the agent. A task that failed goes to an
+// agent that has not run it, as long as one offers the service: whatever broke
+// the task there may last.
+func (o *Owner) takes(w work, a *agent) bool {
+	s := w.submission
+	if s.unfit(a.process) {
+		return false
+	}
+	if !w.retry || !s.job.Tried(w.index, a.process) {
+		return true
+	}
+	for _, other := range o.set {
+		r := other.room(s.svc)
+		if r != nil && r.heard && !s.unfit(other.process) && !s.job.Tried(w.index, other.process) {
+			return false
+		}
+	}
+	return true
 }
--- a/internal/process/role/owner/request.go
+++ b/internal/process/role/owner/request.go
@@ -173,6 +173,17 @@
 	return kind, answer.Answer{}, true
 }
 
+// workerService is the service under which agents publish the room of workers.
+const workerService = "worker"
+
+// serviceOf names the room that a kind's tasks take.
+func serviceOf(k configuration.Kind) string {
+	if k.BackEnd() == configuration.Worker {
+		return workerService
+	}
+	return k.Service()
+}
+
 // prepare builds a submission that is not yet kept.
 func (o *Owner) prepare(now time.Time, h *holding, order job.Order, kind configuration.Kind) *submission {
 	o.accepted++
@@ -181,7 +192,7 @@
 		job:     job.New(now, order, kind),
 		digest:  order.Digest(),
 		home:    h,
-		svc:     o.service(kind.Service()),
+		svc:     o.service(serviceOf(kind)),
 		learned: o.learnedOf(kind),
 	}
 	s.item = queue.NewItem(work{
--- a/internal/process/role/owner/result.go
+++ b/internal/process/role/owner/result.go
@@ -184,20 +184,10 @@
 	return n
 }
 
-// mayRetry tells whether a failed task starts again: its kind permits it, another
-// agent is there, since the former one's ledger would refuse it, and the budget
-// pays for it.
+// mayRetry tells whether a failed task starts again: its kind permits it and the
+// budget pays for it.
 func (o *Owner) mayRetry(s *submission, index uint32, from identity.Process) bool {
-	if !s.job.MayRetry(index, from) {
-		return false
-	}
-	for _, a := range o.set {
-		r := a.room(s.svc)
-		if r != nil && r.heard && a.process != from && !s.job.Tried(index, a.process) {
-			return o.retries.Take()
-		}
-	}
-	return false
+	return s.job.MayRetry(index, from) && o.retries.Take()
 }
 
 // again queues a failed task by itself, so that it does not hold up the others.
@@ -222,7 +212,7 @@
 		o.release(s.home.grant.Shard())
 		return
 	}
-	if cause == message.AlreadyStarted && !s.job.Tried(task.Index(), from) {
+	if cause == message.AlreadyStarted {
 		o.fail(now, s, task.Index(), from, "the agent "+from.String()+" has an earlier start of the task")
 		return
 	}
@@ -233,10 +223,12 @@
 		o.ended(s)
 		return
 	}
-	if cause == message.PastDeadline {
+	switch {
+	case cause == message.PastDeadline:
 		o.stop(now, s, answer.DeadlinePassed, "the deadline passed", 0)
-	}
-	if cause == message.NeverFits && o.fitsNowhere(s, from) {
+	case cause == message.Withdrawn:
+		o.stop(now, s, answer.Cancelled, "a former owner revoked the submission", 0)
+	case cause == message.NeverFits && o.fitsNowhere(s, from):
 		o.stop(now, s, answer.FitsNowhere, "a task is larger than every worker known to the owner", 0)
 	}
 	if !s.job.Waiting(task.Index()) {
--- a/internal/process/role/owner/room.go
+++ b/internal/process/role/owner/room.go
@@ -335,7 +335,7 @@
 		}
 	case message.StaleCredit:
 		o.sleep(now, a)
-	case message.NeverFits, message.PastDeadline, message.AlreadyStarted:
+	case message.NeverFits, message.PastDeadline, message.Withdrawn:
 	default:
 		o.rest(now, r, restTime)
 	}
--- a/internal/request/job/job.go
+++ b/internal/request/job/job.go
@@ -170,8 +170,7 @@
 	j.returned = append(j.returned, index)
 }
 
-// Tried tells whether the task ran at an agent before; that agent's ledger would
-// refuse it.
+// Tried tells whether the task ran at an agent before.
 func (j *Job) Tried(index uint32, agent identity.Process) bool {
 	for _, p := range j.tried[index] {
 		if p == agent {
