--- /dev/null
+++ b/internal/process/membership/digest.go
@@ -0,0 +1,95 @@
+package membership
+
+import "time"
+
+// Report is what a cell's directory says about the store. It holds for the span
+// from since to stated; both are ages, since no clock is shared.
+type Report struct {
+	cell    string
+	answers bool
+	stated  time.Duration
+	since   time.Duration
+}
+
+// NewReport returns the report.
+func NewReport(cell string, answers bool, stated, since time.Duration) Report {
+	return Report{
+		cell:    cell,
+		answers: answers,
+		stated:  stated,
+		since:   since,
+	}
+}
+
+// Cell is the reporting cell.
+func (r Report) Cell() string {
+	return r.cell
+}
+
+// Answers tells whether the store answers.
+func (r Report) Answers() bool {
+	return r.answers
+}
+
+// Stated is the time since the report was made.
+func (r Report) Stated() time.Duration {
+	return r.stated
+}
+
+// Since is the time since the report became true.
+func (r Report) Since() time.Duration {
+	return r.since
+}
+
+// Digest is what the directories of a region tell each other.
+type Digest struct {
+	cell     string
+	versions Versions
+	reports  []Report
+	members  uint32
+	inForce  uint32
+	free     uint32
+}
+
+// NewDigest returns the message: the members of the cell, how many of them have
+// the configuration version in force, and their free slots.
+func NewDigest(cell string, versions Versions, reports []Report, members, inForce, free uint32) Digest {
+	return Digest{
+		cell:     cell,
+		versions: versions,
+		reports:  reports,
+		members:  members,
+		inForce:  inForce,
+		free:     free,
+	}
+}
+
+// Cell is the sender's cell.
+func (d Digest) Cell() string {
+	return d.cell
+}
+
+// Versions is what the sender has.
+func (d Digest) Versions() Versions {
+	return d.versions
+}
+
+// Reports has the newest report of each cell that the sender knows.
+func (d Digest) Reports() []Report {
+	return d.reports
+}
+
+// Members is the number of members that beat.
+func (d Digest) Members() uint32 {
+	return d.members
+}
+
+// InForce is the number of members with the sender's configuration version.
+func (d Digest) InForce() uint32 {
+	return d.inForce
+}
+
+// Free is the number of free slots beside the members.
+func (d Digest) Free() uint32 {
+	return d.free
+}
--- a/internal/process/membership/event.go
+++ b/internal/process/membership/event.go
@@ -35,6 +35,7 @@
 	address string
 	zone    string
 	lost    time.Time
+	leaving bool
 }
 
 // NewMember returns a member; lost is zero for one that has not departed.
@@ -67,6 +68,23 @@
 	return m.lost
 }
 
+// WithLeaving marks a member that hands over and takes nothing new.
+func (m Member) WithLeaving() Member {
+	m.leaving = true
+	return m
+}
+
+// WithLost sets the time of loss.
+func (m Member) WithLost(lost time.Time) Member {
+	m.lost = lost
+	return m
+}
+
+// Leaving tells whether the member hands over.
+func (m Member) Leaving() bool {
+	return m.leaving
+}
+
 // Granted is an event: the process owns a shard from now on. The roster lists
 // every agent of the region that may hold start records, departed ones of the
 // last retention included. A shard that never had an owner has no roster, since
--- /dev/null
+++ b/internal/process/role/directory/assign.go
@@ -0,0 +1,278 @@
+package directory
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/membership"
+)
+
+const (
+	// settleTime is the quiet time after a change before shards are moved between
+	// live owners, so that directories do not correct each other.
+	settleTime = time.Second
+	// recallTime is how long a recall may take; it is repeated then.
+	recallTime = 3 * time.Second
+)
+
+// region is the stored state that an assignment starts from.
+type region struct {
+	live  map[identity.Process]membership.Member
+	open  []membership.Member
+	loads map[identity.Process]int
+}
+
+func (d *Directory) survey() region {
+	r := region{
+		live:  map[identity.Process]membership.Member{},
+		loads: map[identity.Process]int{},
+	}
+	for _, c := range d.fleet.Region(d.set.region) {
+		for _, m := range c.Live() {
+			r.live[m.Process()] = m
+			if !m.Leaving() {
+				r.open = append(r.open, m)
+			}
+		}
+	}
+	own := map[int]bool{}
+	for _, g := range d.set.layout.Groups(d.set.region) {
+		own[g] = true
+	}
+	for _, g := range d.fleet.Groups() {
+		if !own[g.Number()] {
+			continue
+		}
+		for _, route := range g.Routes() {
+			r.loads[route.Owner()]++
+		}
+	}
+	return r
+}
+
+// responsible lists the groups that this directory assigns. Cells without a
+// directory are passed over, so that their groups do not wait for one; two
+// directories with different views are kept apart by the compare-and-swap.
+func (d *Directory) responsible() []int {
+	var cells []membership.Cell
+	for _, c := range d.fleet.Region(d.set.region) {
+		if !c.Holder().Process().IsZero() {
+			cells = append(cells, c)
+		}
+	}
+	var mine []int
+	for _, g := range d.set.layout.Groups(d.set.region) {
+		c, ok := membership.Responsible(g, cells)
+		if h, held := d.cells[c.Name()]; ok && held && h.written {
+			mine = append(mine, g)
+		}
+	}
+	return mine
+}
+
+// assign returns the groups with new owners, and recalls shards from owners that
+// have too many.
+func (d *Directory) assign(now time.Time) []membership.Group {
+	if !d.maySeize(now) {
+		return nil
+	}
+	mine := d.responsible()
+	if len(mine) == 0 {
+		return nil
+	}
+	r := d.survey()
+	stored := map[int]membership.Group{}
+	for _, g := range d.fleet.Groups() {
+		stored[g.Number()] = g
+	}
+	var groups []membership.Group
+	for _, n := range mine {
+		if g, ok := d.assignGroup(r, stored[n], n); ok {
+			groups = append(groups, g)
+		}
+	}
+	if len(groups) == 0 && len(r.open) > 0 {
+		d.rebalance(now, r, mine, stored)
+	}
+	return groups
+}
+
+// assignGroup gives the group's shards without owner to live agents.
+func (d *Directory) assignGroup(r region, g membership.Group, number int) (membership.Group, bool) {
+	known := map[identity.Shard]membership.Route{}
+	for _, route := range g.Routes() {
+		known[route.Shard()] = route
+	}
+	changed := false
+	var routes []membership.Route
+	owners := map[identity.Process]membership.Member{}
+	for _, s := range d.set.layout.Shards(number) {
+		route := known[s]
+		if d.orphan(r, s, route) {
+			owner := d.choose(r, s, route.Owner())
+			if owner.IsZero() && route.Owner().IsZero() {
+				continue
+			}
+			r.loads[owner]++
+			r.loads[route.Owner()]--
+			route = membership.NewRoute(s, route.Epoch()+1, owner)
+			changed = true
+		}
+		routes = append(routes, route)
+		owners[route.Owner()] = r.live[route.Owner()]
+	}
+	if !changed {
+		return membership.Group{}, false
+	}
+	list := make([]membership.Member, 0, len(owners))
+	for _, o := range owners {
+		if !o.Process().IsZero() {
+			list = append(list, o)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Process().String() < list[j].Process().String() })
+	// The listed state shows the loss of the former owners, or was read after they
+	// stopped, so its rosters name every agent that can have records.
+	return membership.NewGroup(number, d.mark(), d.fleet.Index(), routes, list).WithIndex(g.Index()), true
+}
+
+// orphan tells whether nothing can be started any more under a route.
+func (d *Directory) orphan(r region, s identity.Shard, route membership.Route) bool {
+	if _, live := r.live[route.Owner()]; !live {
+		return true
+	}
+	y, ok := d.yields[s]
+	return ok && y.epoch == route.Epoch() && !d.readFrom.Before(y.at)
+}
+
+// choose returns the first-ranked agent with less than its part of the shards,
+// other than the former owner if there is one; none if nobody takes shards.
+func (d *Directory) choose(r region, s identity.Shard, former identity.Process) identity.Process {
+	if len(r.open) == 0 {
+		return identity.Process{}
+	}
+	limit := (d.set.layout.Count() + len(r.open) - 1) / len(r.open)
+	subject := "shard/" + strconv.Itoa(int(s))
+	var best, least identity.Process
+	var rank uint64
+	for _, m := range r.open {
+		p := m.Process()
+		if p == former && len(r.open) > 1 {
+			continue
+		}
+		if least.IsZero() || r.loads[p] < r.loads[least] {
+			least = p
+		}
+		if w := membership.Rank(subject, p.Name()); r.loads[p] < limit && (best.IsZero() || w > rank) {
+			best, rank = p, w
+		}
+	}
+	if best.IsZero() {
+		return least
+	}
+	return best
+}
+
+// rebalance recalls shards from owners that have far more than their part while
+// others have far less. It waits until the last change has settled.
+func (d *Directory) rebalance(now time.Time, r region, mine []int, stored map[int]membership.Group) {
+	if now.Sub(d.moved) < settleTime {
+		return
+	}
+	for _, c := range d.recalls {
+		if now.Sub(c.at) < recallTime {
+			return
+		}
+	}
+	part := d.set.layout.Count() / len(r.open)
+	need := 0
+	for _, m := range r.open {
+		if n := r.loads[m.Process()]; 2*n < part {
+			need += part - n
+		}
+	}
+	if need == 0 {
+		return
+	}
+	claims := map[identity.Process][]membership.Claim{}
+	for _, n := range mine {
+		for _, route := range stored[n].Routes() {
+			p := route.Owner()
+			if need == 0 || r.loads[p] <= part {
+				continue
+			}
+			need--
+			r.loads[p]--
+			claims[p] = append(claims[p], membership.NewClaim(route.Shard(), route.Epoch()))
+			d.recalls[route.Shard()] = recalled{
+				epoch: route.Epoch(),
+				at:    now,
+			}
+		}
+	}
+	d.sendRecalls(r, claims)
+}
+
+func (d *Directory) sendRecalls(r region, claims map[identity.Process][]membership.Claim) {
+	owners := make([]identity.Process, 0, len(claims))
+	for p := range claims {
+		owners = append(owners, p)
+	}
+	sort.Slice(owners, func(i, j int) bool { return owners[i].String() < owners[j].String() })
+	for _, p := range owners {
+		d.emit(Reach{
+			member: r.live[p],
+		})
+		d.send(p, membership.NewRecall(claims[p]))
+	}
+}
+
+// yield notes that an owner has stopped, or passes it on to the directory that
+// assigns the group. The rosters are read again, since they must be newer.
+func (d *Directory) yield(now time.Time, from identity.Process, y membership.Yield) {
+	mine := map[int]bool{}
+	for _, g := range d.responsible() {
+		mine[g] = true
+	}
+	others := map[identity.Process][]membership.Claim{}
+	for _, c := range y.Claims() {
+		g := d.set.layout.Group(c.Shard())
+		if mine[g] {
+			d.yields[c.Shard()] = yielded{
+				epoch: c.Epoch(),
+				at:    now,
+			}
+			d.reread = true
+			continue
+		}
+		if m := d.assigner(g); !m.Process().IsZero() && m.Process() != d.set.self.Process() {
+			others[m.Process()] = append(others[m.Process()], c)
+		}
+	}
+	// What another directory passed on goes no further, or two directories with
+	// different views would send it to and fro. The owner repeats it.
+	if from != y.Owner() {
+		return
+	}
+	for _, c := range d.fleet.Region(d.set.region) {
+		p := c.Holder().Process()
+		if claims := others[p]; len(claims) > 0 {
+			d.send(p, membership.NewYield(y.Owner(), claims))
+			delete(others, p)
+		}
+	}
+}
+
+// assigner is the directory that assigns a group.
+func (d *Directory) assigner(group int) membership.Member {
+	var cells []membership.Cell
+	for _, c := range d.fleet.Region(d.set.region) {
+		if !c.Holder().Process().IsZero() {
+			cells = append(cells, c)
+		}
+	}
+	c, _ := membership.Responsible(group, cells)
+	return c.Holder()
+}
--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -12,7 +13,6 @@
 
 	"greengagedoor.example/greengagedoor/internal/connection/announcement"
 	"greengagedoor.example/greengagedoor/internal/process/duty"
-	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/ledger"
 	"greengagedoor.example/greengagedoor/internal/process/membership"
 	"greengagedoor.example/greengagedoor/internal/process/role/agent"
@@ -38,6 +38,9 @@
 	owner    *role
 	network  *network.Network
 	backend  *backend.Backend
+	station  *station
+	free     atomic.Uint32
+	ready    atomic.Bool
 	cleanups []func()
 }
 
@@ -119,24 +122,20 @@
 		return err
 	}
 	a.cleanups = append(a.cleanups, cleanup)
+	a.station, err = newStation(a.common, true, a.network.Post, a.publish, a.free.Load)
+	if err != nil {
+		return err
+	}
 	return a.duties()
 }
 
 func (a *Agent) duties() error {
-	reg := &registry{
-		common:  a.common,
-		agent:   true,
-		network: a.network,
-		publish: a.publish,
-		owned:   map[identity.Shard]bool{},
-		routes:  map[identity.Shard]identity.Process{},
-	}
 	links, cleanup, err := serveLinks(a.common.linkAddress, func(g *grpc.Server) { a.network.Register(g) })
 	if err != nil {
 		return err
 	}
 	a.cleanups = append(a.cleanups, cleanup)
-	e := newEcho(func() bool { return true })
+	e := newEcho(a.ready.Load)
 	e.POST("/v1/announce", a.announce)
 	web, cleanup, err := serveHTTP(a.common.httpAddress, e)
 	if err != nil {
@@ -155,7 +154,7 @@
 	if err != nil {
 		return err
 	}
-	member, err := duty.New("member", "Keeps this process's membership.", nil, reg.run)
+	members, err := a.station.duties()
 	if err != nil {
 		return err
 	}
@@ -163,7 +162,8 @@
 	if err != nil {
 		return err
 	}
-	a.table, err = duty.NewTable(append([]duty.Duty{net, links, admission, dispatch, member, web}, duties...)...)
+	all := append([]duty.Duty{net, links, admission, dispatch, web}, duties...)
+	a.table, err = duty.NewTable(append(all, members...)...)
 	return err
 }
 
@@ -175,6 +175,7 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
+		a.station.leave(context.WithoutCancel(ctx))
 		return nil
 	}
 }
@@ -182,7 +183,11 @@
 // publish hands a fact about the process to its roles.
 func (a *Agent) publish(ctx context.Context, e any) {
 	switch e.(type) {
-	case membership.Lease, *configuration.Configuration:
+	case *configuration.Configuration:
+		a.ready.Store(true)
+		_ = a.agent.ring.Push(ctx, e)
+		_ = a.owner.ring.Push(ctx, e)
+	case membership.Lease, message.Gone:
 		_ = a.agent.ring.Push(ctx, e)
 		_ = a.owner.ring.Push(ctx, e)
 	case membership.Granted, membership.Released, membership.WorkingSet:
@@ -193,6 +198,9 @@
 // deliver routes a received message to the role that handles it.
 func (a *Agent) deliver(ctx context.Context, e any) {
 	if r, ok := e.(message.Received); ok {
+		if a.station.deliver(ctx, r) {
+			return
+		}
 		switch r.Body().(type) {
 		case message.Start, message.Interest, message.Revoke, message.Seal:
 			_ = a.agent.ring.Push(ctx, e)
@@ -207,6 +215,8 @@
 
 func (a *Agent) undelivered(ctx context.Context, u message.Undelivered) {
 	switch u.Send().Body().(type) {
+	case membership.Beat, membership.Confirm, membership.Fetch, membership.Body, membership.Recall, membership.Yield, membership.Digest:
+		// The membership repeats what was not answered.
 	case message.Finished, message.Rejected, message.Offer, message.Revoked, message.Sealed:
 		_ = a.agent.ring.Push(ctx, u)
 	default:
@@ -221,6 +231,9 @@
 			_ = a.owner.ring.TryPush(message.NewUndelivered(s))
 		}
 	}
+	if r, ok := event.(membership.Released); ok {
+		a.station.stopped(r)
+	}
 }
 
 func (a *Agent) applyAgent(now time.Time, d *agent.Agent, event any) {
@@ -234,6 +247,7 @@
 		case agent.Call, agent.Place:
 			err = a.backend.Post(e)
 		case agent.Free:
+			a.countFree(e.Rooms())
 			err = a.network.Post(network.NewHint(e.Rooms()))
 		}
 		if err != nil {
@@ -242,6 +256,14 @@
 	}
 }
 
+func (a *Agent) countFree(rooms []message.Room) {
+	var n uint32
+	for _, r := range rooms {
+		n += r.Free()
+	}
+	a.free.Store(n)
+}
+
 type announceDocument struct {
 	Target      string   `json:"target"`
 	URL         string   `json:"url"`
--- a/internal/process/role/host/entry.go
+++ b/internal/process/role/host/entry.go
@@ -9,7 +9,6 @@
 	"google.golang.org/grpc"
 
 	"greengagedoor.example/greengagedoor/internal/process/duty"
-	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/membership"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 	"greengagedoor.example/greengagedoor/internal/process/role/entry"
@@ -25,6 +24,7 @@
 	table    *duty.Table
 	entry    *role
 	network  *network.Network
+	station  *station
 	ready    atomic.Bool
 	requests atomic.Uint64
 	cleanups []func()
@@ -70,24 +70,28 @@
 	var cleanup func()
 	e.network, cleanup, err = network.New(e.common.process, e.common.linkAddress, network.Seams{
 		Now:         e.common.now,
-		Deliver:     func(ctx context.Context, v any) { _ = e.entry.ring.Push(ctx, v) },
+		Deliver:     e.deliver,
 		Undelivered: func(ctx context.Context, u message.Undelivered) { _ = e.entry.ring.Push(ctx, u) },
 	}, e.common.log)
 	if err != nil {
 		return err
 	}
 	e.cleanups = append(e.cleanups, cleanup)
+	e.station, err = newStation(e.common, false, e.network.Post, e.publish, func() uint32 { return 0 })
+	if err != nil {
+		return err
+	}
 	return e.duties()
 }
 
-func (e *Entry) duties() error {
-	reg := &registry{
-		common:  e.common,
-		network: e.network,
-		publish: e.publish,
-		owned:   map[identity.Shard]bool{},
-		routes:  map[identity.Shard]identity.Process{},
+func (e *Entry) deliver(ctx context.Context, v any) {
+	if r, ok := v.(message.Received); ok && e.station.deliver(ctx, r) {
+		return
 	}
+	_ = e.entry.ring.Push(ctx, v)
+}
+
+func (e *Entry) duties() error {
 	links, cleanup, err := serveLinks(e.common.linkAddress, func(g *grpc.Server) { e.network.Register(g) })
 	if err != nil {
 		return err
@@ -108,11 +112,11 @@
 	if err != nil {
 		return err
 	}
-	member, err := duty.New("member", "Follows configuration and shard map.", nil, reg.run)
+	members, err := e.station.duties()
 	if err != nil {
 		return err
 	}
-	e.table, err = duty.NewTable(net, links, decision, member, web)
+	e.table, err = duty.NewTable(append([]duty.Duty{net, links, decision, web}, members...)...)
 	return err
 }
 
--- a/internal/process/role/host/host.go
+++ b/internal/process/role/host/host.go
@@ -45,6 +45,16 @@
 	store       *store.Store
 	log         *logrus.Entry
 	now         func() time.Time
+	cell        string
+	cellSize    int
+}
+
+// WithCell sets the process's cell and the number of agents in a cell. With an
+// empty cell the process takes the first of its availability zone with room.
+func (c Common) WithCell(cell string, size int) Common {
+	c.cell = cell
+	c.cellSize = size
+	return c
 }
 
 // NewCommon joins the settings that every process has. The link address is where
@@ -68,6 +78,7 @@
 		store:       s,
 		log:         log,
 		now:         time.Now,
+		cellSize:    DefaultCellSize,
 	}, nil
 }
 
--- /dev/null
+++ b/internal/process/role/host/stores.go
@@ -0,0 +1,364 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"greengagedoor.example/greengagedoor/internal/process/duty"
+	"greengagedoor.example/greengagedoor/internal/process/membership"
+	"greengagedoor.example/greengagedoor/internal/process/ring"
+	"greengagedoor.example/greengagedoor/internal/process/role/directory"
+	"greengagedoor.example/greengagedoor/internal/process/role/member"
+	"greengagedoor.example/greengagedoor/internal/process/role/wire"
+	"greengagedoor.example/greengagedoor/internal/process/store"
+	"greengagedoor.example/greengagedoor/internal/version/configuration"
+)
+
+const (
+	// leaseTimeout is below the session's time, so that a slow renewal can be
+	// repeated before the session ends.
+	leaseTimeout = time.Second
+	watchTime    = 30 * time.Second
+	// watchPause bounds how often a watch lists the fleet while it changes fast.
+	watchPause = 100 * time.Millisecond
+	// watchRetry is the pause after a watch that failed.
+	watchRetry = 500 * time.Millisecond
+)
+
+// health logs the first failure of a purpose and its end, not each repetition.
+// Each is used by one duty only.
+type health struct {
+	log     *logrus.Entry
+	purpose string
+	failing bool
+}
+
+func (h *health) note(err error) {
+	if failing := err != nil; failing != h.failing {
+		h.failing = failing
+		if failing {
+			h.log.WithError(err).WithField("purpose", h.purpose).Warn("store call failed")
+		} else {
+			h.log.WithField("purpose", h.purpose).Info("store answers again")
+		}
+	}
+}
+
+// stores are the duties that call the store, one for each purpose, so that a
+// slow call of one purpose holds up no other and at most one is in flight.
+type stores struct {
+	common    Common
+	member    *role
+	directory *role
+	looks     *ring.Ring[member.Look]
+	leases    *ring.Ring[any]
+	writes    *ring.Ring[directory.Write]
+	bodies    *ring.Ring[directory.Read]
+	fleet     *ring.Ring[directory.Follow]
+	heads     *ring.Ring[directory.Follow]
+	health    [6]health
+}
+
+// The purposes, as places in the table of health.
+const (
+	lookPurpose = iota
+	leasePurpose
+	writePurpose
+	bodyPurpose
+	fleetPurpose
+	headPurpose
+)
+
+func newStores(c Common, m, d *role) (*stores, error) {
+	s := &stores{
+		common:    c,
+		member:    m,
+		directory: d,
+	}
+	for i, purpose := range []string{"look", "lease", "fleet", "configuration", "watch_fleet", "watch_configuration"} {
+		s.health[i] = health{
+			log:     c.log,
+			purpose: purpose,
+		}
+	}
+	var err error
+	if s.looks, err = ring.New[member.Look]("store_look", storeRing); err != nil {
+		return nil, err
+	}
+	if s.leases, err = ring.New[any]("store_lease", storeRing); err != nil {
+		return nil, err
+	}
+	if s.writes, err = ring.New[directory.Write]("store_fleet", storeRing); err != nil {
+		return nil, err
+	}
+	if s.bodies, err = ring.New[directory.Read]("store_configuration", storeRing); err != nil {
+		return nil, err
+	}
+	if s.fleet, err = ring.New[directory.Follow]("watch_fleet", storeRing); err != nil {
+		return nil, err
+	}
+	s.heads, err = ring.New[directory.Follow]("watch_configuration", storeRing)
+	return s, err
+}
+
+func (s *stores) duties() ([]duty.Duty, error) {
+	type row struct {
+		name    string
+		purpose string
+		gauge   duty.Gauge
+		run     func(context.Context) error
+	}
+	rows := []row{
+		{
+			name:    "store_look",
+			purpose: "Reads the cells while no directory confirms.",
+			gauge:   gauge(s.looks),
+			run:     func(ctx context.Context) error { return drain(ctx, s.looks, s.look) },
+		},
+	}
+	if s.directory != nil {
+		rows = append(rows,
+			row{
+				name:    "store_lease",
+				purpose: "Keeps the session and the leases of cells.",
+				gauge:   gauge(s.leases),
+				run:     func(ctx context.Context) error { return drain(ctx, s.leases, s.lease) },
+			},
+			row{
+				name:    "store_fleet",
+				purpose: "Writes rosters and shard groups.",
+				gauge:   gauge(s.writes),
+				run:     func(ctx context.Context) error { return drain(ctx, s.writes, s.write) },
+			},
+			row{
+				name:    "store_configuration",
+				purpose: "Reads configuration versions.",
+				gauge:   gauge(s.bodies),
+				run:     func(ctx context.Context) error { return drain(ctx, s.bodies, s.read) },
+			},
+			row{
+				name:    "watch_fleet",
+				purpose: "Watches rosters and shard groups while a cell is held.",
+				gauge:   gauge(s.fleet),
+				run: func(ctx context.Context) error {
+					return s.watch(ctx, s.fleet, wire.FleetPrefix, fleetPurpose, s.watchedFleet)
+				},
+			},
+			row{
+				name:    "watch_configuration",
+				purpose: "Watches the head of the configuration while a cell is held.",
+				gauge:   gauge(s.heads),
+				run: func(ctx context.Context) error {
+					return s.watch(ctx, s.heads, configuration.HeadKey, headPurpose, s.watchedHead)
+				},
+			})
+	}
+	var all []duty.Duty
+	for _, r := range rows {
+		d, err := duty.New(r.name, r.purpose, r.gauge, r.run)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, d)
+	}
+	return all, nil
+}
+
+func drain[T any](ctx context.Context, r *ring.Ring[T], do func(context.Context, T)) error {
+	for {
+		v, err := r.Pop(ctx)
+		if err != nil {
+			return nil
+		}
+		do(ctx, v)
+	}
+}
+
+// post hands a call of the directory to the duty of its purpose.
+func (s *stores) post(effect any) {
+	var err error
+	switch e := effect.(type) {
+	case directory.Open, directory.Acquire, directory.Renew, directory.Drop, directory.Close:
+		err = s.leases.TryPush(e)
+	case directory.Write:
+		err = s.writes.TryPush(e)
+	case directory.Read:
+		err = s.bodies.TryPush(e)
+	case directory.Follow:
+		err = s.fleet.TryPush(e)
+		if err == nil {
+			err = s.heads.TryPush(e)
+		}
+	default:
+		err = errors.Errorf("no store call for %T", e)
+	}
+	if err != nil {
+		s.common.log.WithError(err).Error("store call of the directory was not made")
+	}
+}
+
+func (s *stores) list(ctx context.Context) (membership.Fleet, error) {
+	pairs, index, err := s.common.store.List(ctx, wire.FleetPrefix)
+	if err != nil {
+		return membership.Fleet{}, err
+	}
+	return wire.DecodeFleet(pairs, index)
+}
+
+func (s *stores) look(ctx context.Context, _ member.Look) {
+	f, err := s.list(ctx)
+	s.health[lookPurpose].note(err)
+	_ = s.member.ring.Push(ctx, member.NewLooked(f, err == nil))
+}
+
+// outcomeOf tells the ends of a store call apart.
+func outcomeOf(ok bool, err error) directory.Outcome {
+	switch {
+	case err == nil && ok:
+		return directory.Done
+	case err == nil, errors.Is(err, store.ErrSession):
+		return directory.Refused
+	case errors.Is(err, store.ErrUnavailable):
+		return directory.Failed
+	}
+	return directory.Unknown
+}
+
+func (s *stores) lease(ctx context.Context, effect any) {
+	bounded, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	session, ok, err := s.call(bounded, effect)
+	s.health[leasePurpose].note(err)
+	_ = s.directory.ring.Push(ctx, directory.NewLeaseEnded(outcomeOf(ok, err), session))
+}
+
+func (s *stores) call(ctx context.Context, effect any) (session string, ok bool, err error) {
+	switch e := effect.(type) {
+	case directory.Open:
+		session, err = s.common.store.Open(ctx, directory.SessionTime)
+		return session, true, err
+	case directory.Renew:
+		return "", true, s.common.store.Renew(ctx, e.Session())
+	case directory.Acquire:
+		value, err := wire.EncodeHolder(e.Holder())
+		if err != nil {
+			return "", false, err
+		}
+		ok, err = s.common.store.Acquire(ctx, wire.LeaseKey(e.Cell()), value, e.Session())
+		return "", ok, err
+	case directory.Drop:
+		ok, err = s.common.store.Release(ctx, wire.LeaseKey(e.Cell()), e.Session())
+		return "", ok, err
+	case directory.Close:
+		return "", true, s.common.store.Close(ctx, e.Session())
+	}
+	return "", false, errors.Errorf("no store call for %T", effect)
+}
+
+// write swaps each value and then lists the fleet, which shows what took effect.
+func (s *stores) write(ctx context.Context, w directory.Write) {
+	for _, c := range w.Cells() {
+		value, err := wire.EncodeRoster(c)
+		s.swap(ctx, wire.RosterKey(c.Name()), value, c.Index(), err)
+	}
+	for _, g := range w.Groups() {
+		value, err := wire.EncodeGroup(g)
+		s.swap(ctx, wire.GroupKey(g.Number()), value, g.Index(), err)
+	}
+	f, err := s.list(ctx)
+	s.health[writePurpose].note(err)
+	_ = s.directory.ring.Push(ctx, directory.NewStored(w.Number(), f, err == nil))
+}
+
+func (s *stores) swap(ctx context.Context, key string, value []byte, index uint64, err error) {
+	if err == nil {
+		_, err = s.common.store.Swap(ctx, key, value, index)
+	}
+	if err != nil {
+		s.common.log.WithError(err).WithField("key", key).Debug("write of the directory failed")
+	}
+}
+
+// read fetches the body that the head names. A body that differs from the head's
+// digest is never handed on.
+func (s *stores) read(ctx context.Context, _ directory.Read) {
+	h, err := s.head(ctx)
+	if err == nil {
+		var body store.Pair
+		if body, err = s.common.store.Read(ctx, h.Key()); err == nil {
+			err = h.Check(body.Value())
+		}
+		if err == nil {
+			_ = s.directory.ring.Push(ctx, directory.NewConfiguration(h.Version(), body.Value()))
+		}
+	}
+	s.health[bodyPurpose].note(err)
+}
+
+func (s *stores) head(ctx context.Context) (configuration.Head, error) {
+	p, err := s.common.store.Read(ctx, configuration.HeadKey)
+	if err != nil {
+		return configuration.Head{}, err
+	}
+	return configuration.DecodeHead(p.Value())
+}
+
+// watch waits for changes of a prefix while the directory wants it.
+func (s *stores) watch(ctx context.Context, follow *ring.Ring[directory.Follow], prefix string, purpose int, seen func(context.Context, []store.Pair, uint64)) error {
+	on := false
+	var index uint64
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		var due <-chan time.Time
+		if on {
+			due = timer.C
+		}
+		select {
+		case f := <-follow.Out():
+			on = f.On()
+			index = 0
+			timer.Reset(0)
+		case <-due:
+			pairs, newest, err := s.common.store.Watch(ctx, prefix, index, watchTime)
+			s.health[purpose].note(err)
+			if err != nil {
+				timer.Reset(watchRetry)
+				continue
+			}
+			// An index that went back is that of a store set up anew or of an old
+			// answer; the watch has to begin again.
+			if newest < index {
+				newest = 0
+			}
+			index = newest
+			seen(ctx, pairs, newest)
+			timer.Reset(watchPause)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (s *stores) watchedFleet(ctx context.Context, pairs []store.Pair, index uint64) {
+	f, err := wire.DecodeFleet(pairs, index)
+	if err != nil {
+		s.common.log.WithError(err).Error("the watch shows a fleet that cannot be decoded")
+		return
+	}
+	_ = s.directory.ring.Push(ctx, directory.NewWatched(f))
+}
+
+func (s *stores) watchedHead(ctx context.Context, pairs []store.Pair, _ uint64) {
+	for _, p := range pairs {
+		h, err := configuration.DecodeHead(p.Value())
+		if err != nil {
+			s.common.log.WithError(err).Error("head of the configuration cannot be decoded")
+			continue
+		}
+		_ = s.directory.ring.Push(ctx, directory.NewHead(h.Version()))
+	}
+}
--- /dev/null
+++ b/internal/process/role/member/member.go
@@ -0,0 +1,407 @@
+// Package member decides for a process's place in its cell.
+//
+// A member sends a heartbeat to its cell's directory every 400 ms. A confirmation
+// gives an agent a lease that counts from the sending of the heartbeat, and the
+// version numbers by which the member finds out what it has to fetch. Without a
+// directory the member looks into the store and, if the cell's lease is free,
+// claims it for the directory in its own process; the rank of the member delays
+// both, so that a cell does not rush at the store.
+//
+// A member that owns shards gives them back in two steps, because nothing may be
+// started under the old epoch once another process owns the shard: the owner
+// confirms that it has stopped, and the last credit it can have used runs out.
+package member
+
+import (
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/membership"
+	"greengagedoor.example/greengagedoor/internal/request/message"
+)
+
+// The times of a member.
+const (
+	// BeatInterval leaves room for two lost heartbeats within a lease.
+	BeatInterval = 400 * time.Millisecond
+	// LeaseTime counts from the sending of a heartbeat.
+	LeaseTime = 1500 * time.Millisecond
+	// CreditTime is how long a start can take effect after the owner sent it.
+	CreditTime = 500 * time.Millisecond
+	// silenceLimit is two heartbeats without confirmation.
+	silenceLimit = 800 * time.Millisecond
+	// RankDelay separates the members that try to take the cell's lease.
+	RankDelay = 200 * time.Millisecond
+	// lookLimit bounds the wait of the members that rank last.
+	lookLimit = 2 * time.Second
+	// repeatInterval is the time after which a request without answer is repeated.
+	repeatInterval = time.Second
+	// keptBeats bounds the heartbeats whose confirmation may still come; older
+	// ones are beyond LeaseTime.
+	keptBeats = 8
+)
+
+// Stopped is an event: the owner has taken note that a shard is no longer its own.
+type Stopped struct {
+	shard identity.Shard
+}
+
+// NewStopped returns the event.
+func NewStopped(shard identity.Shard) Stopped {
+	return Stopped{
+		shard: shard,
+	}
+}
+
+// Looked is an event: the answer of the store to a Look; ok is false if it did
+// not answer.
+type Looked struct {
+	fleet membership.Fleet
+	ok    bool
+}
+
+// NewLooked returns the event.
+func NewLooked(fleet membership.Fleet, ok bool) Looked {
+	return Looked{
+		fleet: fleet,
+		ok:    ok,
+	}
+}
+
+// Leave is an event: the process is about to end.
+type Leave struct{}
+
+// Free is an event: the number of free slots beside the process.
+type Free struct {
+	slots uint32
+}
+
+// NewFree returns the event.
+func NewFree(slots uint32) Free {
+	return Free{
+		slots: slots,
+	}
+}
+
+// Look is an effect: read the cells from the store.
+type Look struct{}
+
+// Take is an effect: the process's directory shall try to take the cell.
+type Take struct {
+	cell membership.Cell
+}
+
+// Cell is the cell with the roster that was seen.
+func (t Take) Cell() membership.Cell {
+	return t.cell
+}
+
+// Configured is an effect: an encoded configuration came into the process.
+type Configured struct {
+	version uint64
+	data    []byte
+}
+
+// Version is the number of the configuration.
+func (c Configured) Version() uint64 {
+	return c.version
+}
+
+// Data is the encoded configuration.
+func (c Configured) Data() []byte {
+	return c.data
+}
+
+// Reach is an effect: a process listens at an address.
+type Reach struct {
+	member membership.Member
+}
+
+// Member is the process with its address.
+func (r Reach) Member() membership.Member {
+	return r.member
+}
+
+// Expelled is an effect: the directory has declared this run lost; the process
+// has to end.
+type Expelled struct{}
+
+// Left is an effect: the process owns nothing and is out of the roster.
+type Left struct{}
+
+// Settings are what a member is told at its start.
+type Settings struct {
+	self     membership.Member
+	region   int
+	agent    bool
+	cell     string
+	cellSize int
+}
+
+// NewSettings checks the settings. An empty cell is chosen from the store.
+func NewSettings(self membership.Member, region int, agent bool, cell string, cellSize int) (Settings, error) {
+	if self.Process().IsZero() || self.Address() == "" || self.Zone() == "" || cellSize < 1 {
+		return Settings{}, errors.Errorf("member %s at %q in %q with %d members a cell", self.Process(), self.Address(), self.Zone(), cellSize)
+	}
+	return Settings{
+		self:     self,
+		region:   region,
+		agent:    agent,
+		cell:     cell,
+		cellSize: cellSize,
+	}, nil
+}
+
+type sentBeat struct {
+	number uint64
+	at     time.Time
+}
+
+// holding is a shard of which this process is the stored owner.
+type holding struct {
+	epoch   identity.Epoch
+	rosters uint64
+	granted bool
+	// recalled shards go back; stopped is when the owner confirmed it.
+	recalled bool
+	asked    time.Time
+	stopped  time.Time
+	yielded  time.Time
+}
+
+// Member is the decision.
+type Member struct {
+	set       Settings
+	cell      string
+	rank      int
+	directory identity.Process
+	term      uint64
+	number    uint64
+	beats     []sentBeat
+	lastBeat  time.Time
+	lastHeard time.Time
+	nextLook  time.Time
+	looking   bool
+	joined    bool
+	// known tells that the directory has this process's address.
+	known   bool
+	lease   time.Time
+	leaving time.Time
+	left    bool
+	free    uint32
+	have    membership.Versions
+	want    membership.Versions
+	fetched [4]time.Time
+	routes  map[identity.Shard]membership.Route
+	held    map[identity.Shard]*holding
+	agents  map[identity.Process]membership.Member
+	effects []any
+}
+
+// New returns a member that knows no directory.
+func New(s Settings) *Member {
+	return &Member{
+		set:    s,
+		cell:   s.cell,
+		routes: map[identity.Shard]membership.Route{},
+		held:   map[identity.Shard]*holding{},
+		agents: map[identity.Process]membership.Member{},
+	}
+}
+
+// Handle takes one event and returns the effects. The slice is valid until the
+// next call.
+func (m *Member) Handle(now time.Time, event any) []any {
+	clear(m.effects)
+	m.effects = m.effects[:0]
+	switch e := event.(type) {
+	case message.Received:
+		m.received(now, e)
+	case Looked:
+		m.looked(now, e)
+	case Stopped:
+		m.stopped(now, e)
+	case Free:
+		m.free = e.slots
+	case Leave:
+		m.leave(now)
+	case message.Wake:
+	}
+	m.wake(now)
+	return m.effects
+}
+
+// Cell is the member's cell, empty before it has chosen one.
+func (m *Member) Cell() string {
+	return m.cell
+}
+
+// Directory is the directory that the member follows, zero for none.
+func (m *Member) Directory() identity.Process {
+	return m.directory
+}
+
+// Lease is the end of the membership lease.
+func (m *Member) Lease() time.Time {
+	return m.lease
+}
+
+// Versions is what the process has in force.
+func (m *Member) Versions() membership.Versions {
+	return m.have
+}
+
+// Held lists the shards that the process may act for.
+func (m *Member) Held() []membership.Claim {
+	var claims []membership.Claim
+	for s, h := range m.held {
+		if h.granted && !h.recalled {
+			claims = append(claims, membership.NewClaim(s, h.epoch))
+		}
+	}
+	return sorted(claims)
+}
+
+func sorted(claims []membership.Claim) []membership.Claim {
+	sort.Slice(claims, func(i, j int) bool { return claims[i].Shard() < claims[j].Shard() })
+	return claims
+}
+
+func (m *Member) emit(e any) {
+	m.effects = append(m.effects, e)
+}
+
+func (m *Member) send(body any) {
+	m.emit(message.NewSend(m.directory, body))
+}
+
+func (m *Member) received(now time.Time, r message.Received) {
+	switch b := r.Body().(type) {
+	case membership.Confirm:
+		m.confirm(now, r.From(), b)
+	case membership.Body:
+		if r.From() == m.directory {
+			m.body(b)
+		}
+	case membership.Recall:
+		m.recall(b)
+	}
+}
+
+// confirm takes a confirmation. A directory of a lower term has been replaced.
+func (m *Member) confirm(now time.Time, from identity.Process, c membership.Confirm) {
+	if c.Term() < m.term || m.left {
+		return
+	}
+	if c.Term() > m.term || m.directory.IsZero() {
+		m.follow(now, from, c.Term())
+	}
+	if from != m.directory {
+		return
+	}
+	m.lastHeard = now
+	if c.Number() == 0 && m.set.agent && !m.joined {
+		// The roster has just changed and may list this process now.
+		m.lastBeat = time.Time{}
+	}
+	m.known = c.Standing() != membership.Waiting && (m.known || c.Number() > 0)
+	m.want = membership.NewVersions(
+		max(m.want.Configuration(), c.Versions().Configuration()),
+		max(m.want.Routes(), c.Versions().Routes()),
+		max(m.want.Agents(), c.Versions().Agents()))
+	switch c.Standing() {
+	case membership.Confirmed:
+		m.extend(c.Number())
+	case membership.Lost:
+		m.emit(Expelled{})
+	case membership.Departed:
+		if !m.leaving.IsZero() {
+			m.left = true
+			m.emit(Left{})
+		}
+	}
+}
+
+// follow turns to another directory and beats to it at once.
+func (m *Member) follow(now time.Time, p identity.Process, term uint64) {
+	m.directory = p
+	m.term = max(m.term, term)
+	m.lastHeard = now
+	m.lastBeat = time.Time{}
+	m.fetched = [4]time.Time{}
+	m.known = false
+}
+
+func (m *Member) extend(number uint64) {
+	for _, b := range m.beats {
+		if b.number != number {
+			continue
+		}
+		m.joined = true
+		if until := b.at.Add(LeaseTime); m.set.agent && until.After(m.lease) {
+			m.lease = until
+			m.emit(membership.NewLease(until))
+		}
+	}
+}
+
+func (m *Member) wake(now time.Time) {
+	if m.left {
+		return
+	}
+	m.look(now)
+	if m.directory.IsZero() {
+		return
+	}
+	if now.Sub(m.lastBeat) >= BeatInterval {
+		m.beat(now)
+	}
+	m.fetch(now)
+	m.yield(now)
+}
+
+func (m *Member) beat(now time.Time) {
+	m.number++
+	m.lastBeat = now
+	m.beats = append(m.beats, sentBeat{
+		number: m.number,
+		at:     now,
+	})
+	if len(m.beats) > keptBeats {
+		m.beats = m.beats[1:]
+	}
+	gone := !m.leaving.IsZero() && (m.handedOver(now) || now.Sub(m.leaving) >= leaveLimit)
+	var self membership.Member
+	if !m.known {
+		self = m.set.self
+	}
+	m.send(membership.NewBeat(m.number, m.cell, self, m.set.agent, !m.leaving.IsZero(), gone, m.free, m.have))
+}
+
+// fetch asks for what the directory has and this process lacks.
+func (m *Member) fetch(now time.Time) {
+	m.ask(now, membership.ConfigurationPart, m.want.Configuration() > m.have.Configuration(), m.want.Configuration())
+	m.ask(now, membership.RoutesPart, m.want.Routes() > m.have.Routes(), m.have.Routes())
+	if !m.set.agent {
+		return
+	}
+	m.ask(now, membership.AgentsPart, m.want.Agents() > m.have.Agents(), m.have.Agents())
+	var index uint64
+	for _, h := range m.held {
+		if !h.granted && !h.recalled {
+			index = max(index, h.rosters)
+		}
+	}
+	m.ask(now, membership.RostersPart, index > 0, index)
+}
+
+func (m *Member) ask(now time.Time, part membership.Part, lacks bool, version uint64) {
+	if !lacks || now.Sub(m.fetched[part]) < repeatInterval {
+		return
+	}
+	m.fetched[part] = now
+	m.send(membership.NewFetch(part, version))
+}
--- a/internal/process/role/wire/body.go
+++ b/internal/process/role/wire/body.go
@@ -96,7 +96,7 @@
 	case message.Sealed:
 		return encodeSealed(m), nil
 	}
-	return nil, errors.Errorf("no encoding for %T", m)
+	return membershipBodyOf(m)
 }
 
 func encodeSubmit(m message.Submit) *wirepb.Body {
@@ -238,7 +238,7 @@
 	case *wirepb.Body_Sealed:
 		return decodeSealed(k.Sealed)
 	}
-	return nil, errors.Errorf("unknown message %T", b.GetKind())
+	return membershipMessageOf(b)
 }
 
 func decodeSubmit(p *wirepb.Submit) (any, error) {
--- /dev/null
+++ b/internal/process/role/wire/membership.go
@@ -0,0 +1,314 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/membership"
+	"greengagedoor.example/greengagedoor/internal/process/role/wire/wirepb"
+	"greengagedoor.example/greengagedoor/internal/request/message"
+)
+
+// membershipBodyOf encodes the messages of package membership.
+func membershipBodyOf(m any) (*wirepb.Body, error) {
+	switch m := m.(type) {
+	case membership.Beat:
+		return encodeBeat(m), nil
+	case membership.Confirm:
+		return &wirepb.Body{
+			Kind: &wirepb.Body_Confirm{
+				Confirm: &wirepb.Confirm{
+					Number:   m.Number(),
+					Term:     m.Term(),
+					Standing: uint32(m.Standing()),
+					Versions: encodeVersions(m.Versions()),
+				},
+			},
+		}, nil
+	case membership.Fetch:
+		return &wirepb.Body{
+			Kind: &wirepb.Body_Fetch{
+				Fetch: &wirepb.Fetch{
+					Part:    uint32(m.Part()),
+					Version: m.Version(),
+				},
+			},
+		}, nil
+	case membership.Body:
+		return encodePart(m), nil
+	case membership.Recall:
+		return &wirepb.Body{
+			Kind: &wirepb.Body_Recall{
+				Recall: &wirepb.Recall{
+					Claims: encodeClaims(m.Claims()),
+				},
+			},
+		}, nil
+	case membership.Yield:
+		return &wirepb.Body{
+			Kind: &wirepb.Body_Yield{
+				Yield: &wirepb.Yield{
+					Owner:  encodeProcess(m.Owner()),
+					Claims: encodeClaims(m.Claims()),
+				},
+			},
+		}, nil
+	case membership.Digest:
+		return encodeDigest(m), nil
+	}
+	return nil, errors.Errorf("no encoding for %T", m)
+}
+
+// membershipMessageOf decodes the messages of package membership.
+func membershipMessageOf(b *wirepb.Body) (any, error) {
+	switch k := b.GetKind().(type) {
+	case *wirepb.Body_Beat:
+		return decodeBeat(k.Beat)
+	case *wirepb.Body_Confirm:
+		c := k.Confirm
+		if c.GetStanding() > uint32(membership.Departed) {
+			return nil, errors.Errorf("standing %d is not known", c.GetStanding())
+		}
+		return membership.NewConfirm(c.GetNumber(), c.GetTerm(), membership.Standing(c.GetStanding()), decodeVersions(c.GetVersions())), nil
+	case *wirepb.Body_Fetch:
+		if k.Fetch.GetPart() > uint32(membership.RostersPart) {
+			return nil, errors.Errorf("part %d is not known", k.Fetch.GetPart())
+		}
+		return membership.NewFetch(membership.Part(k.Fetch.GetPart()), k.Fetch.GetVersion()), nil
+	case *wirepb.Body_Part:
+		return decodePart(k.Part)
+	case *wirepb.Body_Recall:
+		return membership.NewRecall(decodeClaims(k.Recall.GetClaims())), nil
+	case *wirepb.Body_Yield:
+		p, err := decodeProcess(k.Yield.GetOwner())
+		return membership.NewYield(p, decodeClaims(k.Yield.GetClaims())), err
+	case *wirepb.Body_Digest:
+		return decodeDigest(k.Digest), nil
+	}
+	return nil, errors.Errorf("unknown message %T", b.GetKind())
+}
+
+func encodeProcess(p identity.Process) *wirepb.Process {
+	return &wirepb.Process{
+		Name:        p.Name(),
+		Incarnation: p.Incarnation(),
+	}
+}
+
+func decodeProcess(p *wirepb.Process) (identity.Process, error) {
+	return identity.NewProcess(p.GetName(), p.GetIncarnation())
+}
+
+func encodeMember(m membership.Member) *wirepb.Member {
+	return &wirepb.Member{
+		Process: encodeProcess(m.Process()),
+		Address: m.Address(),
+		Zone:    m.Zone(),
+		LostMs:  millis(m.Lost()),
+		Leaving: m.Leaving(),
+	}
+}
+
+func decodeMember(p *wirepb.Member) (membership.Member, error) {
+	id, err := decodeProcess(p.GetProcess())
+	if err != nil {
+		return membership.Member{}, err
+	}
+	m := membership.NewMember(id, p.GetAddress(), p.GetZone(), timeOf(p.GetLostMs()))
+	if p.GetLeaving() {
+		m = m.WithLeaving()
+	}
+	return m, nil
+}
+
+func encodeMembers(list []membership.Member) []*wirepb.Member {
+	out := make([]*wirepb.Member, 0, len(list))
+	for _, m := range list {
+		out = append(out, encodeMember(m))
+	}
+	return out
+}
+
+func decodeMembers(list []*wirepb.Member) ([]membership.Member, error) {
+	out := make([]membership.Member, 0, len(list))
+	for _, p := range list {
+		m, err := decodeMember(p)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, m)
+	}
+	return out, nil
+}
+
+func encodeVersions(v membership.Versions) *wirepb.Versions {
+	return &wirepb.Versions{
+		Configuration: v.Configuration(),
+		Routes:        v.Routes(),
+		Agents:        v.Agents(),
+	}
+}
+
+func decodeVersions(p *wirepb.Versions) membership.Versions {
+	return membership.NewVersions(p.GetConfiguration(), p.GetRoutes(), p.GetAgents())
+}
+
+func encodeClaims(list []membership.Claim) []*wirepb.Grant {
+	out := make([]*wirepb.Grant, 0, len(list))
+	for _, c := range list {
+		out = append(out, encodeGrant(message.NewGrant(c.Shard(), c.Epoch())))
+	}
+	return out
+}
+
+func decodeClaims(list []*wirepb.Grant) []membership.Claim {
+	out := make([]membership.Claim, 0, len(list))
+	for _, p := range list {
+		out = append(out, membership.NewClaim(identity.Shard(p.GetShard()), identity.Epoch(p.GetEpoch())))
+	}
+	return out
+}
+
+func encodeBeat(m membership.Beat) *wirepb.Body {
+	b := &wirepb.Beat{
+		Number:   m.Number(),
+		Cell:     m.Cell(),
+		Agent:    m.Agent(),
+		Leaving:  m.Leaving(),
+		Gone:     m.Gone(),
+		Free:     m.Free(),
+		Versions: encodeVersions(m.Versions()),
+	}
+	if !m.Self().Process().IsZero() {
+		b.Self = encodeMember(m.Self())
+	}
+	return &wirepb.Body{
+		Kind: &wirepb.Body_Beat{
+			Beat: b,
+		},
+	}
+}
+
+func decodeBeat(p *wirepb.Beat) (any, error) {
+	var self membership.Member
+	if p.GetSelf() != nil {
+		m, err := decodeMember(p.GetSelf())
+		if err != nil {
+			return nil, err
+		}
+		self = m
+	}
+	return membership.NewBeat(p.GetNumber(), p.GetCell(), self, p.GetAgent(), p.GetLeaving(), p.GetGone(), p.GetFree(), decodeVersions(p.GetVersions())), nil
+}
+
+func encodePart(m membership.Body) *wirepb.Body {
+	p := &wirepb.Part{
+		Part:    uint32(m.Part()),
+		Version: m.Version(),
+		Data:    m.Data(),
+		Members: encodeMembers(m.Members()),
+	}
+	for _, g := range m.Groups() {
+		p.Groups = append(p.Groups, encodeGroup(g))
+	}
+	return &wirepb.Body{
+		Kind: &wirepb.Body_Part{
+			Part: p,
+		},
+	}
+}
+
+func encodeGroup(g membership.Group) *wirepb.Group {
+	p := &wirepb.Group{
+		Number:  uint32(g.Number()),
+		Rosters: g.Rosters(),
+		Index:   g.Index(),
+		Owners:  encodeMembers(g.Owners()),
+	}
+	place := map[identity.Process]uint32{}
+	for i, o := range g.Owners() {
+		place[o.Process()] = uint32(i + 1)
+	}
+	for _, r := range g.Routes() {
+		p.Shards = append(p.Shards, uint32(r.Shard()))
+		p.Epochs = append(p.Epochs, uint64(r.Epoch()))
+		p.Owner = append(p.Owner, place[r.Owner()])
+	}
+	return p
+}
+
+func decodeGroup(p *wirepb.Group) (membership.Group, error) {
+	owners, err := decodeMembers(p.GetOwners())
+	if err != nil {
+		return membership.Group{}, err
+	}
+	if len(p.GetEpochs()) != len(p.GetShards()) || len(p.GetOwner()) != len(p.GetShards()) {
+		return membership.Group{}, errors.Errorf("group %d: %d shards, %d epochs and %d owners", p.GetNumber(), len(p.GetShards()), len(p.GetEpochs()), len(p.GetOwner()))
+	}
+	routes := make([]membership.Route, 0, len(p.GetShards()))
+	for i, s := range p.GetShards() {
+		var owner identity.Process
+		n := p.GetOwner()[i]
+		if int(n) > len(owners) {
+			return membership.Group{}, errors.Errorf("group %d: owner %d of %d", p.GetNumber(), n, len(owners))
+		}
+		if n > 0 {
+			owner = owners[n-1].Process()
+		}
+		routes = append(routes, membership.NewRoute(identity.Shard(s), identity.Epoch(p.GetEpochs()[i]), owner))
+	}
+	return membership.NewGroup(int(p.GetNumber()), "", p.GetRosters(), routes, owners).WithIndex(p.GetIndex()), nil
+}
+
+func decodePart(p *wirepb.Part) (any, error) {
+	if p.GetPart() > uint32(membership.RostersPart) {
+		return nil, errors.Errorf("part %d is not known", p.GetPart())
+	}
+	members, err := decodeMembers(p.GetMembers())
+	if err != nil {
+		return nil, err
+	}
+	var groups []membership.Group
+	for _, g := range p.GetGroups() {
+		group, err := decodeGroup(g)
+		if err != nil {
+			return nil, err
+		}
+		groups = append(groups, group)
+	}
+	return membership.NewBody(membership.Part(p.GetPart()), p.GetVersion(), p.GetData(), groups, members), nil
+}
+
+func encodeDigest(m membership.Digest) *wirepb.Body {
+	d := &wirepb.Digest{
+		Cell:     m.Cell(),
+		Versions: encodeVersions(m.Versions()),
+		Members:  m.Members(),
+		InForce:  m.InForce(),
+		Free:     m.Free(),
+	}
+	for _, r := range m.Reports() {
+		d.Reports = append(d.Reports, &wirepb.Report{
+			Cell:    r.Cell(),
+			Answers: r.Answers(),
+			AgeMs:   uint32(r.Stated().Milliseconds()),
+			SinceMs: uint32(r.Since().Milliseconds()),
+		})
+	}
+	return &wirepb.Body{
+		Kind: &wirepb.Body_Digest{
+			Digest: d,
+		},
+	}
+}
+
+func decodeDigest(p *wirepb.Digest) membership.Digest {
+	var reports []membership.Report
+	for _, r := range p.GetReports() {
+		reports = append(reports, membership.NewReport(r.GetCell(), r.GetAnswers(),
+			time.Duration(r.GetAgeMs())*time.Millisecond, time.Duration(r.GetSinceMs())*time.Millisecond))
+	}
+	return membership.NewDigest(p.GetCell(), decodeVersions(p.GetVersions()), reports, p.GetMembers(), p.GetInForce(), p.GetFree())
+}
--- /dev/null
+++ b/internal/process/role/wire/stored.go
@@ -0,0 +1,246 @@
+package wire
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/membership"
+	"greengagedoor.example/greengagedoor/internal/process/store"
+)
+
+// FleetPrefix holds the cells and the shard groups, so that one watch sees both.
+const FleetPrefix = "fleet/"
+
+const (
+	cellPrefix  = FleetPrefix + "cell/"
+	groupPrefix = FleetPrefix + "group/"
+	leaseName   = "/lease"
+	rosterName  = "/roster"
+)
+
+// LeaseKey is the key of a cell's lease.
+func LeaseKey(cell string) string {
+	return cellPrefix + cell + leaseName
+}
+
+// RosterKey is the key of a cell's roster.
+func RosterKey(cell string) string {
+	return cellPrefix + cell + rosterName
+}
+
+// GroupKey is the key of a shard group.
+func GroupKey(group int) string {
+	return groupPrefix + strconv.Itoa(group)
+}
+
+type storedMember struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+	Address     string `json:"address"`
+	Zone        string `json:"availability_zone"`
+	LostMS      int64  `json:"lost_ms,omitempty"`
+	Leaving     bool   `json:"leaving,omitempty"`
+}
+
+type storedRoster struct {
+	Region  int            `json:"region"`
+	Zone    string         `json:"availability_zone"`
+	Term    uint64         `json:"term"`
+	Mark    string         `json:"mark"`
+	Members []storedMember `json:"members"`
+}
+
+type storedRoute struct {
+	Shard uint32 `json:"shard"`
+	Epoch uint64 `json:"epoch"`
+	Owner int    `json:"owner"`
+}
+
+type storedGroup struct {
+	Mark    string         `json:"mark"`
+	Rosters uint64         `json:"rosters_index"`
+	Owners  []storedMember `json:"owners"`
+	Routes  []storedRoute  `json:"routes"`
+}
+
+func storeMember(m membership.Member) storedMember {
+	return storedMember{
+		Name:        m.Process().Name(),
+		Incarnation: m.Process().Incarnation(),
+		Address:     m.Address(),
+		Zone:        m.Zone(),
+		LostMS:      millis(m.Lost()),
+		Leaving:     m.Leaving(),
+	}
+}
+
+func restoreMember(d storedMember) (membership.Member, error) {
+	p, err := identity.NewProcess(d.Name, d.Incarnation)
+	if err != nil {
+		return membership.Member{}, err
+	}
+	m := membership.NewMember(p, d.Address, d.Zone, timeOf(d.LostMS))
+	if d.Leaving {
+		m = m.WithLeaving()
+	}
+	return m, nil
+}
+
+func restoreMembers(list []storedMember) ([]membership.Member, error) {
+	out := make([]membership.Member, 0, len(list))
+	for _, d := range list {
+		m, err := restoreMember(d)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, m)
+	}
+	return out, nil
+}
+
+// EncodeHolder returns the stored form of a lease's holder.
+func EncodeHolder(m membership.Member) ([]byte, error) {
+	data, err := json.Marshal(storeMember(m))
+	return data, errors.Wrap(err, "encode holder")
+}
+
+// EncodeRoster returns the stored form of a cell's roster.
+func EncodeRoster(c membership.Cell) ([]byte, error) {
+	d := storedRoster{
+		Region: c.Region(),
+		Zone:   c.Zone(),
+		Term:   c.Term(),
+		Mark:   c.Mark(),
+	}
+	for _, m := range c.Members() {
+		d.Members = append(d.Members, storeMember(m))
+	}
+	data, err := json.Marshal(d)
+	return data, errors.Wrap(err, "encode roster")
+}
+
+// EncodeGroup returns the stored form of a shard group.
+func EncodeGroup(g membership.Group) ([]byte, error) {
+	d := storedGroup{
+		Mark:    g.Mark(),
+		Rosters: g.Rosters(),
+	}
+	place := map[identity.Process]int{}
+	for i, o := range g.Owners() {
+		place[o.Process()] = i + 1
+		d.Owners = append(d.Owners, storeMember(o))
+	}
+	for _, r := range g.Routes() {
+		d.Routes = append(d.Routes, storedRoute{
+			Shard: uint32(r.Shard()),
+			Epoch: uint64(r.Epoch()),
+			Owner: place[r.Owner()],
+		})
+	}
+	data, err := json.Marshal(d)
+	return data, errors.Wrap(err, "encode group")
+}
+
+// DecodeFleet rebuilds the fleet from the listed keys. A value that cannot be
+// read fails the whole: a missing roster would hide agents with start records.
+func DecodeFleet(pairs []store.Pair, index uint64) (membership.Fleet, error) {
+	cells := map[string]membership.Cell{}
+	holders := map[string]store.Pair{}
+	var groups []membership.Group
+	for _, p := range pairs {
+		name, isCell := strings.CutPrefix(p.Key(), cellPrefix)
+		number, isGroup := strings.CutPrefix(p.Key(), groupPrefix)
+		switch {
+		case isGroup:
+			g, err := decodeStoredGroup(number, p)
+			if err != nil {
+				return membership.Fleet{}, errors.Wrap(err, p.Key())
+			}
+			groups = append(groups, g)
+		case isCell && strings.HasSuffix(name, leaseName):
+			holders[strings.TrimSuffix(name, leaseName)] = p
+		case isCell && strings.HasSuffix(name, rosterName):
+			name = strings.TrimSuffix(name, rosterName)
+			c, err := decodeRoster(name, p)
+			if err != nil {
+				return membership.Fleet{}, errors.Wrap(err, p.Key())
+			}
+			cells[name] = c
+		}
+	}
+	if err := addHolders(cells, holders); err != nil {
+		return membership.Fleet{}, err
+	}
+	list := make([]membership.Cell, 0, len(cells))
+	for _, c := range cells {
+		list = append(list, c)
+	}
+	return membership.NewFleet(index, list, groups), nil
+}
+
+// addHolders joins leases and rosters. A new cell has a lease before its roster;
+// it has the region -1 until the roster is written.
+func addHolders(cells map[string]membership.Cell, holders map[string]store.Pair) error {
+	for name, p := range holders {
+		var d storedMember
+		if p.Session() == "" {
+			continue
+		}
+		if err := json.Unmarshal(p.Value(), &d); err != nil {
+			return errors.Wrap(err, p.Key())
+		}
+		m, err := restoreMember(d)
+		if err != nil {
+			return errors.Wrap(err, p.Key())
+		}
+		c, ok := cells[name]
+		if !ok {
+			c = membership.NewCell(name, -1, m.Zone(), 0, "", nil)
+		}
+		cells[name] = c.WithHolder(m, p.Session())
+	}
+	return nil
+}
+
+func decodeRoster(name string, p store.Pair) (membership.Cell, error) {
+	var d storedRoster
+	if err := json.Unmarshal(p.Value(), &d); err != nil {
+		return membership.Cell{}, errors.Wrap(err, "decode roster")
+	}
+	members, err := restoreMembers(d.Members)
+	if err != nil {
+		return membership.Cell{}, err
+	}
+	return membership.NewCell(name, d.Region, d.Zone, d.Term, d.Mark, members).WithIndex(p.Index()), nil
+}
+
+func decodeStoredGroup(number string, p store.Pair) (membership.Group, error) {
+	n, err := strconv.Atoi(number)
+	if err != nil {
+		return membership.Group{}, errors.Wrap(err, "group number")
+	}
+	var d storedGroup
+	if err := json.Unmarshal(p.Value(), &d); err != nil {
+		return membership.Group{}, errors.Wrap(err, "decode group")
+	}
+	owners, err := restoreMembers(d.Owners)
+	if err != nil {
+		return membership.Group{}, err
+	}
+	routes := make([]membership.Route, 0, len(d.Routes))
+	for _, r := range d.Routes {
+		var owner identity.Process
+		if r.Owner < 0 || r.Owner > len(owners) {
+			return membership.Group{}, errors.Errorf("owner %d of %d", r.Owner, len(owners))
+		}
+		if r.Owner > 0 {
+			owner = owners[r.Owner-1].Process()
+		}
+		routes = append(routes, membership.NewRoute(identity.Shard(r.Shard), identity.Epoch(r.Epoch), owner))
+	}
+	return membership.NewGroup(n, d.Mark, d.Rosters, routes, owners).WithIndex(p.Index()), nil
+}
--- a/internal/process/standin/keyvalue/keyvalue.go
+++ b/internal/process/standin/keyvalue/keyvalue.go
@@ -438,6 +438,9 @@
 			return false
 		}
 	}
+	if id := c.QueryParam("release"); id != "" {
+		return release(d, e, id)
+	}
 	if e == nil {
 		e = &entry{}
 		d.entries[key] = e
@@ -454,6 +457,17 @@
 	return true
 }
 
+// release keeps the key without holder.
+func release(d *data, e *entry, id string) bool {
+	if e == nil || e.session != id {
+		return false
+	}
+	d.index++
+	e.session = ""
+	e.modify = d.index
+	return true
+}
+
 func (s *Store) remove(c echo.Context) error {
 	key := c.Param("*")
 	err := s.call(c.Request().Context(), &call{
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -92,6 +92,9 @@
 	// Acquire writes a key that is held by the session until it ends. It returns
 	// false if another session holds the key.
 	Acquire func(ctx context.Context, key string, value []byte, session string) (bool, error)
+	// Release ends the session's hold of a key. It returns false if the session
+	// does not hold it.
+	Release func(ctx context.Context, key, session string) (bool, error)
 }
 
 type client struct {
@@ -166,6 +169,11 @@
 			defer cancel()
 			return c.put(ctx, "/v1/kv/"+key+"?acquire="+session, value)
 		},
+		Release: func(ctx context.Context, key, session string) (bool, error) {
+			ctx, cancel := bounded(ctx)
+			defer cancel()
+			return c.put(ctx, "/v1/kv/"+key+"?release="+session, nil)
+		},
 	}, transport.CloseIdleConnections, nil
 }
 
@@ -273,6 +281,9 @@
 	request, err := json.Marshal(map[string]string{
 		"TTL":      ttl.String(),
 		"Behavior": "delete",
+		// Without it the service keeps a key from others for 15 s after its session
+		// has ended.
+		"LockDelay": "0s",
 	})
 	if err != nil {
 		return "", errors.Wrap(err, "store request")
