Go on without the store by majority of cells

Cause: a directory that could not renew its lease stopped confirming, so that an outage of the store stopped all starts. Ruled out: confirming alone while the store is down, since a directory cut off alone would go on while its successor moves the shards. Change: directories exchange digests with a report on the store; the right to confirm survives an outage while most cells report it, and only without a gap. The plan of a stored state is made once instead of every 50 ms.

--- a/internal/process/role/directory/assign.go
+++ b/internal/process/role/directory/assign.go
@@ -22,6 +22,21 @@
 	live  map[identity.Process]membership.Member
 	open  []membership.Member
 	loads map[identity.Process]int
+	// seize tells whether shards of lost owners may move now.
+	seize bool
+}
+
+// member finds an owner; one that was lost is known from the stored group.
+func (r region) member(g membership.Group, p identity.Process) membership.Member {
+	if m, ok := r.live[p]; ok {
+		return m
+	}
+	for _, m := range g.Owners() {
+		if m.Process() == p {
+			return m
+		}
+	}
+	return membership.Member{}
 }
 
 func (d *Directory) survey() region {
@@ -52,50 +67,102 @@
 	return r
 }
 
-// responsible lists the groups that this directory assigns. Cells without a
-// directory are passed over, so that their groups do not wait for one; two
-// directories with different views are kept apart by the compare-and-swap.
-func (d *Directory) responsible() []int {
-	var cells []membership.Cell
+// plan is what a stored state asks of this directory. It is made once for each
+// state, since it takes a hash for each group and cell.
+type plan struct {
+	// seats are the cells with a directory.
+	seats []membership.Cell
+	mine  map[int]bool
+	// orphans tells that shards have no owner, or one that was lost.
+	orphans bool
+	// need is how many shards this directory has to recall.
+	need int
+}
+
+// planned returns the plan of the newest stored state. Cells without a directory
+// are passed over, so that their groups do not wait for one; two directories
+// with different views are kept apart by the compare-and-swap.
+func (d *Directory) planned() *plan {
+	if d.plan != nil {
+		return d.plan
+	}
+	p := &plan{
+		mine: map[int]bool{},
+	}
+	d.plan = p
 	for _, c := range d.fleet.Region(d.set.region) {
 		if !c.Holder().Process().IsZero() {
-			cells = append(cells, c)
+			p.seats = append(p.seats, c)
 		}
 	}
-	var mine []int
 	for _, g := range d.set.layout.Groups(d.set.region) {
-		c, ok := membership.Responsible(g, cells)
+		c, ok := membership.Responsible(g, p.seats)
 		if h, held := d.cells[c.Name()]; ok && held && h.written {
-			mine = append(mine, g)
+			p.mine[g] = true
+		}
+	}
+	if len(p.mine) == 0 {
+		return p
+	}
+	r := d.survey()
+	stored := d.storedGroups()
+	for g := range p.mine {
+		routes := stored[g].Routes()
+		p.orphans = p.orphans || len(routes) == 0
+		for _, route := range routes {
+			_, live := r.live[route.Owner()]
+			p.orphans = p.orphans || !live
 		}
 	}
-	return mine
+	p.need = d.need(r, len(p.seats))
+	return p
 }
 
-// assign returns the groups with new owners, and recalls shards from owners that
-// have too many.
-func (d *Directory) assign(now time.Time) []membership.Group {
-	if !d.maySeize(now) {
-		return nil
+// need is this directory's part of the shards that have to move from owners with
+// too many to owners with far too few. If every directory recalled all of them,
+// they would together empty the owners.
+func (d *Directory) need(r region, directories int) int {
+	if len(r.open) == 0 {
+		return 0
 	}
-	mine := d.responsible()
-	if len(mine) == 0 {
-		return nil
+	part := d.set.layout.Count() / len(r.open)
+	need := 0
+	for _, m := range r.open {
+		if n := r.loads[m.Process()]; 2*n < part {
+			need += part - n
+		}
 	}
-	r := d.survey()
+	return (need + directories - 1) / directories
+}
+
+func (d *Directory) storedGroups() map[int]membership.Group {
 	stored := map[int]membership.Group{}
 	for _, g := range d.fleet.Groups() {
 		stored[g.Number()] = g
 	}
+	return stored
+}
+
+// assign returns the groups with new owners, and recalls shards from owners that
+// have too many.
+func (d *Directory) assign(now time.Time) []membership.Group {
+	p := d.planned()
+	if !p.orphans && len(d.yields) == 0 {
+		d.rebalance(now, p)
+		return nil
+	}
+	r := d.survey()
+	r.seize = d.maySeize(now)
+	stored := d.storedGroups()
 	var groups []membership.Group
-	for _, n := range mine {
+	for _, n := range d.set.layout.Groups(d.set.region) {
+		if !p.mine[n] {
+			continue
+		}
 		if g, ok := d.assignGroup(r, stored[n], n); ok {
 			groups = append(groups, g)
 		}
 	}
-	if len(groups) == 0 && len(r.open) > 0 {
-		d.rebalance(now, r, mine, stored)
-	}
 	return groups
 }
 
@@ -121,7 +188,7 @@
 			changed = true
 		}
 		routes = append(routes, route)
-		owners[route.Owner()] = r.live[route.Owner()]
+		owners[route.Owner()] = r.member(g, route.Owner())
 	}
 	if !changed {
 		return membership.Group{}, false
@@ -140,9 +207,12 @@
 
 // orphan tells whether nothing can be started any more under a route.
 func (d *Directory) orphan(r region, s identity.Shard, route membership.Route) bool {
-	if _, live := r.live[route.Owner()]; !live {
+	if route.Owner().IsZero() {
 		return true
 	}
+	if _, live := r.live[route.Owner()]; !live {
+		return r.seize
+	}
 	y, ok := d.yields[s]
 	return ok && y.epoch == route.Epoch() && !d.readFrom.Before(y.at)
 }
@@ -175,10 +245,10 @@
 	return best
 }
 
-// rebalance recalls shards from owners that have far more than their part while
-// others have far less. It waits until the last change has settled.
-func (d *Directory) rebalance(now time.Time, r region, mine []int, stored map[int]membership.Group) {
-	if now.Sub(d.moved) < settleTime {
+// rebalance recalls shards from owners that have more than their part. It waits
+// until the last change has settled.
+func (d *Directory) rebalance(now time.Time, p *plan) {
+	if p.need == 0 || now.Sub(d.moved) < settleTime {
 		return
 	}
 	for _, c := range d.recalls {
@@ -186,26 +256,23 @@
 			return
 		}
 	}
+	r := d.survey()
 	part := d.set.layout.Count() / len(r.open)
-	need := 0
-	for _, m := range r.open {
-		if n := r.loads[m.Process()]; 2*n < part {
-			need += part - n
-		}
-	}
-	if need == 0 {
-		return
-	}
+	need := p.need
+	stored := d.storedGroups()
 	claims := map[identity.Process][]membership.Claim{}
-	for _, n := range mine {
+	for _, n := range d.set.layout.Groups(d.set.region) {
+		if !p.mine[n] {
+			continue
+		}
 		for _, route := range stored[n].Routes() {
-			p := route.Owner()
-			if need == 0 || r.loads[p] <= part {
+			owner := route.Owner()
+			if need == 0 || r.loads[owner] <= part {
 				continue
 			}
 			need--
-			r.loads[p]--
-			claims[p] = append(claims[p], membership.NewClaim(route.Shard(), route.Epoch()))
+			r.loads[owner]--
+			claims[owner] = append(claims[owner], membership.NewClaim(route.Shard(), route.Epoch()))
 			d.recalls[route.Shard()] = recalled{
 				epoch: route.Epoch(),
 				at:    now,
@@ -232,14 +299,11 @@
 // yield notes that an owner has stopped, or passes it on to the directory that
 // assigns the group. The rosters are read again, since they must be newer.
 func (d *Directory) yield(now time.Time, from identity.Process, y membership.Yield) {
-	mine := map[int]bool{}
-	for _, g := range d.responsible() {
-		mine[g] = true
-	}
+	p := d.planned()
 	others := map[identity.Process][]membership.Claim{}
 	for _, c := range y.Claims() {
 		g := d.set.layout.Group(c.Shard())
-		if mine[g] {
+		if p.mine[g] {
 			d.yields[c.Shard()] = yielded{
 				epoch: c.Epoch(),
 				at:    now,
@@ -247,8 +311,9 @@
 			d.reread = true
 			continue
 		}
-		if m := d.assigner(g); !m.Process().IsZero() && m.Process() != d.set.self.Process() {
-			others[m.Process()] = append(others[m.Process()], c)
+		if cell, ok := membership.Responsible(g, p.seats); ok {
+			holder := cell.Holder().Process()
+			others[holder] = append(others[holder], c)
 		}
 	}
 	// What another directory passed on goes no further, or two directories with
@@ -256,23 +321,11 @@
 	if from != y.Owner() {
 		return
 	}
-	for _, c := range d.fleet.Region(d.set.region) {
-		p := c.Holder().Process()
-		if claims := others[p]; len(claims) > 0 {
-			d.send(p, membership.NewYield(y.Owner(), claims))
-			delete(others, p)
-		}
-	}
-}
-
-// assigner is the directory that assigns a group.
-func (d *Directory) assigner(group int) membership.Member {
-	var cells []membership.Cell
-	for _, c := range d.fleet.Region(d.set.region) {
-		if !c.Holder().Process().IsZero() {
-			cells = append(cells, c)
+	for _, c := range p.seats {
+		holder := c.Holder().Process()
+		if claims := others[holder]; len(claims) > 0 && holder != d.set.self.Process() {
+			d.send(holder, membership.NewYield(y.Owner(), claims))
+			delete(others, holder)
 		}
 	}
-	c, _ := membership.Responsible(group, cells)
-	return c.Holder()
 }
--- a/internal/process/role/directory/directory.go
+++ b/internal/process/role/directory/directory.go
@@ -93,6 +93,8 @@
 	written bool
 	members map[identity.Process]*heard
 	gone    map[identity.Process]time.Time
+	// quorumSince is when more than half of the cell began to beat.
+	quorumSince time.Time
 	// seen tells that a listed fleet has shown this directory as the holder.
 	seen bool
 	drop bool
@@ -122,6 +124,7 @@
 	claims  []*held
 	cells   map[string]*held
 	fleet   membership.Fleet
+	plan    *plan
 	change  *change
 	number  uint64
 	marks   uint64
@@ -140,7 +143,15 @@
 	handled  time.Time
 	resumed  time.Time
 	ending   bool
-	effects  []any
+	// answers tells whether the store answers this directory, and since when.
+	answers      bool
+	answersSince time.Time
+	digestAt     time.Time
+	reports      map[string]report
+	peers        map[string]peer
+	entitledNow  bool
+	entitledAt   time.Time
+	effects      []any
 }
 
 type yielded struct {
@@ -161,6 +172,8 @@
 		absent:  map[string]time.Time{},
 		yields:  map[identity.Shard]yielded{},
 		recalls: map[identity.Shard]recalled{},
+		reports: map[string]report{},
+		peers:   map[string]peer{},
 	}
 }
 
@@ -173,6 +186,7 @@
 		d.resumed = now
 	}
 	d.handled = now
+	d.observe(now)
 	switch e := event.(type) {
 	case message.Received:
 		d.received(now, e)
@@ -230,6 +244,7 @@
 	}
 	d.forget(now)
 	d.takeOver(now)
+	d.keepDigests(now)
 	d.keepConfiguration(now)
 	d.keepStored(now)
 }
@@ -251,6 +266,8 @@
 		d.fetch(r.From(), b)
 	case membership.Yield:
 		d.yield(now, r.From(), b)
+	case membership.Digest:
+		d.digested(now, r.From(), b)
 	case membership.Body:
 		if b.Part() == membership.ConfigurationPart {
 			d.configuration(b.Version(), b.Data())
@@ -262,11 +279,6 @@
 	return membership.NewVersions(d.version, d.fleet.GroupsVersion(), d.fleet.RostersVersion())
 }
 
-// entitled tells whether the directory may confirm members.
-func (d *Directory) entitled(now time.Time) bool {
-	return d.until.After(now)
-}
-
 // beat answers a heartbeat. Without the right to confirm it stays silent, so that
 // the member looks for another directory.
 func (d *Directory) beat(now time.Time, from identity.Process, b membership.Beat) {
@@ -293,7 +305,7 @@
 		b = b.WithSelf(m.beat.Self())
 	}
 	m.beat = b
-	if !d.entitled(now) {
+	if !d.entitledNow {
 		return
 	}
 	d.send(from, membership.NewConfirm(b.Number(), h.term, d.standing(h, from, b), d.versions()))
--- a/internal/process/role/directory/lease.go
+++ b/internal/process/role/directory/lease.go
@@ -76,6 +76,7 @@
 		if h.drop {
 			// Nothing is confirmed or written for the cell from here on.
 			delete(d.cells, h.name)
+			d.plan = nil
 			d.dropped = now
 			d.call(now, Drop{
 				cell:    h.name,
@@ -116,6 +117,7 @@
 	}
 	c := *d.lease
 	d.lease = nil
+	d.storeState(now, e.outcome == Done || e.outcome == Refused)
 	if e.outcome == Failed || e.outcome == Unknown {
 		d.retryAt = now.Add(retryInterval)
 	}
@@ -154,6 +156,7 @@
 	d.until = time.Time{}
 	for _, h := range d.ordered() {
 		delete(d.cells, h.name)
+		d.plan = nil
 		if !h.own {
 			continue
 		}
@@ -211,6 +214,7 @@
 // lose gives up a cell that another directory has taken.
 func (d *Directory) lose(h *held) {
 	delete(d.cells, h.name)
+	d.plan = nil
 	d.release()
 }
 
--- a/internal/process/role/directory/roster.go
+++ b/internal/process/role/directory/roster.go
@@ -34,6 +34,7 @@
 	}
 	before := d.fleet
 	d.fleet = f
+	d.plan = nil
 	for _, g := range f.Groups() {
 		for _, r := range g.Routes() {
 			if y, ok := d.yields[r.Shard()]; ok && r.Epoch() > y.epoch {
@@ -70,6 +71,7 @@
 	}
 	if h.term != 0 && c.Term() == h.term && d.ownMark(c.Mark()) {
 		h.written = true
+		d.plan = nil
 	} else if h.written {
 		d.lose(h)
 		return false
@@ -204,5 +206,5 @@
 // maySeize tells whether the directory may act against processes that it does
 // not hear. After a pause the heartbeats that waited have to be read first.
 func (d *Directory) maySeize(now time.Time) bool {
-	return d.until.After(now) && now.Sub(d.resumed) >= handleGap
+	return d.until.After(now) && now.Sub(d.resumed) >= handleGap && d.available(now)
 }
--- /dev/null
+++ b/internal/process/role/directory/simulation_test.go
@@ -0,0 +1,423 @@
+package directory_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/membership"
+	"greengagedoor.example/greengagedoor/internal/process/role/directory"
+	"greengagedoor.example/greengagedoor/internal/process/role/member"
+	"greengagedoor.example/greengagedoor/internal/request/message"
+)
+
+const (
+	wakeEvery  = 50 * time.Millisecond
+	creditTime = 500 * time.Millisecond
+)
+
+type timed struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type agenda []timed
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at.Before(a[j].at) || (a[i].at.Equal(a[j].at) && a[i].seq < a[j].seq)
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(timed)) }
+func (a *agenda) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return x
+}
+
+// node is a simulated agent: its two decisions and a model of its owner.
+type node struct {
+	id        identity.Process
+	zone      string
+	agent     bool
+	member    *member.Member
+	directory *directory.Directory
+	dead      bool
+	left      bool
+	paused    time.Time
+	noStore   bool
+	owned     map[identity.Shard]identity.Epoch
+	lease     time.Time
+	config    uint64
+	routes    uint64
+	gone      map[identity.Process]time.Time
+	watch     int
+	watched   uint64
+	head      uint64
+}
+
+// simulation runs agents, their links and the store under a virtual clock, and
+// checks after every event what must never happen.
+type simulation struct {
+	t       failer
+	rnd     *rand.Rand
+	now     time.Time
+	agenda  agenda
+	seq     int
+	nodes   []*node
+	byID    map[identity.Process]*node
+	store   *simStore
+	cut     func(a, b *node) bool
+	capable map[identity.Shard]map[identity.Process]time.Time
+	granted map[membership.Claim]identity.Process
+	grants  []time.Time
+	sent    func(from, to *node, body any)
+	layout  membership.Layout
+}
+
+// failer is what a test of either kind offers.
+type failer struct {
+	fatal func(format string, args ...any)
+}
+
+func newSimulation(t *testing.T, seed uint64, shards int) *simulation {
+	return newSimulationFor(failer{fatal: t.Fatalf}, seed, shards)
+}
+
+func newSimulationFor(f failer, seed uint64, shards int) *simulation {
+	layout, err := membership.NewLayout(1, shards)
+	if err != nil {
+		f.fatal("%v", err)
+	}
+	s := &simulation{
+		t:       f,
+		rnd:     rand.New(rand.NewPCG(seed, seed)),
+		now:     time.UnixMilli(1_800_000_000_000),
+		byID:    map[identity.Process]*node{},
+		capable: map[identity.Shard]map[identity.Process]time.Time{},
+		granted: map[membership.Claim]identity.Process{},
+		layout:  layout,
+	}
+	s.store = newSimStore(s)
+	return s
+}
+
+func (s *simulation) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.agenda, timed{at: s.now.Add(d), seq: s.seq, do: do})
+}
+
+func (s *simulation) jitter(least, most time.Duration) time.Duration {
+	return least + time.Duration(s.rnd.Int64N(int64(most-least)))
+}
+
+// run lets the time pass.
+func (s *simulation) run(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.agenda) > 0 && !s.agenda[0].at.After(end) {
+		e := heap.Pop(&s.agenda).(timed)
+		s.now = e.at
+		e.do()
+	}
+	s.now = end
+}
+
+// until runs until ok, and returns the time it took.
+func (s *simulation) until(limit time.Duration, what string, ok func() bool) time.Duration {
+	began := s.now
+	for !ok() {
+		if s.now.Sub(began) >= limit {
+			s.t.fatal("%s: not within %v", what, limit)
+			return limit
+		}
+		s.run(10 * time.Millisecond)
+	}
+	return s.now.Sub(began)
+}
+
+func (s *simulation) add(name, zone, cell string, incarnation uint64) *node {
+	id, err := identity.NewProcess(name, incarnation)
+	if err != nil {
+		s.t.fatal("%v", err)
+	}
+	self := membership.NewMember(id, "address-of-"+name, zone, time.Time{})
+	ms, err := member.NewSettings(self, 0, true, cell, 36)
+	if err != nil {
+		s.t.fatal("%v", err)
+	}
+	ds, err := directory.NewSettings(self, 0, s.layout, 10*time.Minute, 32)
+	if err != nil {
+		s.t.fatal("%v", err)
+	}
+	n := &node{
+		id: id, zone: zone, agent: true, member: member.New(ms), directory: directory.New(ds),
+		owned: map[identity.Shard]identity.Epoch{}, gone: map[identity.Process]time.Time{},
+	}
+	s.nodes = append(s.nodes, n)
+	s.byID[id] = n
+	s.after(s.jitter(0, wakeEvery), func() { s.wake(n) })
+	return n
+}
+
+func (s *simulation) wake(n *node) {
+	if n.dead || n.left {
+		return
+	}
+	s.toMember(n, message.Wake{})
+	s.toDirectory(n, message.Wake{})
+	s.check(n)
+	s.after(wakeEvery, func() { s.wake(n) })
+}
+
+// awake delays an event of a paused node until its end.
+func (s *simulation) awake(n *node, do func()) bool {
+	if n.dead {
+		return false
+	}
+	if n.paused.After(s.now) {
+		s.after(n.paused.Sub(s.now), do)
+		return false
+	}
+	return true
+}
+
+func (s *simulation) toMember(n *node, event any) {
+	if !s.awake(n, func() { s.toMember(n, event) }) {
+		return
+	}
+	for _, e := range append([]any(nil), n.member.Handle(s.now, event)...) {
+		s.memberEffect(n, e)
+	}
+}
+
+func (s *simulation) memberEffect(n *node, effect any) {
+	switch e := effect.(type) {
+	case message.Send:
+		s.transmit(n, e)
+	case member.Look:
+		s.store.look(n, func(f membership.Fleet, ok bool) { s.toMember(n, member.NewLooked(f, ok)) })
+	case member.Take:
+		s.toDirectory(n, directory.NewTake(e.Cell()))
+	case member.Configured:
+		if e.Version() <= n.config {
+			s.t.fatal("%s: configuration went from %d to %d", n.id, n.config, e.Version())
+		}
+		n.config = e.Version()
+	case member.Expelled:
+		n.dead = true
+	case member.Left:
+		n.left = true
+		s.toDirectory(n, directory.Resign{})
+	case membership.Lease:
+		n.lease = e.Until()
+	case membership.Granted:
+		s.grant(n, e)
+	case membership.Released:
+		s.after(s.jitter(0, 100*time.Millisecond), func() {
+			delete(n.owned, e.Shard())
+			s.toMember(n, member.NewStopped(e.Shard()))
+		})
+	case message.Gone:
+		n.gone[e.Process()] = s.now
+	}
+}
+
+// grant checks that an epoch of a shard has one owner only, and that the roster
+// lists every agent that could have started something for the shard.
+func (s *simulation) grant(n *node, g membership.Granted) {
+	c := membership.NewClaim(g.Shard(), g.Epoch())
+	if p, ok := s.granted[c]; ok && p != n.id {
+		s.t.fatal("shard %d epoch %d granted to %s and %s", g.Shard(), g.Epoch(), p, n.id)
+	}
+	s.granted[c] = n.id
+	s.grants = append(s.grants, s.now)
+	n.owned[g.Shard()] = g.Epoch()
+	if g.Epoch() == 1 {
+		return
+	}
+	listed := map[identity.Process]bool{}
+	for _, m := range g.Roster() {
+		listed[m.Process()] = true
+	}
+	for p := range s.store.leasedAt[c] {
+		if !listed[p] {
+			s.t.fatal("shard %d epoch %d: the roster misses %s, which had a lease when the shard moved", g.Shard(), g.Epoch(), p)
+		}
+	}
+}
+
+func (s *simulation) toDirectory(n *node, event any) {
+	if !s.awake(n, func() { s.toDirectory(n, event) }) {
+		return
+	}
+	for _, e := range append([]any(nil), n.directory.Handle(s.now, event)...) {
+		s.directoryEffect(n, e)
+	}
+}
+
+func (s *simulation) directoryEffect(n *node, effect any) {
+	ended := func(o directory.Outcome, session string) { s.toDirectory(n, directory.NewLeaseEnded(o, session)) }
+	switch e := effect.(type) {
+	case message.Send:
+		s.transmit(n, e)
+	case directory.Write:
+		s.store.write(n, e, func(f membership.Fleet, ok bool) { s.toDirectory(n, directory.NewStored(e.Number(), f, ok)) })
+	case directory.Follow:
+		n.watch++
+		if e.On() {
+			s.watch(n, n.watch)
+		}
+	case directory.Read:
+		s.store.call(n, false, func() bool { return true }, func(o directory.Outcome) {
+			if o == directory.Done {
+				s.toDirectory(n, directory.NewConfiguration(s.store.head, []byte{1}))
+			}
+		})
+	case directory.Open, directory.Acquire, directory.Renew, directory.Drop, directory.Close:
+		s.store.lease(n, e, ended)
+	}
+}
+
+// watch shows the newest state every 100 ms at most, as the shell does.
+func (s *simulation) watch(n *node, number int) {
+	if n.dead || n.watch != number {
+		return
+	}
+	if !n.noStore && !s.store.down && n.paused.Before(s.now) {
+		if s.store.head > n.head {
+			n.head = s.store.head
+			s.toDirectory(n, directory.NewHead(n.head))
+		}
+		if f := s.store.list(); f.Index() > n.watched {
+			n.watched = f.Index()
+			s.store.reads++
+			s.after(s.store.delay(), func() { s.toDirectory(n, directory.NewWatched(f)) })
+		}
+	}
+	s.after(s.jitter(20*time.Millisecond, 100*time.Millisecond), func() { s.watch(n, number) })
+}
+
+func (s *simulation) transmit(from *node, m message.Send) {
+	to := s.byID[m.To()]
+	if to == nil {
+		return
+	}
+	if s.sent != nil {
+		s.sent(from, to, m.Body())
+	}
+	if s.cut != nil && s.cut(from, to) {
+		return
+	}
+	s.after(s.jitter(time.Millisecond, 5*time.Millisecond), func() { s.receive(from, to, m.Body()) })
+}
+
+func (s *simulation) receive(from, to *node, body any) {
+	r := message.NewReceived(from.id, 0, nil, body)
+	switch body.(type) {
+	case membership.Confirm, membership.Recall:
+		s.toMember(to, r)
+	case membership.Body:
+		s.toMember(to, r)
+		s.toDirectory(to, r)
+	default:
+		s.toDirectory(to, r)
+	}
+}
+
+// check looks for two processes that can start tasks of one shard, for two
+// directories that act for one cell, and for versions that go back.
+func (s *simulation) check(n *node) {
+	if n.dead || n.paused.After(s.now) {
+		return
+	}
+	if v := n.member.Versions().Routes(); v < n.routes {
+		s.t.fatal("%s: shard map went from %d to %d", n.id, n.routes, v)
+	} else {
+		n.routes = v
+	}
+	for _, c := range n.directory.Cells() {
+		for _, o := range s.nodes {
+			if o != n && !o.dead && n.directory.Acts(s.now, c) && o.directory.Acts(s.now, c) {
+				s.t.fatal("%s and %s act for cell %s", n.id, o.id, c)
+			}
+		}
+	}
+	if !n.lease.After(s.now) {
+		return
+	}
+	if s.store.lostMember(n.id) {
+		s.t.fatal("%s has a lease and is lost in the roster", n.id)
+	}
+	for shard := range n.owned {
+		by := s.capable[shard]
+		if by == nil {
+			by = map[identity.Process]time.Time{}
+			s.capable[shard] = by
+		}
+		for p, at := range by {
+			if p != n.id && s.now.Sub(at) < creditTime {
+				s.t.fatal("shard %d: %s can start %v after %s could", shard, n.id, s.now.Sub(at), p)
+			}
+		}
+		by[n.id] = s.now
+	}
+}
+
+// serving counts the shards that a live process with a lease owns.
+func (s *simulation) serving() int {
+	n := 0
+	for _, o := range s.nodes {
+		if !o.dead && !o.left && o.lease.After(s.now) {
+			n += len(o.owned)
+		}
+	}
+	return n
+}
+
+func (s *simulation) allServed() bool {
+	return s.serving() == s.layout.Count()
+}
+
+// fleetOf builds zones × agents in one cell each.
+func (s *simulation) fleetOf(cells, agents int) {
+	for c := range cells {
+		zone := fmt.Sprintf("z%d", c)
+		for a := range agents {
+			s.add(fmt.Sprintf("%s-a%02d", zone, a), zone, "", uint64(len(s.nodes)+1))
+		}
+	}
+}
+
+// holder finds the live directory of a cell.
+func (s *simulation) holder(cell string) *node {
+	for _, n := range s.nodes {
+		if !n.dead && n.directory.Acts(s.now, cell) {
+			return n
+		}
+	}
+	return nil
+}
+
+func (s *simulation) cells() []string {
+	seen := map[string]bool{}
+	var names []string
+	for _, n := range s.nodes {
+		if c := n.member.Cell(); c != "" && !seen[c] {
+			seen[c] = true
+			names = append(names, c)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// leave ends a node gracefully.
+func (s *simulation) leave(n *node) {
+	s.toMember(n, member.Leave{})
+}
