--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -19,15 +20,20 @@
 	"greengagedoor.example/greengagedoor/internal/process/role/backend"
 	"greengagedoor.example/greengagedoor/internal/process/role/network"
 	"greengagedoor.example/greengagedoor/internal/process/role/owner"
+	"greengagedoor.example/greengagedoor/internal/process/web"
 	"greengagedoor.example/greengagedoor/internal/request/message"
 	"greengagedoor.example/greengagedoor/internal/version/configuration"
 )
 
 const (
-	callers          = 64
+	callers          = 256
 	ledgerLimit      = 200_000
-	ledgerRetention  = 10*time.Minute + 10*time.Second
+	ledgerBytes      = 32 << 20
+	retention        = 10 * time.Minute
 	announceMaxBytes = 64 << 10
+	// drainLimit is how long a leaving agent waits for its running tasks; most take
+	// less than a second, a few several.
+	drainLimit = 20 * time.Second
 )
 
 // Agent is an assembled agent process.
@@ -41,6 +47,9 @@
 	station  *station
 	free     atomic.Uint32
 	ready    atomic.Bool
+	links    net.Listener
+	pages    net.Listener
+	drained  chan struct{}
 	cleanups []func()
 }
 
@@ -48,7 +57,8 @@
 // and worker the worker of this node, both empty if it has none.
 func NewAgent(c Common, pool string, worker agent.Worker, seed uint64) (*Agent, func(), error) {
 	a := &Agent{
-		common: c,
+		common:  c,
+		drained: make(chan struct{}),
 	}
 	if err := a.build(pool, worker, seed); err != nil {
 		a.cleanup()
@@ -64,15 +74,22 @@
 }
 
 func (a *Agent) build(pool string, worker agent.Worker, seed uint64) error {
+	var err error
+	var cleanup func()
+	a.links, a.pages, cleanup, err = a.common.listen()
+	if err != nil {
+		return err
+	}
+	a.cleanups = append(a.cleanups, cleanup)
 	began := a.common.now()
 	issue := func(now time.Time) uint64 {
 		return uint64(now.Sub(began).Milliseconds()) + 1
 	}
-	l, err := ledger.New(ledgerRetention, ledgerLimit)
+	l, err := ledger.New(began, ledger.Keep(retention, agent.MaxCallerSkew), ledgerLimit, ledgerBytes)
 	if err != nil {
 		return err
 	}
-	admission, err := agent.New(l, issue)
+	admission, err := agent.New(a.common.process, l, issue)
 	if err != nil {
 		return err
 	}
@@ -93,16 +110,17 @@
 	if err != nil {
 		return err
 	}
+	a.agent.next = admission.Next
 	a.owner, err = newRole("owner", a.common.now, message.Wake{}, func(now time.Time, e any) {
 		a.applyOwner(now, dispatch, e)
 	})
 	if err != nil {
 		return err
 	}
-	return a.connect(pool, func() uint64 { return issue(a.common.now()) })
+	return a.connect(pool, worker.Name(), func() uint64 { return issue(a.common.now()) })
 }
 
-func (a *Agent) connect(pool string, credit func() uint64) error {
+func (a *Agent) connect(pool, worker string, credit func() uint64) error {
 	var err error
 	var cleanup func()
 	a.network, cleanup, err = network.New(a.common.process, a.common.linkAddress, network.Seams{
@@ -115,7 +133,7 @@
 		return err
 	}
 	a.cleanups = append(a.cleanups, cleanup)
-	a.backend, cleanup, err = backend.New(pool, a.common.now, func(ctx context.Context, e agent.Ended) error {
+	a.backend, cleanup, err = backend.New(pool, worker, a.common.now, func(ctx context.Context, e any) error {
 		return a.agent.ring.Push(ctx, e)
 	}, a.common.log)
 	if err != nil {
@@ -130,19 +148,19 @@
 }
 
 func (a *Agent) duties() error {
-	links, cleanup, err := serveLinks(a.common.linkAddress, func(g *grpc.Server) { a.network.Register(g) })
+	links, cleanup, err := serveLinks(a.links, func(g *grpc.Server) { a.network.Register(g) })
 	if err != nil {
 		return err
 	}
 	a.cleanups = append(a.cleanups, cleanup)
-	e := newEcho(a.ready.Load)
+	e := a.common.newEcho(a.ready.Load)
 	e.POST("/v1/announce", a.announce)
-	web, cleanup, err := serveHTTP(a.common.httpAddress, e)
+	pages, cleanup, err := web.Serve(a.pages, "http", "Serves callers, operators and targets.", e)
 	if err != nil {
 		return err
 	}
 	a.cleanups = append(a.cleanups, cleanup)
-	net, err := duty.New("network", "Carries messages between processes.", gauge(a.network.Ring()), a.network.Run)
+	carrier, err := duty.New("network", "Carries messages between processes.", gauge(a.network.Ring()), a.network.Run)
 	if err != nil {
 		return err
 	}
@@ -162,12 +180,20 @@
 	if err != nil {
 		return err
 	}
-	all := append([]duty.Duty{net, links, admission, dispatch, web}, duties...)
+	all := append([]duty.Duty{links, carrier, admission, dispatch, pages}, duties...)
 	a.table, err = duty.NewTable(append(all, members...)...)
 	return err
 }
 
-// Run runs all duties until ctx ends or one fails.
+// HTTPAddress is where targets announce themselves.
+func (a *Agent) HTTPAddress() string {
+	return a.common.httpAddress
+}
+
+// Run runs all duties until ctx ends or one fails. When ctx ends, the agent first
+// drains: it takes no new work, and its duties go on until the running tasks have
+// ended and are reported, or drainLimit is over. The network then waits a moment
+// for the acknowledgements of the last reports.
 func (a *Agent) Run(ctx context.Context) error {
 	failed, stop := a.table.Start(context.WithoutCancel(ctx))
 	defer stop()
@@ -175,9 +201,20 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
-		a.station.leave(context.WithoutCancel(ctx))
-		return nil
 	}
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainLimit)
+	defer cancel()
+	_ = a.agent.ring.Push(limit, agent.Drain{})
+	select {
+	case err := <-failed:
+		return err
+	case <-a.drained:
+	case <-limit.Done():
+		a.common.log.Warn("tasks still ran when the time for leaving was over")
+	}
+	// The shards go last: until then the records of what ran here can be sealed.
+	a.station.leave(context.WithoutCancel(ctx))
+	return nil
 }
 
 // publish hands a fact about the process to its roles.
@@ -202,7 +239,7 @@
 			return
 		}
 		switch r.Body().(type) {
-		case message.Start, message.Interest, message.Revoke, message.Seal:
+		case message.Start, message.Interest, message.Revoke, message.Seal, agent.Barrier:
 			_ = a.agent.ring.Push(ctx, e)
 			return
 		}
@@ -217,7 +254,7 @@
 	switch u.Send().Body().(type) {
 	case membership.Beat, membership.Confirm, membership.Fetch, membership.Body, membership.Recall, membership.Yield, membership.Digest:
 		// The membership repeats what was not answered.
-	case message.Finished, message.Rejected, message.Offer, message.Revoked, message.Sealed:
+	case message.Finished, message.Rejected, message.Offer, message.Revoked, message.Sealed, agent.Barrier:
 		_ = a.agent.ring.Push(ctx, u)
 	default:
 		_ = a.owner.ring.Push(ctx, u)
@@ -226,6 +263,7 @@
 
 func (a *Agent) applyOwner(now time.Time, o *owner.Owner, event any) {
 	for _, s := range o.Handle(now, event) {
+		a.common.logOwner(event, s)
 		if a.network.Post(s) != nil {
 			// The owner is inside Handle's result; the event goes through its ring.
 			_ = a.owner.ring.TryPush(message.NewUndelivered(s))
@@ -237,22 +275,18 @@
 }
 
 func (a *Agent) applyAgent(now time.Time, d *agent.Agent, event any) {
-	for _, effect := range d.Handle(now, event) {
-		var err error
-		switch e := effect.(type) {
-		case message.Send:
-			if a.network.Post(e) != nil {
-				err = a.agent.ring.TryPush(message.NewUndelivered(e))
+	events := []any{event}
+	for len(events) > 0 {
+		// What could not be carried out is handled at once: through the ring it could
+		// be lost, and a slot would stay taken for good.
+		var failed []any
+		for _, effect := range d.Handle(now, events[0]) {
+			a.common.logAgent(effect)
+			if e, ok := a.carryOut(effect); !ok {
+				failed = append(failed, e)
 			}
-		case agent.Call, agent.Place:
-			err = a.backend.Post(e)
-		case agent.Free:
-			a.countFree(e.Rooms())
-			err = a.network.Post(network.NewHint(e.Rooms()))
-		}
-		if err != nil {
-			a.common.log.WithError(err).Error("effect of the agent was not carried out")
 		}
+		events = append(events[1:], failed...)
 	}
 }
 
@@ -264,6 +298,35 @@
 	a.free.Store(n)
 }
 
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return "no caller is free: " + err.Error()
+}
+
+// carryOut returns the event that reports an effect which was not possible.
+func (a *Agent) carryOut(effect any) (any, bool) {
+	switch e := effect.(type) {
+	case message.Send:
+		return message.NewUndelivered(e), a.network.Post(e) == nil
+	case agent.Call:
+		err := a.backend.Post(e)
+		return agent.NewUncalled(e.Task(), errText(err)), err == nil
+	case agent.Place:
+		err := a.backend.Post(e)
+		return agent.NewUncalled(e.Task(), errText(err)), err == nil
+	case agent.Control:
+		return agent.NewControlled(e.Task(), e.Means(), false), a.backend.Post(e) == nil
+	case *agent.Free:
+		a.countFree(e.Rooms())
+		return agent.Unpublished{}, a.network.Post(network.NewHint(e.Rooms())) == nil
+	case agent.Drained:
+		close(a.drained)
+	}
+	return nil, true
+}
+
 type announceDocument struct {
 	Target      string   `json:"target"`
 	URL         string   `json:"url"`
@@ -278,11 +341,11 @@
 	dec := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, announceMaxBytes))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&d); err != nil {
-		return c.String(http.StatusBadRequest, err.Error())
+		return bodyFault(err)
 	}
 	n, err := announcement.New(d.Target, d.URL, d.Services, d.Slots, d.Connections, d.Leaving)
 	if err != nil {
-		return c.String(http.StatusBadRequest, err.Error())
+		return bad(http.StatusBadRequest, "", "%v", err)
 	}
 	if err := a.agent.ring.TryPush(n); err != nil {
 		return c.String(http.StatusServiceUnavailable, err.Error())
--- a/internal/process/role/host/membership.go
+++ b/internal/process/role/host/membership.go
@@ -7,8 +7,10 @@
 	"github.com/pkg/errors"
 
 	"greengagedoor.example/greengagedoor/internal/process/duty"
+	"greengagedoor.example/greengagedoor/internal/process/ledger"
 	"greengagedoor.example/greengagedoor/internal/process/membership"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
+	"greengagedoor.example/greengagedoor/internal/process/role/agent"
 	"greengagedoor.example/greengagedoor/internal/process/role/directory"
 	"greengagedoor.example/greengagedoor/internal/process/role/member"
 	"greengagedoor.example/greengagedoor/internal/process/role/network"
@@ -85,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	set, err := directory.NewSettings(self, s.common.region, layout, ledgerRetention, workingAgents)
+	set, err := directory.NewSettings(self, s.common.region, layout, ledger.Keep(retention, agent.MaxCallerSkew), workingAgents)
 	if err != nil {
 		return err
 	}
