--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -27,13 +27,13 @@
 
 const (
 	callers          = 256
-	ledgerLimit      = 200_000
-	ledgerBytes      = 32 << 20
+	ledgerLimit      = 150_000
+	ledgerBytes      = 24 << 20
 	retention        = 10 * time.Minute
 	announceMaxBytes = 64 << 10
-	// drainLimit is how long a leaving agent waits for its running tasks; most take
+	// AgentDrainLimit is how long a leaving agent waits for its running tasks; most take
 	// less than a second, a few several.
-	drainLimit = 20 * time.Second
+	AgentDrainLimit = 20 * time.Second
 )
 
 // Agent is an assembled agent process.
@@ -111,6 +111,7 @@
 		return err
 	}
 	a.agent.next = admission.Next
+	a.agent.snapshot = func() any { return admission.Snapshot() }
 	a.owner, err = newRole("owner", a.common.now, message.Wake{}, func(now time.Time, e any) {
 		a.applyOwner(now, dispatch, e)
 	})
@@ -155,6 +156,9 @@
 	a.cleanups = append(a.cleanups, cleanup)
 	e := a.common.newEcho(a.ready.Load)
 	e.POST("/v1/announce", a.announce)
+	if err := a.common.observe(e, func() *duty.Table { return a.table }, a.agent, a.owner); err != nil {
+		return err
+	}
 	pages, cleanup, err := web.Serve(a.pages, "http", "Serves callers, operators and targets.", e)
 	if err != nil {
 		return err
@@ -192,7 +196,7 @@
 
 // Run runs all duties until ctx ends or one fails. When ctx ends, the agent first
 // drains: it takes no new work, and its duties go on until the running tasks have
-// ended and are reported, or drainLimit is over. The network then waits a moment
+// ended and are reported, or AgentDrainLimit is over. The network then waits a moment
 // for the acknowledgements of the last reports.
 func (a *Agent) Run(ctx context.Context) error {
 	failed, stop := a.table.Start(context.WithoutCancel(ctx))
@@ -202,7 +206,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainLimit)
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), AgentDrainLimit)
 	defer cancel()
 	_ = a.agent.ring.Push(limit, agent.Drain{})
 	select {
@@ -222,6 +226,7 @@
 	switch e.(type) {
 	case *configuration.Configuration:
 		a.ready.Store(true)
+		a.common.countVersion(e)
 		_ = a.agent.ring.Push(ctx, e)
 		_ = a.owner.ring.Push(ctx, e)
 	case membership.Lease, message.Gone:
@@ -263,8 +268,10 @@
 
 func (a *Agent) applyOwner(now time.Time, o *owner.Owner, event any) {
 	for _, s := range o.Handle(now, event) {
-		a.common.logOwner(event, s)
-		if a.network.Post(s) != nil {
+		a.common.observeOwner(event, s)
+		err := a.network.Post(s)
+		a.common.countSend(err)
+		if err != nil {
 			// The owner is inside Handle's result; the event goes through its ring.
 			_ = a.owner.ring.TryPush(message.NewUndelivered(s))
 		}
@@ -281,7 +288,7 @@
 		// be lost, and a slot would stay taken for good.
 		var failed []any
 		for _, effect := range d.Handle(now, events[0]) {
-			a.common.logAgent(effect)
+			a.common.observeAgent(effect)
 			if e, ok := a.carryOut(effect); !ok {
 				failed = append(failed, e)
 			}
@@ -309,7 +316,9 @@
 func (a *Agent) carryOut(effect any) (any, bool) {
 	switch e := effect.(type) {
 	case message.Send:
-		return message.NewUndelivered(e), a.network.Post(e) == nil
+		err := a.network.Post(e)
+		a.common.countSend(err)
+		return message.NewUndelivered(e), err == nil
 	case agent.Call:
 		err := a.backend.Post(e)
 		return agent.NewUncalled(e.Task(), errText(err)), err == nil
--- a/internal/process/role/host/stores.go
+++ b/internal/process/role/host/stores.go
@@ -324,6 +324,9 @@
 			timer.Reset(0)
 		case <-due:
 			pairs, newest, err := s.common.store.Watch(ctx, prefix, index, watchTime)
+			if ctx.Err() != nil {
+				return nil
+			}
 			s.health[purpose].note(err)
 			if err != nil {
 				timer.Reset(watchRetry)
--- a/internal/version/configuration/check.go
+++ b/internal/version/configuration/check.go
@@ -14,6 +14,8 @@
 	MaxSpread       = 1000
 	MaxStarts       = 11
 	MaxNameBytes    = 64
+	MaxDrained      = 500
+	MaxTargetBytes  = 128
 	// shareTolerance absorbs the rounding of shares that add up to the whole.
 	shareTolerance = 1e-9
 )
@@ -42,6 +44,7 @@
 		c.checkWorker(k, add)
 	}
 	c.checkUrgencies(add)
+	c.checkDrained(add)
 	return ps
 }
 
@@ -140,6 +143,18 @@
 	}
 }
 
+// checkDrained bounds the list, so that it cannot crowd out the configuration.
+func (c *Configuration) checkDrained(add func(place, field, value, allowed string)) {
+	if len(c.drained) > MaxDrained {
+		add("configuration", "drained", strconv.Itoa(len(c.drained))+" targets", "at most "+strconv.Itoa(MaxDrained))
+	}
+	for _, t := range c.drained {
+		if t == "" || len(t) > MaxTargetBytes {
+			add("configuration", "drained", strconv.Itoa(len(t))+" bytes", "names of 1 to "+strconv.Itoa(MaxTargetBytes)+" bytes")
+		}
+	}
+}
+
 // Percent writes a share the way operators answer it.
 func Percent(share float64) string {
 	return strconv.FormatFloat(share*100, 'g', 10, 64) + "%"
--- a/internal/version/configuration/configuration.go
+++ b/internal/version/configuration/configuration.go
@@ -101,6 +101,7 @@
 	kinds   map[kindKey]Kind
 	workers []WorkerClass
 	tokens  []TokenHash
+	drained []string
 }
 
 type kindKey struct {
@@ -178,6 +179,26 @@
 	return c.tokens
 }
 
+// WithDrained returns a copy in which the targets of the given names get no new
+// work.
+func (c *Configuration) WithDrained(targets []string) *Configuration {
+	n := *c
+	n.drained = append([]string(nil), targets...)
+	sort.Strings(n.drained)
+	return &n
+}
+
+// Drained lists the targets that get no new work, by name.
+func (c *Configuration) Drained() []string {
+	return c.drained
+}
+
+// IsDrained tells whether a target gets no new work.
+func (c *Configuration) IsDrained(target string) bool {
+	i := sort.SearchStrings(c.drained, target)
+	return i < len(c.drained) && c.drained[i] == target
+}
+
 // Limits are the bounds of one job.
 func (c *Configuration) Limits() Limits {
 	return c.limits
--- a/internal/version/configuration/diff.go
+++ b/internal/version/configuration/diff.go
@@ -107,6 +107,7 @@
 	changes = compare(changes, "installation", []field[*Configuration]{
 		{"tokens", func(c *Configuration) string { return describeTokens(c.tokens) }, "tokens that give access to the whole installation"},
 		{"workers", func(c *Configuration) string { return describeWorkers(c.workers) }, "sizes of worker against which kinds are checked"},
+		{"drained", func(c *Configuration) string { return fmt.Sprint(c.drained) }, "targets that get no new work"},
 	}, before, after)
 	changes = compareParts(changes, "team", teamFields, partsOf(before.Teams(), Team.Name), partsOf(after.Teams(), Team.Name))
 	name := func(k Kind) string { return k.team + "/" + k.name }
