--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -13,7 +14,6 @@
 
 	"greengagedoor.example/greengagedoor/internal/connection/announcement"
 	"greengagedoor.example/greengagedoor/internal/process/duty"
-	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/ledger"
 	"greengagedoor.example/greengagedoor/internal/process/membership"
 	"greengagedoor.example/greengagedoor/internal/process/role/agent"
@@ -44,6 +44,9 @@
 	owner    *role
 	network  *network.Network
 	backend  *backend.Backend
+	station  *station
+	free     atomic.Uint32
+	ready    atomic.Bool
 	links    net.Listener
 	pages    net.Listener
 	drained  chan struct{}
@@ -145,24 +148,20 @@
 		return err
 	}
 	a.cleanups = append(a.cleanups, cleanup)
+	a.station, err = newStation(a.common, true, a.network.Post, a.publish, a.free.Load)
+	if err != nil {
+		return err
+	}
 	return a.duties()
 }
 
 func (a *Agent) duties() error {
-	reg := &registry{
-		common:  a.common,
-		agent:   true,
-		network: a.network,
-		publish: a.publish,
-		owned:   map[identity.Shard]bool{},
-		routes:  map[identity.Shard]identity.Process{},
-	}
 	links, cleanup, err := serveLinks(a.links, func(g *grpc.Server) { a.network.Register(g) })
 	if err != nil {
 		return err
 	}
 	a.cleanups = append(a.cleanups, cleanup)
-	e := a.common.newEcho(func() bool { return true })
+	e := a.common.newEcho(a.ready.Load)
 	e.POST("/v1/announce", a.announce)
 	if err := a.common.observe(e, func() *duty.Table { return a.table }, a.agent, a.owner); err != nil {
 		return err
@@ -184,7 +183,7 @@
 	if err != nil {
 		return err
 	}
-	member, err := duty.New("member", "Keeps this process's membership.", nil, reg.run)
+	members, err := a.station.duties()
 	if err != nil {
 		return err
 	}
@@ -192,7 +191,8 @@
 	if err != nil {
 		return err
 	}
-	a.table, err = duty.NewTable(append([]duty.Duty{links, carrier, admission, dispatch, member, pages}, duties...)...)
+	all := append([]duty.Duty{links, carrier, admission, dispatch, pages}, duties...)
+	a.table, err = duty.NewTable(append(all, members...)...)
 	return err
 }
 
@@ -223,16 +223,22 @@
 	case <-limit.Done():
 		a.common.log.Warn("tasks still ran when the time for leaving was over")
 	}
+	// The shards go last: until then the records of what ran here can be sealed.
+	a.station.leave(context.WithoutCancel(ctx))
 	return nil
 }
 
 // publish hands a fact about the process to its roles.
 func (a *Agent) publish(ctx context.Context, e any) {
 	switch e.(type) {
-	case membership.Lease, *configuration.Configuration:
+	case *configuration.Configuration:
+		a.ready.Store(true)
 		a.common.countVersion(e)
 		_ = a.agent.ring.Push(ctx, e)
 		_ = a.owner.ring.Push(ctx, e)
+	case membership.Lease, message.Gone:
+		_ = a.agent.ring.Push(ctx, e)
+		_ = a.owner.ring.Push(ctx, e)
 	case membership.Granted, membership.Released, membership.WorkingSet:
 		_ = a.owner.ring.Push(ctx, e)
 	}
@@ -241,6 +247,9 @@
 // deliver routes a received message to the role that handles it.
 func (a *Agent) deliver(ctx context.Context, e any) {
 	if r, ok := e.(message.Received); ok {
+		if a.station.deliver(ctx, r) {
+			return
+		}
 		switch r.Body().(type) {
 		case message.Start, message.Interest, message.Revoke, message.Seal, agent.Barrier:
 			_ = a.agent.ring.Push(ctx, e)
@@ -255,6 +264,8 @@
 
 func (a *Agent) undelivered(ctx context.Context, u message.Undelivered) {
 	switch u.Send().Body().(type) {
+	case membership.Beat, membership.Confirm, membership.Fetch, membership.Body, membership.Recall, membership.Yield, membership.Digest:
+		// The membership repeats what was not answered.
 	case message.Finished, message.Rejected, message.Offer, message.Revoked, message.Sealed, agent.Barrier:
 		_ = a.agent.ring.Push(ctx, u)
 	default:
@@ -272,6 +283,9 @@
 			_ = a.owner.ring.TryPush(message.NewUndelivered(s))
 		}
 	}
+	if r, ok := event.(membership.Released); ok {
+		a.station.stopped(r)
+	}
 }
 
 func (a *Agent) applyAgent(now time.Time, d *agent.Agent, event any) {
@@ -290,6 +304,14 @@
 	}
 }
 
+func (a *Agent) countFree(rooms []message.Room) {
+	var n uint32
+	for _, r := range rooms {
+		n += r.Free()
+	}
+	a.free.Store(n)
+}
+
 func errText(err error) string {
 	if err == nil {
 		return ""
@@ -313,6 +335,7 @@
 	case agent.Control:
 		return agent.NewControlled(e.Task(), e.Means(), false), a.backend.Post(e) == nil
 	case *agent.Free:
+		a.countFree(e.Rooms())
 		return agent.Unpublished{}, a.network.Post(network.NewHint(e.Rooms())) == nil
 	case agent.Drained:
 		close(a.drained)
--- a/internal/process/role/host/entry.go
+++ b/internal/process/role/host/entry.go
@@ -10,7 +10,6 @@
 	"google.golang.org/grpc"
 
 	"greengagedoor.example/greengagedoor/internal/process/duty"
-	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/membership"
 	"greengagedoor.example/greengagedoor/internal/process/metric"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
@@ -32,6 +31,7 @@
 	table    *duty.Table
 	entry    *role
 	network  *network.Network
+	station  *station
 	ready    atomic.Bool
 	drained  chan struct{}
 	requests atomic.Uint64
@@ -88,24 +88,28 @@
 	e.entry.snapshot = func() any { return decision.Snapshot() }
 	e.network, cleanup, err = network.New(e.common.process, e.common.linkAddress, network.Seams{
 		Now:         e.common.now,
-		Deliver:     func(ctx context.Context, v any) { _ = e.entry.ring.Push(ctx, v) },
+		Deliver:     e.deliver,
 		Undelivered: func(ctx context.Context, u message.Undelivered) { _ = e.entry.ring.Push(ctx, u) },
 	}, e.common.log)
 	if err != nil {
 		return err
 	}
 	e.cleanups = append(e.cleanups, cleanup)
+	e.station, err = newStation(e.common, false, e.network.Post, e.publish, func() uint32 { return 0 })
+	if err != nil {
+		return err
+	}
 	return e.duties()
 }
 
-func (e *Entry) duties() error {
-	reg := &registry{
-		common:  e.common,
-		network: e.network,
-		publish: e.publish,
-		owned:   map[identity.Shard]bool{},
-		routes:  map[identity.Shard]identity.Process{},
+func (e *Entry) deliver(ctx context.Context, v any) {
+	if r, ok := v.(message.Received); ok && e.station.deliver(ctx, r) {
+		return
 	}
+	_ = e.entry.ring.Push(ctx, v)
+}
+
+func (e *Entry) duties() error {
 	links, cleanup, err := serveLinks(e.links, func(g *grpc.Server) { e.network.Register(g) })
 	if err != nil {
 		return err
@@ -129,11 +133,11 @@
 	if err != nil {
 		return err
 	}
-	member, err := duty.New("member", "Follows configuration and shard map.", nil, reg.run)
+	members, err := e.station.duties()
 	if err != nil {
 		return err
 	}
-	e.table, err = duty.NewTable(carrier, links, decision, member, pages)
+	e.table, err = duty.NewTable(append([]duty.Duty{carrier, links, decision, pages}, members...)...)
 	return err
 }
 
