Keep links going over streams that go silent in one direction

Cause: a link looked only at what it heard.

Ruled out: a new stream after 1 s without acknowledgement. A loaded peer answers late, and sending everything again adds to the load; 3 s are the safety net, the silence of 1 s does the work.

Change: the side that cannot dial closes silent streams; a fallback sends again; hellos and connects have limits; the window is bounded to 16 MB besides 4,096 bodies; the network remembers replaced runs, refuses their streams and reports messages to them as undelivered; it waits up to 1 s for acknowledgements before it ends.

--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -23,12 +23,18 @@
 	HeartbeatInterval = 300 * time.Millisecond
 	// SilenceLimit is the silence after which a new stream is opened.
 	SilenceLimit = time.Second
+	// StallLimit is the time without a new acknowledgement after which a new stream
+	// is opened although the peer is heard. It is longer than SilenceLimit, since a
+	// peer under load answers late, and sending everything again adds to the load.
+	StallLimit = 3 * time.Second
 	// DialInterval bounds the rate of new streams to a peer that does not answer.
 	DialInterval = time.Second
 	// IdleLimit closes the streams of a link on which neither side sent a body.
 	IdleLimit = time.Minute
 	// Window is the largest number of bodies without acknowledgement.
 	Window = 4096
+	// WindowBytes bounds their size, for a peer that never comes back.
+	WindowBytes = 16 << 20
 	// acknowledgeEvery bounds the bodies that a peer must keep when traffic flows
 	// one way.
 	acknowledgeEvery = 64
@@ -132,6 +138,8 @@
 	former    Stream
 	sequence  uint64
 	unacked   []Frame
+	bytes     int
+	progress  time.Time
 	received  uint64
 	sinceAck  int
 	lastHeard time.Time
@@ -184,9 +192,13 @@
 // full; the body has then certainly not left.
 func (l *Link) Post(now time.Time, body []byte) ([]any, bool) {
 	l.effects = l.effects[:0]
-	if len(l.unacked) >= Window {
+	if len(l.unacked) >= Window || (len(l.unacked) > 0 && l.bytes+len(body) > WindowBytes) {
 		return nil, false
 	}
+	if len(l.unacked) == 0 {
+		l.progress = now
+	}
+	l.bytes += len(body)
 	l.sequence++
 	f := Frame{
 		sequence: l.sequence,
@@ -213,15 +225,22 @@
 	}
 	l.former = l.current
 	l.current = s
-	l.hintSent = false
 	l.lastHeard = now
+	l.again(now)
+	return l.effects
+}
+
+// again sends on the current stream what the peer may not have received. The
+// peer takes bodies in order only, so a gap would last for good.
+func (l *Link) again(now time.Time) {
+	l.hintSent = false
+	l.progress = now
 	if len(l.unacked) == 0 {
 		l.heartbeat(now)
 	}
 	for _, f := range l.unacked {
 		l.transmit(now, f)
 	}
-	return l.effects
 }
 
 // Closed tells that a stream ended.
@@ -235,6 +254,8 @@
 		l.former = 0
 		if l.current == 0 {
 			l.dial(now)
+		} else {
+			l.again(now)
 		}
 	}
 	return l.effects
@@ -244,7 +265,7 @@
 func (l *Link) Frame(now time.Time, f Frame) []any {
 	l.effects = l.effects[:0]
 	l.lastHeard = now
-	l.acknowledged(f.received)
+	l.acknowledged(now, f.received)
 	switch {
 	case f.sequence == 0:
 		l.effects = append(l.effects, Deliver{
@@ -264,12 +285,16 @@
 	return l.effects
 }
 
-func (l *Link) acknowledged(received uint64) {
+func (l *Link) acknowledged(now time.Time, received uint64) {
 	n := 0
 	for n < len(l.unacked) && l.unacked[n].sequence <= received {
+		l.bytes -= len(l.unacked[n].body)
 		l.unacked[n] = Frame{}
 		n++
 	}
+	if n > 0 {
+		l.progress = now
+	}
 	l.unacked = l.unacked[n:]
 	if len(l.unacked) == 0 {
 		l.unacked = nil
@@ -288,12 +313,30 @@
 	if l.current != 0 && now.Sub(l.lastSent) >= HeartbeatInterval {
 		l.heartbeat(now)
 	}
-	if now.Sub(l.lastHeard) >= SilenceLimit {
-		l.dial(now)
+	if l.stuck(now) {
+		l.replace(now)
 	}
 	return l.effects
 }
 
+// stuck tells whether nothing arrives, or nothing that was sent is acknowledged.
+func (l *Link) stuck(now time.Time) bool {
+	return now.Sub(l.lastHeard) >= SilenceLimit ||
+		(len(l.unacked) > 0 && now.Sub(l.progress) >= StallLimit)
+}
+
+// replace opens a stream beside the silent one. If only the peer can open one,
+// the streams are closed, since the peer may still hear this side and would wait.
+func (l *Link) replace(now time.Time) {
+	if l.dialable {
+		l.dial(now)
+		return
+	}
+	if l.current != 0 && now.Sub(l.lastHeard) >= SilenceLimit {
+		l.hangUp()
+	}
+}
+
 // Silent is the time since anything was heard.
 func (l *Link) Silent(now time.Time) time.Duration {
 	return now.Sub(l.lastHeard)
--- a/internal/process/role/network/network.go
+++ b/internal/process/role/network/network.go
@@ -26,6 +26,11 @@
 	ringSize     = 8192
 	wakeInterval = 100 * time.Millisecond
 	flushLimit   = time.Second
+	// maxBodyBytes leaves room for the rest of the frame. A larger body would end
+	// every stream that carries it.
+	maxBodyBytes = maxFrameBytes - 1<<16
+	// maxDeparted bounds the runs that are known to be replaced.
+	maxDeparted = 1024
 )
 
 // Address tells where a process listens.
@@ -98,6 +103,8 @@
 	links     map[identity.Process]*link.Link
 	streams   map[link.Stream]*stream
 	addresses map[identity.Process]string
+	departed  map[identity.Process]bool
+	leaving   []identity.Process
 	rooms     []message.Room
 	hint      []byte
 	selfSent  time.Time
@@ -126,6 +133,7 @@
 		links:     map[identity.Process]*link.Link{},
 		streams:   map[link.Stream]*stream{},
 		addresses: map[identity.Process]string{},
+		departed:  map[identity.Process]bool{},
 	}
 	n.dialer = newDialer(n)
 	return n, n.dialer.cleanup, nil
@@ -153,11 +161,42 @@
 		case <-ticker.C:
 			n.wake(ctx)
 		case <-ctx.Done():
+			n.settle(context.WithoutCancel(ctx), ticker)
 			return nil
 		}
 	}
 }
 
+// settle goes on until every connected peer has acknowledged what it was sent, so
+// that a leaving process does not cut off its last reports. A frame that was
+// written may still be in a buffer that the end of its stream discards.
+func (n *Network) settle(ctx context.Context, ticker *time.Ticker) {
+	ctx, cancel := context.WithTimeout(ctx, flushLimit)
+	defer cancel()
+	for n.pending() {
+		select {
+		case m := <-n.ring.Out():
+			n.handle(ctx, m)
+		case <-ticker.C:
+			n.wake(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Network) pending() bool {
+	if n.ring.Depth() > 0 {
+		return true
+	}
+	for _, l := range n.links {
+		if l.Connected() && l.Unacknowledged() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // closeStreams flushes what the streams still hold, so that a leaving process
 // does not lose its last replies.
 func (n *Network) closeStreams() {
@@ -181,6 +220,9 @@
 	case message.Send:
 		n.send(ctx, now, m)
 	case Address:
+		if n.departed[m.process] {
+			return
+		}
 		n.addresses[m.process] = m.address
 		if l, ok := n.links[m.process]; ok {
 			l.SetDialable()
@@ -211,8 +253,15 @@
 		return
 	}
 	body, err := wire.Encode(s.Body())
+	if err == nil && len(body) > maxBodyBytes {
+		err = errors.Errorf("%T has %d bytes, allowed are %d", s.Body(), len(body), maxBodyBytes)
+	}
+	if err == nil && n.departed[s.To()] {
+		n.seams.Undelivered(ctx, message.NewUndelivered(s))
+		return
+	}
 	if err != nil {
-		n.log.WithError(err).Error("message cannot be encoded")
+		n.log.WithError(err).Error("message cannot be sent")
 		n.seams.Undelivered(ctx, message.NewUndelivered(s))
 		return
 	}
@@ -251,6 +300,11 @@
 }
 
 func (n *Network) opened(ctx context.Context, now time.Time, m opened) {
+	if n.departed[m.peer] {
+		// A stream of the former run can arrive after one of its successor.
+		m.stream.close()
+		return
+	}
 	if !m.wanted.IsZero() && m.wanted != m.peer {
 		n.gone(ctx, m.wanted)
 	}
@@ -272,6 +326,15 @@
 func (n *Network) gone(ctx context.Context, p identity.Process) {
 	delete(n.links, p)
 	delete(n.addresses, p)
+	if n.departed[p] {
+		return
+	}
+	if len(n.leaving) == maxDeparted {
+		delete(n.departed, n.leaving[0])
+		n.leaving = n.leaving[1:]
+	}
+	n.departed[p] = true
+	n.leaving = append(n.leaving, p)
 	n.seams.Deliver(ctx, message.NewGone(p))
 }
 
--- a/internal/process/role/network/stream.go
+++ b/internal/process/role/network/stream.go
@@ -4,9 +4,11 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"greengagedoor.example/greengagedoor/internal/connection/link"
@@ -18,6 +20,13 @@
 // maxFrameBytes bounds a frame: a job of 1,100 tasks with its payloads.
 const maxFrameBytes = 16 << 20
 
+// The times of opening a stream. A peer that accepts connections and then says
+// nothing must not keep a goroutine for good.
+const (
+	helloLimit   = 2 * time.Second
+	connectLimit = time.Second
+)
+
 // ErrHello reports a stream that does not begin with the peer's name.
 var ErrHello = errors.New("stream does not begin with a hello")
 
@@ -75,10 +84,15 @@
 // serve runs a stream until it ends. It says hello, waits for the peer's, and
 // then reads while a second goroutine writes.
 func (n *Network) serve(ctx context.Context, x exchange, stop context.CancelFunc, wanted identity.Process) error {
+	limit := time.AfterFunc(helloLimit, stop)
+	defer limit.Stop()
 	if err := x.send(n.hello()); err != nil {
 		return errors.Wrap(err, "send hello")
 	}
 	first, err := x.recv()
+	if !limit.Stop() && err == nil {
+		err = errors.Wrap(ErrHello, "it came too late")
+	}
 	if err != nil {
 		return errors.Wrap(err, "receive hello")
 	}
@@ -233,6 +247,10 @@
 		stop:    stop,
 		options: []grpc.DialOption{
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithConnectParams(grpc.ConnectParams{
+				Backoff:           backoff.DefaultConfig,
+				MinConnectTimeout: connectLimit,
+			}),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxFrameBytes), grpc.MaxCallSendMsgSize(maxFrameBytes)),
 		},
 	}
@@ -266,7 +284,11 @@
 	defer func() { _ = conn.Close() }()
 	ctx, stop := context.WithCancel(d.ctx)
 	defer stop()
+	limit := time.AfterFunc(helloLimit, stop)
 	g, err := linkpb.NewLinkClient(conn).Exchange(ctx)
+	if !limit.Stop() && err == nil {
+		err = ErrHello
+	}
 	if err != nil {
 		return errors.Wrapf(err, "open stream to %s", address)
 	}
