--- a/internal/process/role/agent/agent.go
+++ b/internal/process/role/agent/agent.go
@@ -181,6 +181,11 @@
 		return
 	}
 	a.cfg = cfg
+	for _, name := range cfg.Drained() {
+		if t, ok := a.targets[name]; ok {
+			a.leave(t)
+		}
+	}
 	a.ledger.Extend(ledger.Keep(cfg.Limits().Retention(), MaxCallerSkew))
 	a.rules.set(cfg.Limits().Admission())
 	for _, t := range a.targets {
--- a/internal/process/role/agent/announce.go
+++ b/internal/process/role/agent/announce.go
@@ -14,11 +14,12 @@
 // announce enters a target, renews its announcement, or notes that it leaves.
 func (a *Agent) announce(now time.Time, n announcement.Announcement) {
 	t, ok := a.targets[n.Target()]
+	leaving := n.Leaving() || a.cfg != nil && a.cfg.IsDrained(n.Target())
 	switch {
-	case n.Leaving() && ok:
+	case leaving && ok:
 		a.leave(t)
 		return
-	case n.Leaving():
+	case leaving:
 		return
 	case !ok && len(a.targets) >= maxTargets:
 		return
--- a/internal/process/role/local/local.go
+++ b/internal/process/role/local/local.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -20,6 +21,8 @@
 	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/role/agent"
 	"greengagedoor.example/greengagedoor/internal/process/role/host"
+	"greengagedoor.example/greengagedoor/internal/process/role/publisher"
+	"greengagedoor.example/greengagedoor/internal/process/role/publisher/service"
 	"greengagedoor.example/greengagedoor/internal/process/standin/keyvalue"
 	"greengagedoor.example/greengagedoor/internal/process/standin/pool"
 	"greengagedoor.example/greengagedoor/internal/process/standin/record"
@@ -50,6 +53,7 @@
 	storeURL string
 	poolURL  string
 	entries  []*host.Entry
+	agents   []string
 	duties   []duty.Duty
 	cleanups []func()
 }
@@ -84,6 +88,11 @@
 	return urls
 }
 
+// Agents are the addresses of the agents' pages.
+func (s *System) Agents() []string {
+	return append([]string(nil), s.agents...)
+}
+
 // StoreURL is the address of the stand-in for the store.
 func (s *System) StoreURL() string {
 	return s.storeURL
@@ -211,6 +220,7 @@
 		if err != nil {
 			return err
 		}
+		s.agents = append(s.agents, "http://"+a.HTTPAddress())
 		for i := range targetsPerAgent {
 			if err := s.buildTarget(fmt.Sprintf("target_%s%d", zone, i+1), "http://"+a.HTTPAddress()); err != nil {
 				cleanup()
@@ -270,26 +280,18 @@
 	return nil
 }
 
-// Apply stores the configuration as the version in force.
+// Apply publishes the configuration as the first version in force.
 func (s *System) Apply(ctx context.Context, cfg *configuration.Configuration) error {
-	body, err := configuration.Encode(cfg)
-	if err != nil {
-		return err
-	}
-	head, err := configuration.NewHead(cfg.Version(), body, "local")
+	p, err := service.New(s.store, time.Now)
 	if err != nil {
 		return err
 	}
-	value, err := configuration.EncodeHead(head)
+	r, err := p.Execute(ctx, publisher.NewApply(uuid.NewString(), "local", 0, cfg))
 	if err != nil {
-		return err
+		return errors.Wrap(err, "apply configuration")
 	}
-	ok, err := s.store.Swap(ctx, head.Key(), body, 0)
-	if err == nil && ok {
-		ok, err = s.store.Swap(ctx, configuration.HeadKey, value, 0)
+	if r.State() != publisher.Applied {
+		return errors.Errorf("apply configuration: %v: %s %v", r.State(), r.Detail(), r.Problems())
 	}
-	if err == nil && !ok {
-		err = errors.New("another version was applied first")
-	}
-	return errors.Wrap(err, "apply configuration")
+	return nil
 }
