Check decoded states, causes and speeds, and bound announcements

An announcement could name any number of services, for each of which the agent keeps state.

Change: the decoder refuses unknown values; announcements are bounded and have their own codec, which agent and stand-in share.

Conclusion: bytes of another version are refused instead of misread.

--- a/internal/connection/announcement/announcement.go
+++ b/internal/connection/announcement/announcement.go
@@ -21,8 +21,17 @@
 	Lifetime = 2 * time.Second
 )
 
-// MaxSlots bounds the slots of one target.
-const MaxSlots = 10_000
+// The bounds of an announcement. A target that announces more is faulty, and the
+// agent keeps state for each target and service.
+const (
+	MaxSlots       = 10_000
+	MaxConnections = 100_000
+	MaxServices    = 64
+	MaxNameBytes   = 128
+)
+
+// ErrInvalid reports an announcement with a field that is not allowed.
+var ErrInvalid = errors.New("announcement is invalid")
 
 // Announcement is what a target tells about itself.
 type Announcement struct {
@@ -36,32 +45,44 @@
 
 // New checks the announcement's fields.
 func New(target, address string, services []string, slots, connections int, leaving bool) (Announcement, error) {
-	if target == "" {
-		return Announcement{}, errors.New("target: is empty")
-	}
-	u, err := url.Parse(address)
-	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
-		return Announcement{}, errors.Errorf("url: is %q, allowed is an http or https address", address)
-	}
-	if len(services) == 0 {
-		return Announcement{}, errors.New("services: is empty, at least one is needed")
-	}
-	if slots < 1 || slots > MaxSlots {
-		return Announcement{}, errors.Errorf("slots: is %d, allowed are 1 to %d", slots, MaxSlots)
-	}
-	if connections < 1 {
-		return Announcement{}, errors.Errorf("connections: is %d, at least 1 is needed", connections)
+	if err := check(target, address, services, slots, connections); err != nil {
+		return Announcement{}, errors.Wrap(ErrInvalid, err.Error())
 	}
 	return Announcement{
 		target:      target,
 		url:         address,
-		services:    services,
+		services:    append([]string(nil), services...),
 		slots:       slots,
 		connections: connections,
 		leaving:     leaving,
 	}, nil
 }
 
+func check(target, address string, services []string, slots, connections int) error {
+	if target == "" || len(target) > MaxNameBytes {
+		return errors.Errorf("target: has %d bytes, allowed are 1 to %d", len(target), MaxNameBytes)
+	}
+	u, err := url.Parse(address)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return errors.Errorf("url: is %q, allowed is an http or https address", address)
+	}
+	if len(services) == 0 || len(services) > MaxServices {
+		return errors.Errorf("services: has %d, allowed are 1 to %d", len(services), MaxServices)
+	}
+	for _, s := range services {
+		if s == "" || len(s) > MaxNameBytes {
+			return errors.Errorf("services: a name has %d bytes, allowed are 1 to %d", len(s), MaxNameBytes)
+		}
+	}
+	if slots < 1 || slots > MaxSlots {
+		return errors.Errorf("slots: is %d, allowed are 1 to %d", slots, MaxSlots)
+	}
+	if connections < 1 || connections > MaxConnections {
+		return errors.Errorf("connections: is %d, allowed are 1 to %d", connections, MaxConnections)
+	}
+	return nil
+}
+
 // Target is the target's name.
 func (a Announcement) Target() string {
 	return a.target
--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 
 	"greengagedoor.example/greengagedoor/internal/connection/announcement"
@@ -313,25 +313,13 @@
 	return nil, true
 }
 
-type announceDocument struct {
-	Target      string   `json:"target"`
-	URL         string   `json:"url"`
-	Services    []string `json:"services"`
-	Slots       int      `json:"slots"`
-	Connections int      `json:"connections"`
-	Leaving     bool     `json:"leaving"`
-}
-
 func (a *Agent) announce(c echo.Context) error {
-	var d announceDocument
-	dec := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, announceMaxBytes))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&d); err != nil {
-		return bodyFault(err)
-	}
-	n, err := announcement.New(d.Target, d.URL, d.Services, d.Slots, d.Connections, d.Leaving)
-	if err != nil {
+	n, err := announcement.Decode(http.MaxBytesReader(c.Response(), c.Request().Body, announceMaxBytes))
+	switch {
+	case errors.Is(err, announcement.ErrInvalid):
 		return bad(http.StatusBadRequest, "", "%v", err)
+	case err != nil:
+		return bad(http.StatusBadRequest, "body", "%v", errors.Cause(err))
 	}
 	if err := a.agent.ring.TryPush(n); err != nil {
 		return c.String(http.StatusServiceUnavailable, err.Error())
--- a/internal/process/role/wire/body.go
+++ b/internal/process/role/wire/body.go
@@ -7,7 +7,6 @@
 
 	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/ledger"
-	"greengagedoor.example/greengagedoor/internal/process/outcome"
 	"greengagedoor.example/greengagedoor/internal/process/role/wire/wirepb"
 	"greengagedoor.example/greengagedoor/internal/request/answer"
 	"greengagedoor.example/greengagedoor/internal/request/job"
@@ -219,11 +218,9 @@
 	case *wirepb.Body_Start:
 		return decodeStart(k.Start)
 	case *wirepb.Body_Finished:
-		t, err := decodeTask(k.Finished.GetSubmission(), k.Finished.GetIndex())
-		return message.NewFinished(t, decodeResult(k.Finished.GetResult())), err
+		return decodeFinished(k.Finished)
 	case *wirepb.Body_Rejected:
-		t, err := decodeTask(k.Rejected.GetSubmission(), k.Rejected.GetIndex())
-		return message.NewRejected(t, message.Cause(k.Rejected.GetCause())), err
+		return decodeRejected(k.Rejected)
 	case *wirepb.Body_Interest:
 		return decodeInterest(k.Interest)
 	case *wirepb.Body_Offer:
@@ -261,13 +258,30 @@
 	return message.NewStart(t, decodeGrant(p.GetGrant()), p.GetCredit(), p.GetKind(), p.GetPayload(), timeOf(p.GetDeadlineMs())), err
 }
 
+func decodeFinished(p *wirepb.Finished) (any, error) {
+	t, err := decodeTask(p.GetSubmission(), p.GetIndex())
+	if err != nil {
+		return nil, err
+	}
+	r, err := decodeResult(p.GetResult())
+	return message.NewFinished(t, r), err
+}
+
+func decodeRejected(p *wirepb.Rejected) (any, error) {
+	t, err := decodeTask(p.GetSubmission(), p.GetIndex())
+	if err == nil && p.GetCause() > uint32(message.Withdrawn) {
+		err = errors.Errorf("cause %d is not known", p.GetCause())
+	}
+	return message.NewRejected(t, message.Cause(p.GetCause())), err
+}
+
 func decodeInterest(p *wirepb.Interest) (any, error) {
 	demands := make([]message.Demand, 0, len(p.GetDemands()))
 	for _, d := range p.GetDemands() {
-		u := configuration.Urgency(d.GetUrgency())
-		if u >= configuration.Urgencies {
-			return nil, errors.Errorf("urgency %d is not known", u)
+		if d.GetUrgency() >= configuration.Urgencies {
+			return nil, errors.Errorf("urgency %d is not known", d.GetUrgency())
 		}
+		u := configuration.Urgency(d.GetUrgency())
 		demands = append(demands, message.NewDemand(d.GetService(), u, d.GetLong(), d.GetCount(), time.Duration(d.GetOldestUs())*time.Microsecond))
 	}
 	return message.NewInterest(demands), nil
@@ -284,7 +298,11 @@
 		if err != nil {
 			return nil, err
 		}
-		tasks = append(tasks, message.NewTaskState(id, outcome.State(t.GetState())))
+		state, err := decodeState(t.GetState())
+		if err != nil {
+			return nil, err
+		}
+		tasks = append(tasks, message.NewTaskState(id, state))
 	}
 	return message.NewRevoked(submissions, tasks), nil
 }
@@ -296,8 +314,12 @@
 		if err != nil {
 			return nil, err
 		}
+		result, err := decodeResult(r.GetResult())
+		if err != nil {
+			return nil, err
+		}
 		g := r.GetGrant()
-		records = append(records, ledger.NewRecord(id, identity.Shard(g.GetShard()), identity.Epoch(g.GetEpoch()), decodeResult(r.GetResult())))
+		records = append(records, ledger.NewRecord(id, identity.Shard(g.GetShard()), identity.Epoch(g.GetEpoch()), result))
 	}
 	return message.NewSealed(decodeGrants(p.GetGrants()), records, p.GetComplete(), timeOf(p.GetSinceMs())), nil
 }
--- a/internal/process/role/wire/wire.go
+++ b/internal/process/role/wire/wire.go
@@ -21,6 +21,9 @@
 // ErrMessage reports bytes that are not a message of this version.
 var ErrMessage = errors.New("message cannot be decoded")
 
+// maxSpeed bounds a hint's speed, which is used as a divisor.
+const maxSpeed = 1000
+
 // Encode returns the bytes of a message.
 func Encode(m any) ([]byte, error) {
 	b, err := bodyOf(m)
@@ -74,6 +77,9 @@
 	}
 	rooms := make([]message.Room, 0, len(h.GetRooms()))
 	for _, r := range h.GetRooms() {
+		if s := r.GetSpeed(); !(s > 0 && s <= maxSpeed) {
+			return nil, errors.Wrapf(ErrMessage, "speed %g of service %q", s, r.GetService())
+		}
 		rooms = append(rooms, message.NewRoom(r.GetService(), r.GetFree(), r.GetReserved(), r.GetLong(), r.GetSpeed()))
 	}
 	return rooms, nil
@@ -159,8 +165,18 @@
 	}
 }
 
-func decodeResult(p *wirepb.Result) outcome.Result {
-	return outcome.Of(outcome.State(p.GetState()), p.GetBody(), p.GetDetail(), time.Duration(p.GetRunTimeUs())*time.Microsecond)
+func decodeResult(p *wirepb.Result) (outcome.Result, error) {
+	state, err := decodeState(p.GetState())
+	return outcome.Of(state, p.GetBody(), p.GetDetail(), time.Duration(p.GetRunTimeUs())*time.Microsecond), err
+}
+
+// decodeState refuses a state of another version: cut to fewer bits it could pass
+// for one that says that nothing was started.
+func decodeState(n uint32) (outcome.State, error) {
+	if n > uint32(outcome.Revoked) {
+		return 0, errors.Errorf("state %d is not known", n)
+	}
+	return outcome.State(n), nil
 }
 
 func millis(t time.Time) int64 {
--- a/internal/process/standin/target/target.go
+++ b/internal/process/standin/target/target.go
@@ -175,14 +175,11 @@
 }
 
 func (t *Target) announce(ctx context.Context, leaving bool) {
-	body, err := json.Marshal(map[string]any{
-		"target":      t.announced.Target(),
-		"url":         t.announced.URL(),
-		"services":    t.announced.Services(),
-		"slots":       t.announced.Slots(),
-		"connections": t.announced.Connections(),
-		"leaving":     leaving,
-	})
+	a := t.announced
+	if leaving {
+		a = a.Leave()
+	}
+	body, err := a.Encode()
 	if err != nil {
 		return
 	}
