Publish the worker's room under the services of the kinds that run there

Cause: the agent published the worker's room as service "worker", while owners look for room by the service of the kind.

Ruled out: a room for each kind. Room is counted by service everywhere else, and one change of the worker would have to change all of them.

Change: the worker offers the services of all kinds in the configuration that run on workers and fit it, apart from services of targets with the same name.

Measured: go test ./internal/process/role/agent passes.

Conclusion: demand for worker kinds is matched by the kind's service.

--- a/internal/process/role/agent/agent.go
+++ b/internal/process/role/agent/agent.go
@@ -46,7 +46,7 @@
 	rules     rules
 	targets   map[string]*target
 	entered   uint64
-	services  map[string]*service
+	services  map[serviceKey]*service
 	listed    []*service
 	worker    *worker
 	running   map[identity.Task]*running
@@ -83,7 +83,7 @@
 		issue:     issue,
 		ledger:    l,
 		targets:   map[string]*target{},
-		services:  map[string]*service{},
+		services:  map[serviceKey]*service{},
 		running:   map[identity.Task]*running{},
 		kinds:     map[kindKey]*kindStats{},
 		owners:    map[identity.Shard]identity.Process{},
@@ -188,6 +188,7 @@
 	}
 	a.ledger.Extend(ledger.Keep(cfg.Limits().Retention(), MaxCallerSkew))
 	a.rules.set(cfg.Limits().Admission())
+	a.setServices()
 	for _, t := range a.targets {
 		a.touch(t)
 	}
--- a/internal/process/role/agent/offer.go
+++ b/internal/process/role/agent/offer.go
@@ -94,7 +94,7 @@
 	i.demands = make([]demand, 0, len(m.Demands()))
 	for _, d := range m.Demands() {
 		i.demands = append(i.demands, demand{
-			service: a.service(d.Service()),
+			service: a.wanted(d.Service()),
 			class:   classOf(d.Urgency() == configuration.Critical, d.Long()),
 			urgency: d.Urgency(),
 			since:   now.Add(-d.Oldest()),
@@ -164,13 +164,9 @@
 	if !ok {
 		return
 	}
-	name := kind.Service()
-	if kind.BackEnd() == configuration.Worker {
-		name = WorkerService
-	}
 	for n := range i.demands {
 		d := &i.demands[n]
-		if d.service.name == name && d.urgency == kind.Urgency() && d.class.long() == kind.Long() && d.count > 0 {
+		if d.service.name == kind.Service() && d.urgency == kind.Urgency() && d.class.long() == kind.Long() && d.count > 0 {
 			d.change(-1, 0)
 			break
 		}
--- a/internal/process/role/agent/service.go
+++ b/internal/process/role/agent/service.go
@@ -7,6 +7,13 @@
 	"greengagedoor.example/greengagedoor/internal/request/message"
 )
 
+// serviceKey keeps a service of targets apart from one of the worker that has the
+// same name: a kind says where it runs.
+type serviceKey struct {
+	name   string
+	worker bool
+}
+
 // contribution is what one target adds to the sums of its services.
 type contribution struct {
 	free     int
@@ -35,6 +42,7 @@
 // same with many targets.
 type service struct {
 	name    string
+	worker  bool
 	ranking [classes]ranking
 	sum     contribution
 	// open is the demand that no offer covers, by class.
@@ -42,9 +50,10 @@
 	demands int
 }
 
-func newService(name string) *service {
+func newService(key serviceKey) *service {
 	s := &service{
-		name: name,
+		name:   key.name,
+		worker: key.worker,
 	}
 	for c := range s.ranking {
 		s.ranking[c].class = class(c)
@@ -129,12 +138,26 @@
 	return message.NewRoom(s.name, uint32(free), uint32(reserved), uint32(min(s.sum.long, free)), speed)
 }
 
+// wanted is the service that an owner's demand names. The worker's goes first, as
+// the demand does not say where the kind runs.
+func (a *Agent) wanted(name string) *service {
+	if s, ok := a.services[serviceKey{
+		name:   name,
+		worker: true,
+	}]; ok {
+		return s
+	}
+	return a.service(serviceKey{
+		name: name,
+	})
+}
+
 // service returns the service of a name, which is entered if it is new.
-func (a *Agent) service(name string) *service {
-	s, ok := a.services[name]
+func (a *Agent) service(key serviceKey) *service {
+	s, ok := a.services[key]
 	if !ok {
-		s = newService(name)
-		a.services[name] = s
+		s = newService(key)
+		a.services[key] = s
 		a.listed = append(a.listed, s)
 		slices.SortFunc(a.listed, func(x, y *service) int { return strings.Compare(x.name, y.name) })
 	}
@@ -144,7 +167,10 @@
 // discard forgets a service without targets and demand.
 func (a *Agent) discard(s *service) {
 	if s.empty() && s.demands == 0 {
-		delete(a.services, s.name)
+		delete(a.services, serviceKey{
+			name:   s.name,
+			worker: s.worker,
+		})
 		a.listed = slices.DeleteFunc(a.listed, func(o *service) bool { return o == s })
 	}
 }
@@ -155,8 +181,15 @@
 
 // serve enters a target into its services.
 func (a *Agent) serve(t *target) {
-	for _, name := range t.announced.Services() {
-		s := a.service(name)
+	names := t.announced.Services()
+	if t.worker {
+		names = a.worker.services
+	}
+	for _, name := range names {
+		s := a.service(serviceKey{
+			name:   name,
+			worker: t.worker,
+		})
 		if t.place(s) == nil {
 			s.add(t)
 		}
--- a/internal/process/role/agent/start.go
+++ b/internal/process/role/agent/start.go
@@ -153,14 +153,16 @@
 
 // place finds the back end for a task. A slot offered to the owner goes first.
 func (a *Agent) place(owner identity.Process, kind configuration.Kind, k *kindStats) (*target, message.Cause, bool) {
-	name := kind.Service()
-	if kind.BackEnd() == configuration.Worker {
+	key := serviceKey{
+		name:   kind.Service(),
+		worker: kind.BackEnd() == configuration.Worker,
+	}
+	if key.worker {
 		if cause, ok := a.fits(kind, k); !ok {
 			return nil, cause, false
 		}
-		name = WorkerService
 	}
-	s, ok := a.services[name]
+	s, ok := a.services[key]
 	if !ok || s.empty() {
 		return nil, message.NoBackEnd, false
 	}
--- a/internal/process/role/agent/worker.go
+++ b/internal/process/role/agent/worker.go
@@ -11,9 +11,6 @@
 	"greengagedoor.example/greengagedoor/internal/version/configuration"
 )
 
-// WorkerService is the service under which the worker's room is published.
-const WorkerService = "worker"
-
 // The rules for learning what a kind takes of a worker.
 const (
 	// usageAfter is the number of reports after which they replace the declaration.
@@ -90,16 +87,18 @@
 	size   configuration.Resources
 	tasks  []identity.Task
 	target *target
+	// services are those of the configuration's kinds that run on workers.
+	services []string
 }
 
 func (a *Agent) setWorker(e Worker) {
-	n, err := announcement.New(e.name, "http://worker", []string{WorkerService}, 1, 1, false)
+	n, err := announcement.New(e.name, "http://worker", []string{"worker"}, 1, 1, false)
 	if err != nil {
 		return
 	}
 	if a.worker != nil {
 		a.worker.event = e
-		a.fit()
+		a.setServices()
 		return
 	}
 	t := a.newTarget(n)
@@ -113,7 +112,27 @@
 		size:   size,
 		target: t,
 	}
-	a.serve(t)
+	a.setServices()
+}
+
+// setServices publishes the worker's room under the services of all kinds that
+// run on workers and fit this one.
+func (a *Agent) setServices() {
+	w := a.worker
+	if w == nil || a.cfg == nil {
+		return
+	}
+	a.release(func(o *offer) bool { return o.target == w.target })
+	a.unserve(w.target)
+	w.services = nil
+	for _, k := range a.cfg.Kinds() {
+		if k.BackEnd() == configuration.Worker && k.Resources().Fits(w.event.resources) {
+			w.services = append(w.services, k.Service())
+		}
+	}
+	slices.Sort(w.services)
+	w.services = slices.Compact(w.services)
+	a.serve(w.target)
 	a.fit()
 }
 
@@ -330,7 +349,7 @@
 func (a *Agent) urgentWaits() bool {
 	for _, i := range a.queue {
 		for _, d := range i.demands {
-			if d.service.name == WorkerService && d.urgency <= configuration.High && d.count > 0 {
+			if d.service.worker && d.urgency <= configuration.High && d.count > 0 {
 				return true
 			}
 		}
