Complete the worker pool's interface and its stand-in

Cause: the pool stand-in could neither report usage nor make a task give way, and its interface was not described. The callers gave up a lease on the first request that the pool did not answer, and left a lease behind whose creation was not answered.

Change: checkpoint, throttle, resume, late reports of usage, reasons for refused leases, and faults (workers that fail everything, renewals without effect, no leases) in the stand-in; the interface in docs/worker_pool.md.

--- a/internal/process/standin/pool/pool.go
+++ b/internal/process/standin/pool/pool.go
@@ -2,7 +2,9 @@
 //
 // Workers have cores, memory and accelerators and stand in racks. A task runs on
 // a worker under a lease; when the lease is not renewed the pool stops the task
-// and reports it as lost. One goroutine owns all leases, and each HTTP request is
+// and reports it as lost. Tasks can be checkpointed, throttled, resumed and
+// stopped, and what they took is reported late. The interface is described in
+// docs/worker_pool.md. One goroutine owns all leases, and each HTTP request is
 // a message to it.
 package pool
 
@@ -11,6 +13,7 @@
 	"encoding/json"
 	"net/http"
 	"sort"
+	"strconv"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -18,7 +21,6 @@
 
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 	"greengagedoor.example/greengagedoor/internal/process/standin/record"
-	"greengagedoor.example/greengagedoor/internal/process/standin/target"
 	"greengagedoor.example/greengagedoor/internal/version/configuration"
 )
 
@@ -46,28 +48,9 @@
 	}
 }
 
-type lease struct {
-	worker  string
-	taken   configuration.Resources
-	state   string
-	echo    string
-	ends    time.Time
-	expires time.Time
-	ttl     time.Duration
-	fail    bool
-}
-
+// waiting is a request that is held until done has replied to it.
 type waiting struct {
-	id    string
-	until time.Time
-	reply chan lease
-}
-
-type state struct {
-	workers map[string]Worker
-	used    map[string]configuration.Resources
-	leases  map[string]*lease
-	waiting []waiting
+	done func(s *state, now time.Time) bool
 }
 
 // Pool is the stand-in.
@@ -98,6 +81,8 @@
 		workers: map[string]Worker{},
 		used:    map[string]configuration.Resources{},
 		leases:  map[string]*lease{},
+		reports: map[string][]report{},
+		faults:  map[string]fault{},
 	}
 	for _, w := range p.workers {
 		s.workers[w.name] = w
@@ -116,38 +101,6 @@
 	}
 }
 
-func (p *Pool) sweep(s *state) {
-	now := p.now()
-	for _, l := range s.leases {
-		if l.state != "running" {
-			continue
-		}
-		switch {
-		case !l.ends.After(now) && l.fail:
-			finish(s, l, "failed")
-		case !l.ends.After(now):
-			finish(s, l, "succeeded")
-		case !l.expires.After(now):
-			finish(s, l, "lost")
-		}
-	}
-	kept := s.waiting[:0]
-	for _, w := range s.waiting {
-		l := s.leases[w.id]
-		if l.state == "running" && w.until.After(now) {
-			kept = append(kept, w)
-			continue
-		}
-		w.reply <- *l
-	}
-	s.waiting = kept
-}
-
-func finish(s *state, l *lease, how string) {
-	l.state = how
-	s.used[l.worker] = s.used[l.worker].Sub(l.taken)
-}
-
 func (p *Pool) do(ctx context.Context, f func(*state)) error {
 	done := make(chan struct{})
 	err := p.ring.Push(ctx, func(s *state) {
@@ -171,7 +124,10 @@
 	e.POST("/v1/workers/:worker/leases", p.place)
 	e.GET("/v1/leases/*", p.wait)
 	e.PUT("/v1/leases/*", p.renew)
+	e.PATCH("/v1/leases/*", p.control)
 	e.DELETE("/v1/leases/*", p.stop)
+	e.GET("/v1/workers/:worker/usage", p.usage)
+	e.POST("/standin/faults", p.fault)
 	e.GET("/standin/counts", p.counts)
 }
 
@@ -207,6 +163,8 @@
 	MemoryBytes  int64  `json:"memory_bytes"`
 	Accelerators int64  `json:"accelerators"`
 	Payload      []byte `json:"payload"`
+	Team         string `json:"team"`
+	Kind         string `json:"kind"`
 }
 
 func (p *Pool) place(c echo.Context) error {
@@ -218,105 +176,209 @@
 	if err != nil || body.TTLMS <= 0 || body.Lease == "" {
 		return c.String(http.StatusBadRequest, "lease, ttl_ms and resources are needed")
 	}
-	status := http.StatusCreated
+	type answer struct {
+		status int
+		reason string
+	}
+	worker := c.Param("worker")
+	answers := make(chan answer, 1)
 	err = p.do(c.Request().Context(), func(s *state) {
-		status = p.start(s, c.Param("worker"), body, r)
+		status, reason := p.start(s, worker, body, r)
+		answers <- answer{
+			status: status,
+			reason: reason,
+		}
 	})
 	if err != nil {
 		return err
 	}
+	a := <-answers
+	status := a.status
 	if status == http.StatusCreated {
 		if _, err := p.record.Start(c.Request().Context(), body.Lease); err != nil {
 			return err
 		}
 	}
-	return c.NoContent(status)
+	return c.String(status, a.reason)
 }
 
-func (p *Pool) start(s *state, worker string, body placeDocument, r configuration.Resources) int {
-	w, ok := s.workers[worker]
-	if !ok {
-		return http.StatusNotFound
-	}
-	if _, ok := s.leases[body.Lease]; ok {
-		return http.StatusOK
+func waitOf(c echo.Context) time.Duration {
+	wait, err := time.ParseDuration(c.QueryParam("wait"))
+	if err != nil || wait < 0 || wait > maxWait {
+		return 0
 	}
-	if !r.Fits(w.resources.Sub(s.used[worker])) {
-		return http.StatusConflict
+	return wait
+}
+
+// hold keeps a request until ready returns a reply or the wait is over.
+func hold[T any](p *Pool, c echo.Context, ready func(s *state, over bool) (T, bool)) (T, error) {
+	var zero T
+	reply := make(chan T, 1)
+	until := p.now().Add(waitOf(c))
+	err := p.do(c.Request().Context(), func(s *state) {
+		s.waiting = append(s.waiting, waiting{
+			done: func(s *state, now time.Time) bool {
+				v, ok := ready(s, !until.After(now))
+				if ok {
+					reply <- v
+				}
+				return ok
+			},
+		})
+	})
+	if err != nil {
+		return zero, err
 	}
-	now := p.now()
-	work := target.ParseWork(body.Payload)
-	ttl := time.Duration(body.TTLMS) * time.Millisecond
-	s.used[worker] = s.used[worker].Add(r)
-	s.leases[body.Lease] = &lease{
-		worker:  worker,
-		taken:   r,
-		state:   "running",
-		echo:    work.Echo(),
-		ends:    now.Add(work.RunTime()),
-		expires: now.Add(ttl),
-		ttl:     ttl,
-		fail:    work.Fail(),
+	select {
+	case v := <-reply:
+		return v, nil
+	case <-c.Request().Context().Done():
+		return zero, c.Request().Context().Err()
 	}
-	return http.StatusCreated
 }
 
 func (p *Pool) wait(c echo.Context) error {
 	id := c.Param("*")
-	wait, err := time.ParseDuration(c.QueryParam("wait"))
-	if err != nil || wait < 0 || wait > maxWait {
-		wait = 0
-	}
-	reply := make(chan lease, 1)
-	found := false
-	err = p.do(c.Request().Context(), func(s *state) {
-		if _, found = s.leases[id]; found {
-			s.waiting = append(s.waiting, waiting{
-				id:    id,
-				until: p.now().Add(wait),
-				reply: reply,
-			})
+	l, err := hold(p, c, func(s *state, over bool) (lease, bool) {
+		l, ok := s.leases[id]
+		if !ok {
+			return lease{}, true
 		}
+		return *l, over || !l.live()
+	})
+	switch {
+	case err != nil:
+		return err
+	case l.state == "":
+		return c.NoContent(http.StatusNotFound)
+	}
+	return c.JSON(http.StatusOK, map[string]any{
+		"state":  l.state,
+		"result": []byte(l.echo),
+	})
+}
+
+type usageDocument struct {
+	Next    uint64           `json:"next"`
+	Reports []reportDocument `json:"reports"`
+}
+
+type reportDocument struct {
+	Team         string `json:"team"`
+	Kind         string `json:"kind"`
+	MilliCores   int64  `json:"milli_cores"`
+	MemoryBytes  int64  `json:"memory_bytes"`
+	Accelerators int64  `json:"accelerators"`
+}
+
+func (p *Pool) usage(c echo.Context) error {
+	after, err := strconv.ParseUint(c.QueryParam("after"), 10, 64)
+	if err != nil {
+		return c.String(http.StatusBadRequest, "after: a number is needed")
+	}
+	worker := c.Param("worker")
+	u, err := hold(p, c, func(s *state, over bool) (usageDocument, bool) {
+		u := p.due(s, worker, after)
+		return u, over || len(u.Reports) > 0
 	})
 	if err != nil {
 		return err
 	}
-	if !found {
-		return c.NoContent(http.StatusNotFound)
+	return c.JSON(http.StatusOK, u)
+}
+
+func (p *Pool) due(s *state, worker string, after uint64) usageDocument {
+	u := usageDocument{
+		Next:    after,
+		Reports: []reportDocument{},
 	}
-	select {
-	case l := <-reply:
-		return c.JSON(http.StatusOK, map[string]any{
-			"state":  l.state,
-			"result": []byte(l.echo),
+	for _, r := range s.reports[worker] {
+		if r.number <= after || r.due.After(p.now()) {
+			continue
+		}
+		u.Next = r.number
+		u.Reports = append(u.Reports, reportDocument{
+			Team:         r.team,
+			Kind:         r.kind,
+			MilliCores:   r.used.MilliCores(),
+			MemoryBytes:  r.used.MemoryBytes(),
+			Accelerators: r.used.Accelerators(),
 		})
-	case <-c.Request().Context().Done():
-		return c.Request().Context().Err()
 	}
+	return u
 }
 
 func (p *Pool) renew(c echo.Context) error {
-	return p.change(c, func(_ *state, l *lease) { l.expires = p.now().Add(l.ttl) })
+	return p.change(c, func(s *state, l *lease) int {
+		if !s.faults[l.worker].lapse {
+			l.expires = p.now().Add(l.ttl)
+		}
+		return http.StatusNoContent
+	})
 }
 
 func (p *Pool) stop(c echo.Context) error {
-	return p.change(c, func(s *state, l *lease) { finish(s, l, "stopped") })
+	return p.change(c, func(s *state, l *lease) int {
+		p.finish(s, l, stopped)
+		return http.StatusNoContent
+	})
 }
 
-func (p *Pool) change(c echo.Context, f func(*state, *lease)) error {
-	found := false
+func (p *Pool) control(c echo.Context) error {
+	var body struct {
+		Action string `json:"action"`
+	}
+	if err := json.NewDecoder(c.Request().Body).Decode(&body); err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
+	}
+	return p.change(c, func(s *state, l *lease) int { return p.act(s, l, body.Action) })
+}
+
+// change applies f to a lease that has not ended.
+func (p *Pool) change(c echo.Context, f func(*state, *lease) int) error {
+	id := c.Param("*")
+	status := make(chan int, 1)
 	err := p.do(c.Request().Context(), func(s *state) {
-		l, ok := s.leases[c.Param("*")]
-		found = ok && l.state == "running"
-		if found {
-			f(s, l)
+		if l, ok := s.leases[id]; ok && l.live() {
+			status <- f(s, l)
+			return
 		}
+		status <- http.StatusNotFound
 	})
 	if err != nil {
 		return err
 	}
-	if !found {
-		return c.NoContent(http.StatusNotFound)
+	return c.NoContent(<-status)
+}
+
+type faultDocument struct {
+	Worker  string `json:"worker"`
+	FailAll bool   `json:"fail_all"`
+	Lapse   bool   `json:"lapse"`
+	Refuse  bool   `json:"refuse"`
+}
+
+// fault replaces what is wrong with a worker; an empty name stands for all.
+func (p *Pool) fault(c echo.Context) error {
+	var body faultDocument
+	dec := json.NewDecoder(c.Request().Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&body); err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
+	}
+	err := p.do(c.Request().Context(), func(s *state) {
+		for name := range s.workers {
+			if body.Worker == "" || body.Worker == name {
+				s.faults[name] = fault{
+					failAll: body.FailAll,
+					lapse:   body.Lapse,
+					refuse:  body.Refuse,
+				}
+			}
+		}
+	})
+	if err != nil {
+		return err
 	}
 	return c.NoContent(http.StatusNoContent)
 }
