Let the target stand-in be slow, fail, refuse or fall silent on demand

Cause: its slowness was fixed at the start and the other faults that the package promised did not exist.

Change: POST /standin/faults replaces what is wrong with the target.

Measured: go test -race ./internal/process/standin/target passes (2.4 s).

--- a/internal/process/standin/target/target.go
+++ b/internal/process/standin/target/target.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -87,38 +88,86 @@
 type Target struct {
 	announced announcement.Announcement
 	agent     string
-	slowness  float64
+	faults    atomic.Pointer[faults]
 	record    *record.Record
 	client    *http.Client
 	log       *logrus.Entry
 }
 
+// faults is what is wrong with the target; it is replaced as a whole.
+type faults struct {
+	slowness float64
+	failAll  bool
+	refuse   bool
+	silent   bool
+}
+
 // New returns a target that announces itself to the agent's HTTP address. Its
 // tasks take slowness times the run time that they ask for.
 func New(a announcement.Announcement, agent string, slowness float64, rec *record.Record, log *logrus.Entry) (*Target, error) {
 	if slowness <= 0 {
 		return nil, errors.Errorf("slowness is %g, must be positive", slowness)
 	}
-	return &Target{
+	t := &Target{
 		announced: a,
 		agent:     agent,
-		slowness:  slowness,
 		record:    rec,
 		client: &http.Client{
 			Timeout: announceTimeout,
 		},
 		log: log,
-	}, nil
+	}
+	t.faults.Store(&faults{
+		slowness: slowness,
+	})
+	return t, nil
 }
 
 // Register adds the target's interface to a server.
 func (t *Target) Register(e *echo.Echo) {
 	e.POST("/task", t.run)
 	e.GET("/standin/counts", t.counts)
+	e.POST("/standin/faults", t.fault)
+}
+
+type faultDocument struct {
+	Slowness float64 `json:"slowness"`
+	FailAll  bool    `json:"fail_all"`
+	Refuse   bool    `json:"refuse"`
+	Silent   bool    `json:"silent"`
+}
+
+// fault replaces what is wrong with the target: its slowness (0 for none), an
+// error to every task, an error before the task counts as started, and silence
+// about itself.
+func (t *Target) fault(c echo.Context) error {
+	var d faultDocument
+	dec := json.NewDecoder(c.Request().Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&d); err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
+	}
+	if d.Slowness == 0 {
+		d.Slowness = 1
+	}
+	if d.Slowness < 0 {
+		return c.String(http.StatusBadRequest, "slowness: is negative")
+	}
+	t.faults.Store(&faults{
+		slowness: d.Slowness,
+		failAll:  d.FailAll,
+		refuse:   d.Refuse,
+		silent:   d.Silent,
+	})
+	return c.NoContent(http.StatusNoContent)
 }
 
 func (t *Target) run(c echo.Context) error {
 	ctx := c.Request().Context()
+	wrong := t.faults.Load()
+	if wrong.refuse {
+		return c.String(http.StatusServiceUnavailable, "the target refuses everything")
+	}
 	payload, err := io.ReadAll(io.LimitReader(c.Request().Body, maxPayloadBytes))
 	if err != nil {
 		return errors.Wrap(err, "read payload")
@@ -126,8 +175,11 @@
 	if _, err := t.record.Start(ctx, c.Request().Header.Get("Idempotency-Key")); err != nil {
 		return err
 	}
+	if wrong.failAll {
+		return c.String(http.StatusInternalServerError, "the target fails everything")
+	}
 	w := ParseWork(payload)
-	spent := time.Duration(float64(w.RunTime()) * t.slowness)
+	spent := time.Duration(float64(w.RunTime()) * wrong.slowness)
 	timer := time.NewTimer(spent)
 	defer timer.Stop()
 	select {
@@ -166,7 +218,9 @@
 	for {
 		select {
 		case <-ticker.C:
-			t.announce(ctx, false)
+			if !t.faults.Load().silent {
+				t.announce(ctx, false)
+			}
 		case <-ctx.Done():
 			t.announce(context.WithoutCancel(ctx), true)
 			return nil
