Serve operators over HTTP and check bearer tokens

Cause: operators could change the configuration only with access to the store, and every caller could see every team's jobs. Ruled out: changing single quotas and kinds over HTTP, since the answers of the questionnaire would then no longer describe what is in force; a token cache, since hashing and comparing with the hashes of one team is cheap. Change: /v1/admin lists teams, quotas, kinds, commitments, versions, history and status, compares versions, applies, rolls back and drains, each change by key; refusals are problem documents that name the field. Access is off only for loopback listeners unless the mode says otherwise. Conclusion: a team reaches its own jobs only, and tokens are replaced by applying a version.

--- /dev/null
+++ b/internal/process/role/host/admin_test.go
@@ -0,0 +1,243 @@
+package host_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/sirupsen/logrus"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/role/host"
+	"greengagedoor.example/greengagedoor/internal/process/role/publisher"
+	"greengagedoor.example/greengagedoor/internal/process/role/publisher/service"
+	"greengagedoor.example/greengagedoor/internal/process/standin/keyvalue"
+	"greengagedoor.example/greengagedoor/internal/process/store"
+	"greengagedoor.example/greengagedoor/internal/version/configuration"
+	"greengagedoor.example/greengagedoor/internal/version/questionnaire"
+)
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+func hash(token string) string {
+	return fmt.Sprintf("%x", sha256.Sum256([]byte(token)))
+}
+
+// answers have tokens whose text is team and access. Tasks tells versions apart.
+func answers(tasks int, boss string) *configuration.Configuration {
+	text := fmt.Sprintf("[installation]\njob_tasks = %d\noperator_tokens = %s\nreader_tokens = %s\n", tasks, hash(boss), hash("look"))
+	for _, t := range []string{"a", "b"} {
+		text += fmt.Sprintf("[team %s]\nshare = 40%%\ncaller_tokens = %s\noperator_tokens = %s\nreader_tokens = %s\n", t, hash(t+"-call"), hash(t+"-operate"), hash(t+"-read"))
+		text += fmt.Sprintf("[kind %s/x]\ncallers = c\nurgency = low\nharm_of_lateness = low\nharm_of_loss = low\nharm_of_duplication = low\nrun_time = 1s\ncommitment = 2s\n", t)
+	}
+	c, _, err := questionnaire.Generate(must(questionnaire.Parse("f", []byte(text))))
+	return must(c, err)
+}
+
+// site is a running entry with a stand-in store.
+type site struct {
+	t       *testing.T
+	url     string
+	service *service.Service
+}
+
+func newSite(t *testing.T, access string) *site {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	kv := must(keyvalue.New(time.Now))
+	e := echo.New()
+	kv.Register(e)
+	server := httptest.NewServer(e)
+	go func() { _ = kv.Run(ctx) }()
+	s, cleanStore, err := store.New(server.URL, time.Second)
+	So(err, ShouldBeNil)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	common, err := host.NewCommon(must(identity.NewProcess("entry", 1)), 0, 1, 64, "a", "127.0.0.1:0", "127.0.0.1:0", s, logrus.NewEntry(log))
+	So(err, ShouldBeNil)
+	entry, cleanEntry, err := host.NewEntry(must(common.WithAccess(access)))
+	So(err, ShouldBeNil)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = entry.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		cleanEntry()
+		cleanStore()
+		server.Close()
+	})
+	return &site{
+		t:       t,
+		url:     "http://" + entry.HTTPAddress(),
+		service: must(service.New(s, time.Now)),
+	}
+}
+
+func (s *site) call(method, path, token, body string) (int, map[string]any) {
+	s.t.Helper()
+	r := must(http.NewRequest(method, s.url+path, strings.NewReader(body)))
+	r.Header.Set("Content-Type", "application/json")
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	d := map[string]any{}
+	_ = json.NewDecoder(resp.Body).Decode(&d)
+	if resp.StatusCode >= 400 && resp.Header.Get("Content-Type") != "application/problem+json" {
+		s.t.Errorf("%s %s: status %d has content type %s", method, path, resp.StatusCode, resp.Header.Get("Content-Type"))
+	}
+	return resp.StatusCode, d
+}
+
+// follow waits until the entry has the version.
+func (s *site) follow(token string, version float64) {
+	s.t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if status, d := s.call("GET", "/v1/admin/status", token, ""); status == 200 && d["version_here"] == version {
+			return
+		}
+	}
+	s.t.Fatalf("the entry did not take version %v", version)
+}
+
+func applyBody(key string, base int, c *configuration.Configuration) string {
+	return fmt.Sprintf(`{"key":%q,"base":%d,"configuration":%s}`, key, base, must(configuration.Encode(c)))
+}
+
+// TestAccess guards against a token that opens more than it should, and against
+// tokens that need a restart to be replaced.
+func TestAccess(t *testing.T) {
+	Convey("each token gives its access only", t, func() {
+		s := newSite(t, host.AccessOn)
+		status, d := s.call("GET", "/v1/admin/status", "boss", "")
+		So(status, ShouldEqual, 503)
+		So(d["field"], ShouldEqual, "authorization")
+		r, err := s.service.Execute(context.Background(), publisher.NewApply("k0", "ann", 0, answers(10, "boss")))
+		So(err, ShouldBeNil)
+		So(r.State(), ShouldEqual, publisher.Applied)
+		s.follow("boss", 1)
+		const job = "/jobs/01890000-0000-7000-8000-000000000000"
+		tests := map[string]struct {
+			method, path, token string
+			status              int
+		}{
+			"no token":                          {"GET", "/v1/admin/status", "", 401},
+			"unknown token":                     {"GET", "/v1/admin/status", "x", 403},
+			"team token on the installation":    {"GET", "/v1/admin/history", "a-operate", 403},
+			"reader looks":                      {"GET", "/v1/admin/history", "look", 200},
+			"reader changes":                    {"POST", "/v1/admin/apply", "look", 403},
+			"team operator changes":             {"PUT", "/v1/admin/targets/t/drain", "a-operate", 403},
+			"caller looks at the configuration": {"GET", "/v1/admin/teams", "a-call", 403},
+			"own job without token":             {"GET", "/v1/teams/a" + job, "", 401},
+			"own job":                           {"GET", "/v1/teams/a" + job, "a-read", 503},
+			"job of another team":               {"GET", "/v1/teams/b" + job, "a-call", 403},
+			"reader cancels":                    {"DELETE", "/v1/teams/a" + job, "a-read", 403},
+			"installation token and a job":      {"GET", "/v1/teams/a" + job, "boss", 403},
+			"unknown team":                      {"GET", "/v1/teams/zzz" + job, "a-call", 403},
+		}
+		for name, tt := range tests {
+			status, _ := s.call(tt.method, tt.path, tt.token, "")
+			So(fmt.Sprint(name, " ", status), ShouldEqual, fmt.Sprint(name, " ", tt.status))
+		}
+		_, d = s.call("GET", "/v1/admin/teams", "a-read", "")
+		So(d["teams"], ShouldHaveLength, 1)
+		_, d = s.call("GET", "/v1/admin/kinds", "boss", "")
+		So(d["kinds"], ShouldHaveLength, 2)
+		status, _ = s.call("POST", "/v1/admin/apply", "boss", applyBody("k1", 1, answers(10, "chief")))
+		So(status, ShouldEqual, 200)
+		s.follow("chief", 2)
+		status, _ = s.call("GET", "/v1/admin/status", "boss", "")
+		So(status, ShouldEqual, 403)
+	})
+}
+
+// TestAdmin guards against a change that operators cannot make, repeat or
+// understand over HTTP.
+func TestAdmin(t *testing.T) {
+	Convey("an entry on loopback needs no tokens", t, func() {
+		s := newSite(t, host.AccessAuto)
+		status, d := s.call("POST", "/v1/admin/apply", "", applyBody("k1", 0, answers(10, "boss")))
+		So(status, ShouldEqual, 200)
+		So(d["version"], ShouldEqual, 1)
+		s.follow("", 1)
+		Convey("changes follow each other and repeat by key", func() {
+			for range 2 {
+				status, d = s.call("POST", "/v1/admin/apply", "", applyBody("k2", 1, answers(20, "boss")))
+				So(status, ShouldEqual, 200)
+				So(d["version"], ShouldEqual, 2)
+			}
+			So(d["repeated"], ShouldEqual, true)
+			status, d = s.call("POST", "/v1/admin/apply", "", applyBody("k3", 1, answers(30, "boss")))
+			So(status, ShouldEqual, 409)
+			So(d["field"], ShouldEqual, "base")
+			So(d["current"], ShouldEqual, 2)
+			So(fmt.Sprint(d["changes"]), ShouldContainSubstring, "max_tasks")
+			status, d = s.call("POST", "/v1/admin/rollback", "", `{"key":"k4","base":2,"to":1}`)
+			So(status, ShouldEqual, 200)
+			So(d["version"], ShouldEqual, 3)
+			status, d = s.call("PUT", "/v1/admin/targets/t1/drain", "", `{"key":"k5"}`)
+			So(status, ShouldEqual, 200)
+			So(d["version"], ShouldEqual, 4)
+			s.follow("", 4)
+			_, d = s.call("GET", "/v1/admin/status", "", "")
+			So(fmt.Sprint(d["drained"]), ShouldEqual, "[t1]")
+			status, _ = s.call("DELETE", "/v1/admin/targets/t1/drain", "", `{"key":"k6"}`)
+			So(status, ShouldEqual, 200)
+			_, d = s.call("GET", "/v1/admin/diff?from=1&to=2", "", "")
+			So(d["changes"], ShouldHaveLength, 1)
+			_, d = s.call("GET", "/v1/admin/history", "", "")
+			So(d["history"], ShouldHaveLength, 6)
+			_, d = s.call("GET", "/v1/admin/versions", "", "")
+			So(d["versions"], ShouldHaveLength, 5)
+			_, d = s.call("GET", "/v1/admin/versions/2", "", "")
+			So(d["version"], ShouldEqual, 2)
+		})
+		Convey("refusals name the field", func() {
+			over := strings.Replace(applyBody("k2", 1, answers(20, "boss")), `"share":0.4`, `"share":0.9`, 1)
+			worse := strings.Replace(applyBody("k2", 1, answers(20, "boss")), `"share":0.4`, `"share":1.4`, 1)
+			tests := map[string]struct {
+				method, path, body, field string
+				status                    int
+			}{
+				"no key":          {"POST", "/v1/admin/apply", `{"base":1}`, "key", 400},
+				"no base":         {"POST", "/v1/admin/apply", `{"key":"k"}`, "base", 400},
+				"unknown field":   {"POST", "/v1/admin/apply", `{"kez":"k"}`, "kez", 400},
+				"wrong type":      {"POST", "/v1/admin/rollback", `{"to":"x"}`, "to", 400},
+				"no JSON":         {"POST", "/v1/admin/apply", `x`, "body", 400},
+				"no content":      {"POST", "/v1/admin/apply", `{"key":"k","base":1}`, "configuration", 400},
+				"contradiction":   {"POST", "/v1/admin/apply", over, "configuration", 422},
+				"unusable value":  {"POST", "/v1/admin/apply", worse, "configuration", 422},
+				"no such version": {"POST", "/v1/admin/rollback", `{"key":"k","base":1,"to":9}`, "to", 404},
+				"bad version":     {"GET", "/v1/admin/versions/x", "", "version", 400},
+				"missing version": {"GET", "/v1/admin/diff?from=1&to=9", "", "to", 404},
+				"bad limit":       {"GET", "/v1/admin/history?limit=0", "", "limit", 400},
+				"no drain key":    {"PUT", "/v1/admin/targets/t/drain", `{}`, "key", 400},
+			}
+			for name, tt := range tests {
+				status, d := s.call(tt.method, tt.path, "", tt.body)
+				So(fmt.Sprint(name, " ", status, " ", d["field"]), ShouldEqual, fmt.Sprint(name, " ", tt.status, " ", tt.field))
+			}
+		})
+	})
+}
--- a/internal/process/role/host/caller.go
+++ b/internal/process/role/host/caller.go
@@ -29,10 +29,10 @@
 	Results    []json.RawMessage `json:"results,omitempty"`
 }
 
-func (e *Entry) register(router *echo.Echo) {
-	router.POST(jobsPath, e.submit)
-	router.GET(jobPath, e.query)
-	router.DELETE(jobPath, e.cancel)
+func (e *Entry) register(router *echo.Echo, g guard) {
+	router.POST(jobsPath, e.submit, g.team(callerAccess, operatorAccess))
+	router.GET(jobPath, e.query, g.team(callerAccess, operatorAccess, readerAccess))
+	router.DELETE(jobPath, e.cancel, g.team(callerAccess, operatorAccess))
 	router.GET("/v1/reasons", reasons)
 }
 
--- a/internal/process/role/host/entry.go
+++ b/internal/process/role/host/entry.go
@@ -32,6 +32,7 @@
 	entry    *role
 	network  *network.Network
 	ready    atomic.Bool
+	current  atomic.Pointer[configuration.Configuration]
 	drained  chan struct{}
 	requests atomic.Uint64
 	links    net.Listener
@@ -110,7 +111,15 @@
 	}
 	e.cleanups = append(e.cleanups, cleanup)
 	router := e.common.newEcho(e.ready.Load)
-	e.register(router)
+	g := guard{
+		open:    e.common.openAccess(),
+		current: e.current.Load,
+	}
+	e.register(router, g)
+	changes, err := e.admin(router, g)
+	if err != nil {
+		return err
+	}
 	pages, cleanup, err := web.Serve(e.pages, "http", "Serves callers, operators and targets.", router)
 	if err != nil {
 		return err
@@ -128,7 +137,7 @@
 	if err != nil {
 		return err
 	}
-	e.table, err = duty.NewTable(carrier, links, decision, member, pages)
+	e.table, err = duty.NewTable(carrier, links, decision, member, changes, pages)
 	return err
 }
 
@@ -166,6 +175,9 @@
 }
 
 func (e *Entry) publish(ctx context.Context, v any) {
+	if cfg, ok := v.(*configuration.Configuration); ok {
+		e.current.Store(cfg)
+	}
 	switch v.(type) {
 	case *configuration.Configuration, membership.Routes:
 		_ = e.entry.ring.Push(ctx, v)
--- a/internal/process/role/host/host.go
+++ b/internal/process/role/host/host.go
@@ -42,6 +42,7 @@
 	zone        string
 	linkAddress string
 	httpAddress string
+	access      string
 	store       *store.Store
 	log         *logrus.Entry
 	now         func() time.Time
--- a/internal/version/configuration/diff.go
+++ b/internal/version/configuration/diff.go
@@ -55,40 +55,48 @@
 	effect string
 }
 
+func fieldOf[T any](name string, value func(T) string, effect string) field[T] {
+	return field[T]{
+		name:   name,
+		value:  value,
+		effect: effect,
+	}
+}
+
 func number(f float64) string {
 	return strconv.FormatFloat(f, 'g', -1, 64)
 }
 
 var limitFields = []field[Limits]{
-	{"max_tasks", func(l Limits) string { return strconv.Itoa(l.maxTasks) }, "largest number of tasks that a job may have"},
-	{"retention", func(l Limits) string { return l.retention.String() }, "how long a resubmission is recognized and its answer kept"},
-	{"regions", func(l Limits) string { return strconv.Itoa(l.regions) }, "regions that teams can have as their home"},
-	{"reserved_slots", func(l Limits) string { return strconv.Itoa(l.admission.reservedSlots) }, "slots of each target that only the most urgent class gets"},
-	{"long_share", func(l Limits) string { return Percent(l.admission.longShare) }, "share of a target's slots that long work may hold"},
-	{"retry_budget", func(l Limits) string { return Percent(l.admission.retryBudget) }, "retries as a part of first starts"},
-	{"max_waiting", func(l Limits) string { return strconv.Itoa(l.admission.maxWaiting) }, "tasks that wait at one owner before jobs are refused"},
+	fieldOf("max_tasks", func(l Limits) string { return strconv.Itoa(l.maxTasks) }, "largest number of tasks that a job may have"),
+	fieldOf("retention", func(l Limits) string { return l.retention.String() }, "how long a resubmission is recognized and its answer kept"),
+	fieldOf("regions", func(l Limits) string { return strconv.Itoa(l.regions) }, "regions that teams can have as their home"),
+	fieldOf("reserved_slots", func(l Limits) string { return strconv.Itoa(l.admission.reservedSlots) }, "slots of each target that only the most urgent class gets"),
+	fieldOf("long_share", func(l Limits) string { return Percent(l.admission.longShare) }, "share of a target's slots that long work may hold"),
+	fieldOf("retry_budget", func(l Limits) string { return Percent(l.admission.retryBudget) }, "retries as a part of first starts"),
+	fieldOf("max_waiting", func(l Limits) string { return strconv.Itoa(l.admission.maxWaiting) }, "tasks that wait at one owner before jobs are refused"),
 }
 
 var teamFields = []field[Team]{
-	{"share", func(t Team) string { return Percent(t.share) }, "part of the capacity that the team gets under load"},
-	{"home_region", func(t Team) string { return strconv.Itoa(t.homeRegion) }, "region whose owners keep the team's submissions; jobs submitted before the change are not found after it"},
-	{"tokens", func(t Team) string { return describeTokens(t.tokenHashes) }, "tokens that give access to the team"},
+	fieldOf("share", func(t Team) string { return Percent(t.share) }, "part of the capacity that the team gets under load"),
+	fieldOf("home_region", func(t Team) string { return strconv.Itoa(t.homeRegion) }, "region whose owners keep the team's submissions; jobs submitted before the change are not found after it"),
+	fieldOf("tokens", func(t Team) string { return describeTokens(t.tokenHashes) }, "tokens that give access to the team"),
 }
 
 var kindFields = []field[Kind]{
-	{"urgency", func(k Kind) string { return k.urgency.String() }, "place among all waiting work"},
-	{"commitment", func(k Kind) string { return k.commitment.String() }, "a job is refused at once when its expected wait exceeds this"},
-	{"run_time", func(k Kind) string { return k.runTime.String() }, "estimate until enough run times have been observed"},
-	{"spread", func(k Kind) string { return number(k.spread) }, "estimate of the slowest tasks until enough have been observed"},
-	{"harm", func(k Kind) string { return strconv.Itoa(k.harm) }, "kinds with less harm are refused first"},
-	{"repeatable", func(k Kind) string { return strconv.FormatBool(k.repeatable) }, "whether a task may run again"},
-	{"max_starts", func(k Kind) string { return strconv.Itoa(k.maxStarts) }, "how often a task may start, the first start included"},
-	{"payload_bytes", func(k Kind) string { return strconv.Itoa(k.payloadBytes) }, "larger payloads are refused"},
-	{"long", func(k Kind) string { return strconv.FormatBool(k.long) }, "whether the kind is held to the share for long work"},
-	{"runs_on", func(k Kind) string { return k.backEnd.String() }, "sort of back end that runs the kind"},
-	{"service", func(k Kind) string { return k.service }, "back ends that offer this service run the kind"},
-	{"resources", func(k Kind) string { return k.resources.String() }, "what a task takes of a worker"},
-	{"preemption", func(k Kind) string { return k.preemption.String() }, "what may be done to a running task when urgent work needs its place"},
+	fieldOf("urgency", func(k Kind) string { return k.urgency.String() }, "place among all waiting work"),
+	fieldOf("commitment", func(k Kind) string { return k.commitment.String() }, "a job is refused at once when its expected wait exceeds this"),
+	fieldOf("run_time", func(k Kind) string { return k.runTime.String() }, "estimate until enough run times have been observed"),
+	fieldOf("spread", func(k Kind) string { return number(k.spread) }, "estimate of the slowest tasks until enough have been observed"),
+	fieldOf("harm", func(k Kind) string { return strconv.Itoa(k.harm) }, "kinds with less harm are refused first"),
+	fieldOf("repeatable", func(k Kind) string { return strconv.FormatBool(k.repeatable) }, "whether a task may run again"),
+	fieldOf("max_starts", func(k Kind) string { return strconv.Itoa(k.maxStarts) }, "how often a task may start, the first start included"),
+	fieldOf("payload_bytes", func(k Kind) string { return strconv.Itoa(k.payloadBytes) }, "larger payloads are refused"),
+	fieldOf("long", func(k Kind) string { return strconv.FormatBool(k.long) }, "whether the kind is held to the share for long work"),
+	fieldOf("runs_on", func(k Kind) string { return k.backEnd.String() }, "sort of back end that runs the kind"),
+	fieldOf("service", func(k Kind) string { return k.service }, "back ends that offer this service run the kind"),
+	fieldOf("resources", func(k Kind) string { return k.resources.String() }, "what a task takes of a worker"),
+	fieldOf("preemption", func(k Kind) string { return k.preemption.String() }, "what may be done to a running task when urgent work needs its place"),
 }
 
 // describeTokens names tokens by access and the first bytes of their hash.
@@ -105,9 +113,9 @@
 func Diff(before, after *Configuration) []Change {
 	changes := compare(nil, "limits", limitFields, before.limits, after.limits)
 	changes = compare(changes, "installation", []field[*Configuration]{
-		{"tokens", func(c *Configuration) string { return describeTokens(c.tokens) }, "tokens that give access to the whole installation"},
-		{"workers", func(c *Configuration) string { return describeWorkers(c.workers) }, "sizes of worker against which kinds are checked"},
-		{"drained", func(c *Configuration) string { return fmt.Sprint(c.drained) }, "targets that get no new work"},
+		fieldOf("tokens", func(c *Configuration) string { return describeTokens(c.tokens) }, "tokens that give access to the whole installation"),
+		fieldOf("workers", func(c *Configuration) string { return describeWorkers(c.workers) }, "sizes of worker against which kinds are checked"),
+		fieldOf("drained", func(c *Configuration) string { return fmt.Sprint(c.drained) }, "targets that get no new work"),
 	}, before, after)
 	changes = compareParts(changes, "team", teamFields, partsOf(before.Teams(), Team.Name), partsOf(after.Teams(), Team.Name))
 	name := func(k Kind) string { return k.team + "/" + k.name }
--- a/internal/version/questionnaire/question.go
+++ b/internal/version/questionnaire/question.go
@@ -170,14 +170,25 @@
 	}
 }
 
-var units = []struct {
+type unit struct {
 	name  string
 	bytes int64
-}{
-	{"GiB", 1 << 30},
-	{"MiB", 1 << 20},
-	{"KiB", 1 << 10},
-	{"B", 1},
+}
+
+// units lists the units of size, the largest first; a size ends with the name of
+// the first that fits.
+var units = []unit{
+	unitOf("GiB", 1<<30),
+	unitOf("MiB", 1<<20),
+	unitOf("KiB", 1<<10),
+	unitOf("B", 1),
+}
+
+func unitOf(name string, bytes int64) unit {
+	return unit{
+		name:  name,
+		bytes: bytes,
+	}
 }
 
 func size(low, high int64) rule {
