--- a/internal/process/role/host/access.go
+++ b/internal/process/role/host/access.go
@@ -116,6 +116,16 @@
 	}
 }
 
+// debug admits requests for metrics and dumps, which show all teams' jobs.
+func (g guard) debug(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if strings.HasPrefix(c.Path(), "/debug/") && !g.allows(c, "", operatorAccess, readerAccess) {
+			return g.refusal(c)
+		}
+		return next(c)
+	}
+}
+
 // operator names who sent a request: the name that the operator gives, and the
 // beginning of the token's hash, which the configuration shows too.
 func operator(c echo.Context) string {
