Secure the HTTP listeners and the links of a process

Cause: the certificates of a process were kept, but nothing used them. Change: Common.WithCertificates secures the HTTP listener and, with mutual TLS, the links; the network gets the configuration of each link as a seam, by the host of its address. The keepers run as duties. A stand-in authority issues certificates for tests. TestSecure: an entry with a certificate of the agent's authority reaches the owner, one of a foreign authority answers unavailable. Conclusion: a setting for the files is all that is missing.

--- a/internal/process/certificate/certificate_test.go
+++ b/internal/process/certificate/certificate_test.go
@@ -1,15 +1,7 @@
 package certificate_test
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
-	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -18,6 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"greengagedoor.example/greengagedoor/internal/process/certificate"
+	"greengagedoor.example/greengagedoor/internal/process/standin/authority"
 )
 
 func must[T any](v T, err error) T {
@@ -27,58 +20,8 @@
 	return v
 }
 
-// authority issues certificates.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-func newAuthority(name string) authority {
-	key := must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))
-	template := &x509.Certificate{
-		SerialNumber:          big.NewInt(1),
-		Subject:               pkix.Name{CommonName: name},
-		NotBefore:             time.Now().Add(-time.Hour),
-		NotAfter:              time.Now().Add(time.Hour),
-		IsCA:                  true,
-		BasicConstraintsValid: true,
-		KeyUsage:              x509.KeyUsageCertSign,
-	}
-	der := must(x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key))
-	return authority{cert: must(x509.ParseCertificate(der)), key: key}
-}
-
-// issue writes a certificate for an address into dir, which trusts the given
-// authorities.
-func (a authority) issue(dir, ip string, lasts time.Duration, trusted ...authority) certificate.Files {
-	key := must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(2),
-		NotBefore:    time.Now().Add(-time.Hour),
-		NotAfter:     time.Now().Add(lasts),
-		IPAddresses:  []net.IP{net.ParseIP(ip)},
-		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der := must(x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key))
-	write := func(name, kind string, blocks ...[]byte) string {
-		var data []byte
-		for _, b := range blocks {
-			data = append(data, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: b})...)
-		}
-		path := filepath.Join(dir, name)
-		if err := os.WriteFile(path, data, 0o600); err != nil {
-			panic(err)
-		}
-		return path
-	}
-	var pool [][]byte
-	for _, t := range trusted {
-		pool = append(pool, t.cert.Raw)
-	}
-	return must(certificate.NewFiles(
-		write("cert.pem", "CERTIFICATE", der),
-		write("key.pem", "PRIVATE KEY", must(x509.MarshalPKCS8PrivateKey(key))),
-		write("ca.pem", "CERTIFICATE", pool...)))
+func issue(a *authority.Authority, dir, ip string, lasts time.Duration, trusted ...*authority.Authority) certificate.Files {
+	return must(a.Issue(dir, ip, lasts, trusted...))
 }
 
 // meet opens a link from one keeper to another and sends a byte each way. In TLS
@@ -109,7 +52,7 @@
 // TestLinks guards against a link with a process that the authorities did not
 // certify, and against a certificate that is not replaced.
 func TestLinks(t *testing.T) {
-	old, fresh := newAuthority("old"), newAuthority("fresh")
+	old, fresh := must(authority.New("old")), must(authority.New("fresh"))
 	here, there := t.TempDir(), t.TempDir()
 	const local, foreign, hour = "127.0.0.1", "127.0.0.2", time.Hour
 	keeper := func(f certificate.Files) *certificate.Keeper {
@@ -119,12 +62,12 @@
 		from, to certificate.Files
 		ok       bool
 	}{
-		"same authority":                {from: old.issue(t.TempDir(), local, hour, old), to: old.issue(t.TempDir(), local, hour, old), ok: true},
-		"client of another authority":   {from: fresh.issue(t.TempDir(), local, hour, old), to: old.issue(t.TempDir(), local, hour, old)},
-		"listener of another authority": {from: old.issue(t.TempDir(), local, hour, old), to: fresh.issue(t.TempDir(), local, hour, old)},
-		"listener at another address":   {from: old.issue(t.TempDir(), local, hour, old), to: old.issue(t.TempDir(), foreign, hour, old)},
-		"expired client":                {from: old.issue(t.TempDir(), local, -time.Minute, old), to: old.issue(t.TempDir(), local, hour, old)},
-		"both authorities trusted":      {from: fresh.issue(t.TempDir(), local, hour, old, fresh), to: old.issue(t.TempDir(), local, hour, old, fresh), ok: true},
+		"same authority":                {from: issue(old, t.TempDir(), local, hour, old), to: issue(old, t.TempDir(), local, hour, old), ok: true},
+		"client of another authority":   {from: issue(fresh, t.TempDir(), local, hour, old), to: issue(old, t.TempDir(), local, hour, old)},
+		"listener of another authority": {from: issue(old, t.TempDir(), local, hour, old), to: issue(fresh, t.TempDir(), local, hour, old)},
+		"listener at another address":   {from: issue(old, t.TempDir(), local, hour, old), to: issue(old, t.TempDir(), foreign, hour, old)},
+		"expired client":                {from: issue(old, t.TempDir(), local, -time.Minute, old), to: issue(old, t.TempDir(), local, hour, old)},
+		"both authorities trusted":      {from: issue(fresh, t.TempDir(), local, hour, old, fresh), to: issue(old, t.TempDir(), local, hour, old, fresh), ok: true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -134,13 +77,13 @@
 		})
 	}
 	Convey("an authority is replaced while the processes run", t, func() {
-		a := keeper(old.issue(here, local, hour, old))
-		b := keeper(old.issue(there, local, hour, old))
+		a := keeper(issue(old, here, local, hour, old))
+		b := keeper(issue(old, there, local, hour, old))
 		So(meet(a, b), ShouldBeNil)
-		fresh.issue(here, local, hour, fresh)
+		issue(fresh, here, local, hour, fresh)
 		a.Refresh()
 		So(meet(a, b), ShouldNotBeNil)
-		fresh.issue(there, local, hour, fresh)
+		issue(fresh, there, local, hour, fresh)
 		b.Refresh()
 		So(meet(a, b), ShouldBeNil)
 	})
@@ -150,13 +93,13 @@
 // network, and against a fault or a change that is not reported.
 func TestRefresh(t *testing.T) {
 	Convey("files that cannot be used leave the former ones in force", t, func() {
-		dir, ca := t.TempDir(), newAuthority("ca")
-		files := ca.issue(dir, "127.0.0.1", time.Hour, ca)
+		dir, ca := t.TempDir(), must(authority.New("ca"))
+		files := issue(ca, dir, "127.0.0.1", time.Hour, ca)
 		var reports []error
 		k := must(certificate.New(files, func(err error) { reports = append(reports, err) }))
 		k.Refresh()
 		So(reports, ShouldBeEmpty)
-		for _, name := range []string{"cert.pem", "key.pem", "ca.pem"} {
+		for _, name := range []string{"cert.pem", "key.pem", "authorities.pem"} {
 			saved := must(os.ReadFile(filepath.Join(dir, name)))
 			So(os.WriteFile(filepath.Join(dir, name), saved[:10], 0o600), ShouldBeNil)
 			k.Refresh()
@@ -164,7 +107,7 @@
 			So(os.WriteFile(filepath.Join(dir, name), saved, 0o600), ShouldBeNil)
 		}
 		So(reports, ShouldHaveLength, 3)
-		ca.issue(dir, "127.0.0.1", time.Hour, ca)
+		issue(ca, dir, "127.0.0.1", time.Hour, ca)
 		k.Refresh()
 		So(reports, ShouldHaveLength, 4)
 		So(reports[3], ShouldBeNil)
--- a/internal/process/role/host/admin_test.go
+++ b/internal/process/role/host/admin_test.go
@@ -52,11 +52,24 @@
 type site struct {
 	t       *testing.T
 	url     string
+	client  *http.Client
 	service *service.Service
 }
 
 func newSite(t *testing.T, access string) *site {
 	t.Helper()
+	s := newStore(t)
+	entry := must(newCommon("entry", s).WithAccess(access))
+	return &site{
+		t:       t,
+		url:     "http://" + runEntry(t, entry),
+		client:  http.DefaultClient,
+		service: must(service.New(s, time.Now)),
+	}
+}
+
+// newStore runs a stand-in store until the test ends.
+func newStore(t *testing.T) *store.Store {
 	ctx, cancel := context.WithCancel(context.Background())
 	kv := must(keyvalue.New(time.Now))
 	e := echo.New()
@@ -65,29 +78,40 @@
 	go func() { _ = kv.Run(ctx) }()
 	s, cleanStore, err := store.New(server.URL, time.Second)
 	So(err, ShouldBeNil)
+	t.Cleanup(func() {
+		cancel()
+		cleanStore()
+		server.Close()
+	})
+	return s
+}
+
+func newCommon(name string, s *store.Store) host.Common {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	common, err := host.NewCommon(must(identity.NewProcess("entry", 1)), 0, 1, 64, "a", "127.0.0.1:0", "127.0.0.1:0", s, logrus.NewEntry(log))
-	So(err, ShouldBeNil)
-	entry, cleanEntry, err := host.NewEntry(must(common.WithAccess(access)))
+	return must(host.NewCommon(must(identity.NewProcess(name, 1)), 0, 1, 64, "a", "127.0.0.1:0", "127.0.0.1:0", s, logrus.NewEntry(log)))
+}
+
+// runEntry runs an entry until the test ends and returns its address.
+func runEntry(t *testing.T, c host.Common) string {
+	entry, cleanup, err := host.NewEntry(c)
 	So(err, ShouldBeNil)
+	run(t, entry.Run, cleanup)
+	return entry.HTTPAddress()
+}
+
+func run(t *testing.T, f func(context.Context) error, cleanup func()) {
+	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = entry.Run(ctx)
+		_ = f(ctx)
 	}()
 	t.Cleanup(func() {
 		cancel()
 		<-done
-		cleanEntry()
-		cleanStore()
-		server.Close()
+		cleanup()
 	})
-	return &site{
-		t:       t,
-		url:     "http://" + entry.HTTPAddress(),
-		service: must(service.New(s, time.Now)),
-	}
 }
 
 func (s *site) call(method, path, token, body string) (int, map[string]any) {
@@ -97,7 +121,7 @@
 	if token != "" {
 		r.Header.Set("Authorization", "Bearer "+token)
 	}
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := s.client.Do(r)
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -123,6 +123,7 @@
 	var cleanup func()
 	a.network, cleanup, err = network.New(a.common.process, a.common.linkAddress, network.Seams{
 		Now:         a.common.now,
+		Secure:      a.common.openSecure(),
 		Credit:      credit,
 		Deliver:     a.deliver,
 		Undelivered: a.undelivered,
@@ -150,7 +151,7 @@
 		owned:   map[identity.Shard]bool{},
 		routes:  map[identity.Shard]identity.Process{},
 	}
-	links, cleanup, err := serveLinks(a.links, func(g *grpc.Server) { a.network.Register(g) })
+	links, cleanup, err := a.common.serveLinks(a.links, func(g *grpc.Server) { a.network.Register(g) })
 	if err != nil {
 		return err
 	}
@@ -185,6 +186,11 @@
 	if err != nil {
 		return err
 	}
+	keepers, err := a.common.keepers()
+	if err != nil {
+		return err
+	}
+	duties = append(keepers, duties...)
 	a.table, err = duty.NewTable(append([]duty.Duty{links, carrier, admission, dispatch, member, pages}, duties...)...)
 	return err
 }
--- a/internal/process/role/host/entry.go
+++ b/internal/process/role/host/entry.go
@@ -89,6 +89,7 @@
 	e.entry.snapshot = func() any { return decision.Snapshot() }
 	e.network, cleanup, err = network.New(e.common.process, e.common.linkAddress, network.Seams{
 		Now:         e.common.now,
+		Secure:      e.common.openSecure(),
 		Deliver:     func(ctx context.Context, v any) { _ = e.entry.ring.Push(ctx, v) },
 		Undelivered: func(ctx context.Context, u message.Undelivered) { _ = e.entry.ring.Push(ctx, u) },
 	}, e.common.log)
@@ -107,7 +108,7 @@
 		owned:   map[identity.Shard]bool{},
 		routes:  map[identity.Shard]identity.Process{},
 	}
-	links, cleanup, err := serveLinks(e.links, func(g *grpc.Server) { e.network.Register(g) })
+	links, cleanup, err := e.common.serveLinks(e.links, func(g *grpc.Server) { e.network.Register(g) })
 	if err != nil {
 		return err
 	}
@@ -143,7 +144,11 @@
 	if err != nil {
 		return err
 	}
-	e.table, err = duty.NewTable(carrier, links, decision, member, changes, pages)
+	keepers, err := e.common.keepers()
+	if err != nil {
+		return err
+	}
+	e.table, err = duty.NewTable(append(keepers, carrier, links, decision, member, changes, pages)...)
 	return err
 }
 
--- a/internal/process/role/host/host.go
+++ b/internal/process/role/host/host.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
+	"greengagedoor.example/greengagedoor/internal/process/certificate"
 	"greengagedoor.example/greengagedoor/internal/process/duty"
 	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/metric"
@@ -45,6 +46,8 @@
 	linkAddress string
 	httpAddress string
 	access      string
+	pageKeeper  *certificate.Keeper
+	linkKeeper  *certificate.Keeper
 	store       *store.Store
 	log         *logrus.Entry
 	now         func() time.Time
@@ -105,6 +108,7 @@
 		_ = links.Close()
 		return nil, nil, nil, err
 	}
+	pages = c.securePages(pages)
 	return links, pages, func() {
 		_ = links.Close()
 		_ = pages.Close()
@@ -184,8 +188,8 @@
 }
 
 // serveLinks returns a duty that serves the links of other processes.
-func serveLinks(l net.Listener, register func(*grpc.Server)) (duty.Duty, func(), error) {
-	g := grpc.NewServer(grpc.MaxRecvMsgSize(maxStreamBytes), grpc.MaxSendMsgSize(maxStreamBytes))
+func (c Common) serveLinks(l net.Listener, register func(*grpc.Server)) (duty.Duty, func(), error) {
+	g := grpc.NewServer(append(c.linkOptions(), grpc.MaxRecvMsgSize(maxStreamBytes), grpc.MaxSendMsgSize(maxStreamBytes))...)
 	register(g)
 	d, err := duty.New("links", "Accepts the streams of other processes.", nil, func(ctx context.Context) error {
 		ended := make(chan struct{})
--- /dev/null
+++ b/internal/process/role/host/secure_test.go
@@ -0,0 +1,72 @@
+package host_test
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"greengagedoor.example/greengagedoor/internal/process/certificate"
+	"greengagedoor.example/greengagedoor/internal/process/role/agent"
+	"greengagedoor.example/greengagedoor/internal/process/role/host"
+	"greengagedoor.example/greengagedoor/internal/process/role/publisher/service"
+	"greengagedoor.example/greengagedoor/internal/process/standin/authority"
+)
+
+func keeper(t *testing.T, a *authority.Authority, trusted ...*authority.Authority) *certificate.Keeper {
+	files := must(a.Issue(t.TempDir(), "127.0.0.1", time.Hour, trusted...))
+	return must(certificate.New(files, func(error) {}))
+}
+
+// TestSecure guards against an entry and an agent that cannot talk over secured
+// links, and against links to a process without certificate of the authority.
+func TestSecure(t *testing.T) {
+	Convey("a job reaches its owner over secured links only", t, func() {
+		ours, foreign := must(authority.New("ours")), must(authority.New("foreign"))
+		s := newStore(t)
+		a, cleanup, err := host.NewAgent(newCommon("agent", s).WithCertificates(nil, keeper(t, ours, ours)), "", agent.Worker{}, 1)
+		So(err, ShouldBeNil)
+		run(t, a.Run, cleanup)
+		pool := x509.NewCertPool()
+		pool.AddCert(ours.Certificate())
+		pool.AddCert(foreign.Certificate())
+		client := &http.Client{
+			Transport: &http.Transport{
+				TLSClientConfig: &tls.Config{
+					RootCAs: pool,
+				},
+			},
+		}
+		defer client.CloseIdleConnections()
+		entry := func(name string, k *certificate.Keeper) *site {
+			return &site{
+				t:       t,
+				url:     "https://" + runEntry(t, newCommon(name, s).WithCertificates(k, k)),
+				client:  client,
+				service: must(service.New(s, time.Now)),
+			}
+		}
+		good := entry("good", keeper(t, ours, ours))
+		bad := entry("bad", keeper(t, foreign, ours, foreign))
+		status, _ := good.call("POST", "/v1/admin/apply", "", applyBody("k1", 0, answers(10, "boss")))
+		So(status, ShouldEqual, 200)
+		good.follow("", 1)
+		bad.follow("", 1)
+		reason := func(e *site, until string) any {
+			var d map[string]any
+			for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+				_, d = e.call("GET", "/v1/teams/a/jobs/01890000-0000-7000-8000-000000000000?wait_ms=500", "", "")
+				if d["reason"] == until {
+					break
+				}
+			}
+			return d["reason"]
+		}
+		// Only the owner says that it does not know a key.
+		So(reason(good, "unknown_key"), ShouldEqual, "unknown_key")
+		So(reason(bad, "unavailable"), ShouldEqual, "unavailable")
+	})
+}
--- a/internal/process/role/network/network.go
+++ b/internal/process/role/network/network.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"time"
 
 	"github.com/pkg/errors"
@@ -86,6 +87,8 @@
 	// Cut decides for fault tests whether the traffic with a peer is lost; nil
 	// outside them.
 	Cut func(identity.Process) bool
+	// Secure returns the configuration of a link to a host; nil for plain links.
+	Secure func(host string) *tls.Config
 }
 
 // Network owns all links of a process.
--- a/internal/process/role/network/stream.go
+++ b/internal/process/role/network/stream.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"greengagedoor.example/greengagedoor/internal/connection/link"
@@ -232,7 +234,6 @@
 		ctx:     ctx,
 		stop:    stop,
 		options: []grpc.DialOption{
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxFrameBytes), grpc.MaxCallSendMsgSize(maxFrameBytes)),
 		},
 	}
@@ -256,10 +257,26 @@
 	}()
 }
 
+// credentials secures a link to an address, if the process has certificates.
+func (n *Network) credentials(address string) (grpc.DialOption, error) {
+	if n.seams.Secure == nil {
+		return grpc.WithTransportCredentials(insecure.NewCredentials()), nil
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "address of a link %s", address)
+	}
+	return grpc.WithTransportCredentials(credentials.NewTLS(n.seams.Secure(host))), nil
+}
+
 // open uses a connection of its own for each stream: a connection that has gone
 // silent must not carry the stream that replaces it.
 func (d *dialer) open(peer identity.Process, address string) error {
-	conn, err := grpc.NewClient("passthrough:///"+address, d.options...)
+	secure, err := d.network.credentials(address)
+	if err != nil {
+		return err
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, append(d.options[:len(d.options):len(d.options)], secure)...)
 	if err != nil {
 		return errors.Wrapf(err, "dial %s", address)
 	}
