Let settings name certificates and the access mode

Cause: TLS and access control could be set up by code only. Change: settings tls.* name the files of the HTTP listener and of the links, which must be given in full or not at all; access.mode of the entry is auto, on or off. Checked: go test ./internal/process/setting ./cmd/... passes. Conclusion: an installation can run with TLS and tokens.

--- a/cmd/greengagedoor/roles.go
+++ b/cmd/greengagedoor/roles.go
@@ -95,6 +95,11 @@
 		cleanup()
 		return host.Common{}, nil, err
 	}
+	c, err = secured(c, v, l)
+	if err != nil {
+		cleanup()
+		return host.Common{}, nil, err
+	}
 	return c.WithSettings(v.Lines()), cleanup, nil
 }
 
@@ -129,6 +134,10 @@
 			return err
 		}
 		defer cleanup()
+		com, err = com.WithAccess(v.Text("access", "mode"))
+		if err != nil {
+			return err
+		}
 		e, cleanup, err := host.NewEntry(com)
 		if err != nil {
 			return err
--- a/internal/process/setting/setting.go
+++ b/internal/process/setting/setting.go
@@ -157,6 +157,14 @@
 	return u.String()
 }
 
+// path makes the value the name of a file, which is read when the process starts.
+func (s Setting) path() Setting {
+	s.required = true
+	s.allowed = "a file name"
+	s.check = func(v string) bool { return v != "" && !strings.ContainsRune(v, 0) }
+	return s
+}
+
 // number makes the value a whole number.
 func (s Setting) number(def, low, high int64, unit string) Setting {
 	s.def = strconv.FormatInt(def, 10)
--- a/internal/process/setting/table.go
+++ b/internal/process/setting/table.go
@@ -19,15 +19,22 @@
 		row("store", "timeout_ms", "store-timeout-ms", "How long one call of the key-value service may take.").number(2000, 10, 60_000, "ms"),
 		row("log", "format", "log-format", "The format of the log on standard error.").choice("text", "json"),
 		row("log", "level", "log-level", "The least severe lines that are logged; debug has a line for each task.").choice("info", "debug", "warn", "error"),
+		row("tls", "http_certificate", "http-certificate", "The certificate of the HTTP listener in PEM, read again when it changes; empty for plain HTTP.").path().orEmpty(),
+		row("tls", "http_key", "http-key", "The key of the certificate of the HTTP listener in PEM.").path().orEmpty(),
+		row("tls", "link_certificate", "link-certificate", "The certificate of the links between processes in PEM, for the IP number of listen.link, read again when it changes; empty for plain links.").path().orEmpty(),
+		row("tls", "link_key", "link-key", "The key of the certificate of the links in PEM.").path().orEmpty(),
+		row("tls", "link_authorities", "link-authorities", "The authorities in PEM that certify the processes at the other end of links.").path().orEmpty(),
 	}
 }
 
 // Entry is the table of the entry role.
 func Entry() Table {
 	return Table{
-		role:     "entry",
-		settings: common(),
-		whole:    wholeCommon,
+		role: "entry",
+		settings: append(common(),
+			row("access", "mode", "access", "Whether callers and operators need a bearer token; auto needs one unless listen.http is on loopback.").choice("auto", "on", "off"),
+		),
+		whole: wholeCommon,
 	}
 }
 
@@ -69,6 +76,11 @@
 	if link == v.Text("listen", "http") && !strings.HasSuffix(link, ":0") {
 		faults = append(faults, v.wrong("listen", "http", "an address other than listen.link")...)
 	}
+	for _, pair := range [][2]string{{"http_certificate", "http_key"}, {"link_certificate", "link_key"}, {"link_certificate", "link_authorities"}} {
+		if (v.Text("tls", pair[0]) == "") != (v.Text("tls", pair[1]) == "") {
+			faults = append(faults, v.wrong("tls", pair[1], "set together with tls."+pair[0]+", or neither")...)
+		}
+	}
 	return faults
 }
 
