--- a/internal/version/configuration/configuration_test.go
+++ b/internal/version/configuration/configuration_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -139,6 +141,20 @@
 	})
 }
 
+// TestPage guards against a field that the page for operators does not explain.
+func TestPage(t *testing.T) {
+	Convey("docs/configuration.md has every field", t, func() {
+		page, err := os.ReadFile("../../../docs/configuration.md")
+		So(err, ShouldBeNil)
+		c := build([]configuration.Team{must(configuration.NewTeam("a", 0.5, 0))}, kind("a", "x", configuration.Low))
+		for _, l := range configuration.Show(c) {
+			_, field, _ := strings.Cut(l, ": ")
+			name, _, _ := strings.Cut(field, " = ")
+			So(string(page), ShouldContainSubstring, "| `"+name+"` |")
+		}
+	})
+}
+
 // FuzzDecode guards against input that crashes the decoder, and against a value
 // that the codec does not return unchanged.
 func FuzzDecode(f *testing.F) {
