Let callers show a bearer token

Cause: with access control on, the client package and the commands submit, status, cancel and dump could not reach an entry. Ruled out: a flag with the token itself, which everybody on the host can read. Checked on loopback with a store, an agent, an entry with access on and a target: submit without token is refused (exit 4), with the team's token complete (exit 0); dump without token is refused, with the installation's token printed; a drained target gets no job. Conclusion: an installation with access control can be used and operated from the command line.

--- a/cmd/greengagedoor/call.go
+++ b/cmd/greengagedoor/call.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -35,9 +36,28 @@
 			Value: 30,
 			Usage: "`SECONDS` to wait for the final answer",
 		},
+		tokenFlag(),
 	}, more...)
 }
 
+// tokenFlag names a file, since flags can be read by everybody on the host.
+func tokenFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name:    "token-file",
+		EnvVars: []string{"GREENGAGEDOOR_TOKEN_FILE"},
+		Usage:   "`FILE` with the bearer token; not needed where access is off",
+	}
+}
+
+func readToken(c *cli.Context) (string, error) {
+	path := c.String("token-file")
+	if path == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(path)
+	return strings.TrimSpace(string(data)), errors.Wrap(err, "read the token")
+}
+
 func teamFlag() cli.Flag {
 	return &cli.StringFlag{
 		Name:  "team",
@@ -73,6 +93,11 @@
 		return usage(err)
 	}
 	defer cleanup()
+	token, err := readToken(c)
+	if err != nil {
+		return err
+	}
+	client = client.WithToken(token)
 	ctx, cancel := context.WithTimeout(c.Context, time.Duration(c.Int("seconds"))*time.Second)
 	defer cancel()
 	a, err := f(ctx, client)
@@ -236,6 +261,7 @@
 				Value: "http://127.0.0.1:8080",
 				Usage: "`URL` of the process's HTTP interface",
 			},
+			tokenFlag(),
 		},
 		Action: func(c *cli.Context) error {
 			ctx, cancel := context.WithTimeout(c.Context, dumpTimeout)
@@ -244,6 +270,13 @@
 			if err != nil {
 				return usage(err)
 			}
+			token, err := readToken(c)
+			if err != nil {
+				return err
+			}
+			if token != "" {
+				r.Header.Set("Authorization", "Bearer "+token)
+			}
 			resp, err := http.DefaultClient.Do(r)
 			if err != nil {
 				return errors.Wrap(err, "ask for the dump")
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -48,6 +48,7 @@
 	entries []string
 	http    *http.Client
 	seams   Seams
+	token   string
 }
 
 // New returns a client of the entries at the given addresses, http://host:port,
@@ -86,6 +87,13 @@
 	}, transport.CloseIdleConnections, nil
 }
 
+// WithToken returns a client that shows the bearer token of a team.
+func (c *Client) WithToken(token string) *Client {
+	n := *c
+	n.token = token
+	return &n
+}
+
 func wait(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -164,6 +172,9 @@
 	if body != nil {
 		r.Header.Set("Content-Type", "application/json")
 	}
+	if c.token != "" {
+		r.Header.Set("Authorization", "Bearer "+c.token)
+	}
 	resp, err := c.http.Do(r)
 	if err != nil {
 		return Answer{}, errors.Wrap(err, "request")
