--- a/cmd/greengagedoor/config.go
+++ b/cmd/greengagedoor/config.go
@@ -23,10 +23,17 @@
 
 const defaultHistory = 20
 
+const changeCodes = "Exit codes: 0 success, a change is in force; 1 the command could not do its work,\n" +
+	"nothing was changed; 2 flags or arguments are not allowed; 4 the change was\n" +
+	"refused, nothing was changed; 5 the store did not answer, and the change may have\n" +
+	"taken effect: repeat it with the same key."
+
 func configCommand() *cli.Command {
-	return &cli.Command{
+	return withUsage(&cli.Command{
 		Name:  "config",
 		Usage: "look at and change the configuration in force",
+		Description: "Works on the key-value service directly, so that it needs no entry and no token.\n" +
+			"Changes are repeated with the same key.\n" + changeCodes,
 		Subcommands: []*cli.Command{
 			configShowCommand(),
 			configCheckCommand(),
@@ -36,7 +43,19 @@
 			configRollbackCommand(),
 			configStatusCommand(),
 		},
+	})
+}
+
+// withUsage gives the subcommands the exit code of a wrong use and the exit codes
+// in their help.
+func withUsage(c *cli.Command) *cli.Command {
+	for _, s := range c.Subcommands {
+		s.Description = c.Description
+		s.OnUsageError = func(_ *cli.Context, err error, _ bool) error {
+			return usage(err)
+		}
 	}
+	return c
 }
 
 func storeFlag() cli.Flag {
@@ -113,7 +132,7 @@
 
 func oneFile(c *cli.Context) (*configuration.Configuration, error) {
 	if c.NArg() != 1 {
-		return nil, errors.New("one FILE is needed: a configuration in JSON or answers in .ini")
+		return nil, usage(errors.New("one FILE is needed: a configuration in JSON or answers in .ini"))
 	}
 	return readConfiguration(c.Args().First())
 }
@@ -231,13 +250,27 @@
 			if len(r.Problems()) > 0 {
 				err = errors.Wrap(r.Problems(), err.Error())
 			}
-			return err
+			return changeCode(r.State(), err)
 		}
 		fmt.Fprintf(c.App.Writer, "version %d applied (key %s)%s\n", r.Version(), key, note(r))
 		return nil
 	})
 }
 
+func changeCode(s publisher.State, err error) error {
+	code := exitRefused
+	switch s {
+	case publisher.Failed:
+		code = exitFailed
+	case publisher.Unclear:
+		code = exitUndecided
+	}
+	return &coded{
+		code: code,
+		err:  err,
+	}
+}
+
 func note(r publisher.Result) string {
 	switch {
 	case r.Repeated():
@@ -284,7 +317,7 @@
 		Flags:     []cli.Flag{storeFlag()},
 		Action: func(c *cli.Context) error {
 			if c.NArg() != 2 {
-				return errors.New("two versions or files are needed")
+				return usage(errors.New("two versions or files are needed"))
 			}
 			return withService(c, func(ctx context.Context, s *service.Service) error {
 				var sides [2]*configuration.Configuration
--- a/cmd/greengagedoor/questionnaire.go
+++ b/cmd/greengagedoor/questionnaire.go
@@ -14,16 +14,18 @@
 const answersMode = 0o600
 
 func questionnaireCommand() *cli.Command {
-	return &cli.Command{
+	return withUsage(&cli.Command{
 		Name:  "questionnaire",
 		Usage: "turn answers about requests into a configuration",
+		Description: "Works on files. The questions are listed in docs/questionnaire.md.\n" +
+			exitCodes,
 		Subcommands: []*cli.Command{
 			askCommand(),
 			checkCommand(),
 			generateCommand(),
 			answersDiffCommand(),
 		},
-	}
+	})
 }
 
 func askCommand() *cli.Command {
@@ -33,7 +35,7 @@
 		ArgsUsage: "FILE",
 		Action: func(c *cli.Context) error {
 			if c.NArg() != 1 {
-				return errors.New("one FILE for the answers is needed")
+				return usage(errors.New("one FILE for the answers is needed"))
 			}
 			path := c.Args().First()
 			a, err := questionnaire.Ask(c.App.Reader, c.App.Writer)
@@ -64,7 +66,7 @@
 
 func answersOf(c *cli.Context, n int) ([]questionnaire.Answers, error) {
 	if c.NArg() != n {
-		return nil, errors.Errorf("%d file(s) with answers are needed", n)
+		return nil, usage(errors.Errorf("%d file(s) with answers are needed", n))
 	}
 	var all []questionnaire.Answers
 	for _, path := range c.Args().Slice() {
--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -133,6 +133,7 @@
 	var cleanup func()
 	a.network, cleanup, err = network.New(a.common.process, a.common.linkAddress, network.Seams{
 		Now:         a.common.now,
+		Secure:      a.common.openSecure(),
 		Credit:      credit,
 		Deliver:     a.deliver,
 		Undelivered: a.undelivered,
@@ -156,7 +157,7 @@
 }
 
 func (a *Agent) duties() error {
-	links, cleanup, err := serveLinks(a.links, func(g *grpc.Server) { a.network.Register(g) })
+	links, cleanup, err := a.common.serveLinks(a.links, func(g *grpc.Server) { a.network.Register(g) })
 	if err != nil {
 		return err
 	}
@@ -191,7 +192,12 @@
 	if err != nil {
 		return err
 	}
-	all := append([]duty.Duty{links, carrier, admission, dispatch, pages}, duties...)
+	keepers, err := a.common.keepers()
+	if err != nil {
+		return err
+	}
+	all := append(keepers, links, carrier, admission, dispatch, pages)
+	all = append(all, duties...)
 	a.table, err = duty.NewTable(append(all, members...)...)
 	return err
 }
