--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -16,6 +16,7 @@
 	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/ledger"
 	"greengagedoor.example/greengagedoor/internal/process/membership"
+	"greengagedoor.example/greengagedoor/internal/process/metric"
 	"greengagedoor.example/greengagedoor/internal/process/role/agent"
 	"greengagedoor.example/greengagedoor/internal/process/role/backend"
 	"greengagedoor.example/greengagedoor/internal/process/role/network"
@@ -31,9 +32,9 @@
 	ledgerBytes      = 32 << 20
 	retention        = 10 * time.Minute
 	announceMaxBytes = 64 << 10
-	// drainLimit is how long a leaving agent waits for its running tasks; most take
-	// less than a second, a few several.
-	drainLimit = 20 * time.Second
+	// AgentDrainLimit is how long a leaving agent waits for its running tasks; most
+	// take less than a second, a few several.
+	AgentDrainLimit = 20 * time.Second
 )
 
 // Agent is an assembled agent process.
@@ -155,7 +156,8 @@
 		return err
 	}
 	a.cleanups = append(a.cleanups, cleanup)
-	e := a.common.newEcho(func() bool { return true })
+	// Without a configuration the agent refuses every start.
+	e := a.common.newEcho(func() bool { return a.common.metrics.Value(metric.ConfigVersion) > 0 })
 	e.POST("/v1/announce", a.announce)
 	if err := a.common.observe(e, func() *duty.Table { return a.table }, a.agent, a.owner); err != nil {
 		return err
@@ -196,7 +198,7 @@
 
 // Run runs all duties until ctx ends or one fails. When ctx ends, the agent first
 // drains: it takes no new work, and its duties go on until the running tasks have
-// ended and are reported, or drainLimit is over. The network then waits a moment
+// ended and are reported, or AgentDrainLimit is over. The network then waits a moment
 // for the acknowledgements of the last reports.
 func (a *Agent) Run(ctx context.Context) error {
 	failed, stop := a.table.Start(context.WithoutCancel(ctx))
@@ -206,7 +208,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainLimit)
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), AgentDrainLimit)
 	defer cancel()
 	_ = a.agent.ring.Push(limit, agent.Drain{})
 	select {
--- a/internal/process/role/local/shutdown_test.go
+++ b/internal/process/role/local/shutdown_test.go
@@ -68,6 +68,7 @@
 				}()
 				refused := refusedOf(t, s.Entries()[1])
 				r := <-got
+				So(time.Since(began), ShouldBeLessThan, host.DrainLimit+5*time.Second)
 				So(r.status, ShouldEqual, tt.status)
 				So(r.body, ShouldContainSubstring, tt.state)
 				So(problemOf(t, refused).Reason, ShouldEqual, "shutting_down")
@@ -76,6 +77,8 @@
 				waitClosed(t, strings.TrimPrefix(s.Entries()[1], "http://"))
 				So(time.Since(began), ShouldBeLessThan, host.DrainLimit+time.Second+web.ShutdownLimit)
 				<-stopped
+				// The agents stop after the entries and wait for the task, too.
+				So(time.Since(began), ShouldBeLessThan, host.DrainLimit+5*time.Second+host.AgentDrainLimit)
 			})
 		})
 	}
