--- a/cmd/greengagedoor/main.go
+++ b/cmd/greengagedoor/main.go
@@ -87,6 +87,8 @@
 		agentCommand(),
 		entryCommand(),
 		localCommand(),
+		configCommand(),
+		questionnaireCommand(),
 		submitCommand(),
 		statusCommand(),
 		cancelCommand(),
--- /dev/null
+++ b/internal/process/role/agent/drained_test.go
@@ -0,0 +1,29 @@
+package agent_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"greengagedoor.example/greengagedoor/internal/request/message"
+)
+
+// TestDrained guards against work for a target that operators drained, and
+// against a target that does not return after the drain.
+func TestDrained(t *testing.T) {
+	Convey("a drained target finishes what runs and returns", t, func() {
+		b := newBench(t)
+		b.announce("t", 8, false)
+		task, _ := b.run(one, normal)
+		b.handle(config().WithDrained([]string{"t"}).WithVersion(2))
+		So(b.rooms["print"].Free(), ShouldEqual, 0)
+		b.announce("t", 8, false)
+		So(b.rooms["print"].Free(), ShouldEqual, 0)
+		So(sent[message.Finished](b.end(task, success()), one), ShouldHaveLength, 1)
+		b.announce("t", 8, false)
+		So(b.rooms, ShouldBeEmpty)
+		b.handle(config().WithVersion(3))
+		b.announce("t", 8, false)
+		So(b.rooms["print"].Free(), ShouldBeGreaterThan, 0)
+	})
+}
