--- a/internal/process/role/local/local.go
+++ b/internal/process/role/local/local.go
@@ -48,6 +48,7 @@
 type System struct {
 	log      *logrus.Entry
 	seed     uint64
+	now      func() time.Time
 	record   *record.Record
 	store    *store.Store
 	storeURL string
@@ -60,9 +61,16 @@
 
 // New assembles the system; the seed drives every random choice of its roles.
 func New(seed uint64, log *logrus.Entry) (*System, func(), error) {
+	return NewWithClock(seed, time.Now, log)
+}
+
+// NewWithClock returns a system whose roles read another clock. It must go as
+// fast as the real one, since timers follow that.
+func NewWithClock(seed uint64, now func() time.Time, log *logrus.Entry) (*System, func(), error) {
 	s := &System{
 		log:  log,
 		seed: seed,
+		now:  now,
 	}
 	for _, step := range []func() error{s.buildStore, s.buildPool, s.buildAgents, s.buildEntries} {
 		if err := step(); err != nil {
@@ -202,7 +210,8 @@
 		return host.Common{}, err
 	}
 	s.cleanups = append(s.cleanups, cleanup)
-	return host.NewCommon(p, 0, 1, shards, zone, anyPort, anyPort, st, s.log.WithField("process", name))
+	c, err := host.NewCommon(p, 0, 1, shards, zone, anyPort, anyPort, st, s.log.WithField("process", name))
+	return c.WithClock(s.now), err
 }
 
 func (s *System) buildAgents() error {
--- a/internal/process/role/local/system_test.go
+++ b/internal/process/role/local/system_test.go
@@ -21,12 +21,18 @@
 
 // startStoppable takes the log and also returns the function that stops the system.
 func startStoppable(t *testing.T, lines io.Writer) (*local.System, func()) {
+	t.Helper()
+	return startAt(t, time.Now, lines)
+}
+
+// startAt replaces the clock of the roles.
+func startAt(t *testing.T, now func() time.Time, lines io.Writer) (*local.System, func()) {
 	t.Helper()
 	l, err := log.New(lines, "json", "debug", "test")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, cleanup, err := local.New(1, l)
+	s, cleanup, err := local.NewWithClock(1, now, l)
 	if err != nil {
 		t.Fatal(err)
 	}
