--- a/cmd/greengagedoor/call.go
+++ b/cmd/greengagedoor/call.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// needed reports flags that are not given; the library's own check gives no
-// error that can be told from others.
+// needed reports flags that are not given, before a job gets a key that nobody
+// will use.
 func needed(c *cli.Context, names ...string) error {
 	for _, n := range names {
 		if c.String(n) == "" {
--- a/cmd/greengagedoor/main.go
+++ b/cmd/greengagedoor/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -58,6 +59,9 @@
 		return c.code
 	case errors.Is(err, errUsage), errors.Is(err, setting.ErrSettings):
 		return exitUsage
+	case strings.HasPrefix(err.Error(), "Required flag"):
+		// The library's error about missing flags has no type and passes OnUsageError.
+		return exitUsage
 	}
 	return exitFailed
 }
@@ -76,12 +80,17 @@
 		// The library would end the process itself.
 		ExitErrHandler: func(*cli.Context, error) {},
 	}
-	for _, c := range app.Commands {
-		c.OnUsageError = app.OnUsageError
-	}
+	setUsageError(app.Commands, app.OnUsageError)
 	return app
 }
 
+func setUsageError(commands []*cli.Command, f cli.OnUsageErrorFunc) {
+	for _, c := range commands {
+		c.OnUsageError = f
+		setUsageError(c.Subcommands, f)
+	}
+}
+
 // documented adds the exit codes to the help of a command and its subcommands.
 func documented(c *cli.Command) *cli.Command {
 	if c.Description == "" {
--- a/cmd/greengagedoor/main_test.go
+++ b/cmd/greengagedoor/main_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -85,6 +86,14 @@
 			args: []string{"cancel", "--team", "t"},
 			code: exitUsage,
 		},
+		"subcommand_without_flag": {
+			args: []string{"config", "apply", "x.ini"},
+			code: exitUsage,
+		},
+		"subcommand_with_unknown_flag": {
+			args: []string{"config", "apply", "--colour", "red"},
+			code: exitUsage,
+		},
 		"no_tasks": {
 			args: []string{"submit", "--team", "t", "--kind", "k"},
 			code: exitUsage,
@@ -162,3 +171,22 @@
 		}
 	})
 }
+
+// TestReadme guards against lines of the README whose flags are not allowed.
+func TestReadme(t *testing.T) {
+	page, err := os.ReadFile("../../README.md")
+	Convey("the roles' lines pass the check", t, func() {
+		So(err, ShouldBeNil)
+		n := 0
+		for _, l := range strings.Split(string(page), "\n") {
+			args := strings.Fields(strings.TrimSuffix(l, "&"))
+			if len(args) < 2 || args[0] != "bin/greengagedoor" || (args[1] != "agent" && args[1] != "entry") {
+				continue
+			}
+			n++
+			_, code := run(t, append([]string{args[1], "--check"}, args[2:]...)...)
+			So(code, ShouldEqual, 0)
+		}
+		So(n, ShouldEqual, 3)
+	})
+}
--- a/internal/process/setting/load.go
+++ b/internal/process/setting/load.go
@@ -13,6 +13,13 @@
 
 const environmentPrefix = "GREENGAGEDOOR_"
 
+// commandVariables are read by commands that are no roles; a role that runs in the
+// same environment passes over them.
+var commandVariables = map[string]bool{
+	"GREENGAGEDOOR_ENTRIES": true,
+	"GREENGAGEDOOR_STORE":   true,
+}
+
 // source names for values that do not come from a file.
 const (
 	fromDefault     = "default"
@@ -173,7 +180,7 @@
 	var faults []Fault
 	for _, e := range environment {
 		name, text, _ := strings.Cut(e, "=")
-		if !strings.HasPrefix(name, environmentPrefix) {
+		if !strings.HasPrefix(name, environmentPrefix) || commandVariables[name] {
 			continue
 		}
 		found := false
