--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -31,8 +31,8 @@
 	ledgerBytes      = 24 << 20
 	retention        = 10 * time.Minute
 	announceMaxBytes = 64 << 10
-	// AgentDrainLimit is how long a leaving agent waits for its running tasks; most take
-	// less than a second, a few several.
+	// AgentDrainLimit is how long a leaving agent waits for its running tasks; most
+	// take less than a second, a few several.
 	AgentDrainLimit = 20 * time.Second
 )
 
