Make timers small and single-task jobs cheaper

Cause: a timer carried every subject it might have, about 190 bytes that the heap moved at each step, and a job of one task allocated its lists one by one.

Change: a timer holds its time, purpose and a pointer to its subject; the first waiter, task and agent of a job lie in the job itself.

Ruled out: pooled submissions, which would save one allocation and risk that a late message meets another job.

--- a/internal/process/role/owner/owner.go
+++ b/internal/process/role/owner/owner.go
@@ -73,12 +73,17 @@
 	svc     *service
 	learned *learned
 	waiters []waiter
+	first   [1]waiter // The array of waiters for the usual case of one.
 	item    *queue.Item[work]
 	retries []*queue.Item[work]
 	misfit  []identity.Process
 	bytes   int
 }
 
+func (s *submission) key() identity.Submission {
+	return s.job.Order().Submission()
+}
+
 // Owner is the decision.
 type Owner struct {
 	self     identity.Process
@@ -210,11 +215,7 @@
 		}
 	default:
 		if _, gone := o.departed[s.To()]; !gone {
-			o.timers.Push(timer{
-				at:   now.Add(resendDelay),
-				what: resend,
-				send: s,
-			})
+			o.arm(now.Add(resendDelay), resend, &s)
 		}
 	}
 }
--- a/internal/process/role/owner/request.go
+++ b/internal/process/role/owner/request.go
@@ -195,6 +195,7 @@
 		svc:     o.service(serviceOf(kind)),
 		learned: o.learnedOf(kind),
 	}
+	s.waiters = s.first[:0]
 	s.item = queue.NewItem(work{
 		submission: s,
 	}, o.spec(now, s))
@@ -221,14 +222,9 @@
 	order := s.job.Order()
 	o.live[order.Submission()] = s
 	s.home.subs[s] = struct{}{}
-	o.forgetAt(now, order.Submission())
+	o.forgetAt(now, order.Submission(), s)
 	if d := order.Deadline(); !d.IsZero() {
-		o.timers.Push(timer{
-			at:         d,
-			what:       deadline,
-			submission: s,
-			key:        order.Submission(),
-		})
+		o.arm(d, deadline, s)
 	}
 }
 
--- a/internal/process/role/owner/result.go
+++ b/internal/process/role/owner/result.go
@@ -70,12 +70,7 @@
 	}
 	o.dequeue(s)
 	o.revoke(s)
-	o.timers.Push(timer{
-		at:         now.Add(confirmLimit),
-		what:       confirm,
-		submission: s,
-		key:        s.job.Order().Submission(),
-	})
+	o.arm(now.Add(confirmLimit), confirm, s)
 }
 
 func (o *Owner) revoke(s *submission) {
@@ -314,11 +309,7 @@
 // gone ends every start at an agent that will never answer.
 func (o *Owner) gone(now time.Time, p identity.Process) {
 	o.departed[p] = struct{}{}
-	o.timers.Push(timer{
-		at:      now.Add(o.retention() + keepMargin),
-		what:    bury,
-		process: p,
-	})
+	o.arm(now.Add(o.retention()+keepMargin), bury, &p)
 	o.lostMember(now, p)
 	a, ok := o.agents[p]
 	if !ok {
--- a/internal/process/role/owner/room.go
+++ b/internal/process/role/owner/room.go
@@ -348,15 +348,11 @@
 		return
 	}
 	r.resting = true
-	o.timers.Push(timer{
-		at:   now.Add(d),
-		what: readmit,
-		room: r,
-	})
+	o.arm(now.Add(d), readmit, r)
 }
 
 // readmit ends a pause, or an ejection, after which one task at a time is tried.
-func (r *room) readmit(_ time.Time, o *Owner) {
+func (o *Owner) readmit(r *room) {
 	r.resting = false
 	if r.ejected {
 		r.ejected = false
@@ -388,10 +384,6 @@
 	r.probing = false
 	o.ejected++
 	r.ejection = min(max(2*r.ejection, minEjection), maxEjection)
-	o.timers.Push(timer{
-		at:   now.Add(r.ejection),
-		what: readmit,
-		room: r,
-	})
+	o.arm(now.Add(r.ejection), readmit, r)
 	o.refresh(r)
 }
--- a/internal/process/role/owner/seal.go
+++ b/internal/process/role/owner/seal.go
@@ -42,6 +42,7 @@
 
 // remnant is what records say about a submission whose body is not known here.
 type remnant struct {
+	key       identity.Submission
 	home      *holding
 	tasks     map[uint32]job.Found
 	waiters   []waiter
@@ -89,11 +90,7 @@
 			index:   map[identity.Shard]int{},
 			members: map[identity.Process]*sealing{},
 		}
-		o.timers.Push(timer{
-			at:    now.Add(sealDelay),
-			what:  sendSeal,
-			batch: o.opening,
-		})
+		o.arm(now.Add(sealDelay), sendSeal, o.opening)
 	}
 	b := o.opening
 	h.batch = b
@@ -145,11 +142,7 @@
 			o.open(now, h)
 		}
 	}
-	o.timers.Push(timer{
-		at:    now.Add(sealLimit),
-		what:  limitSeal,
-		batch: b,
-	})
+	o.arm(now.Add(sealLimit), limitSeal, b)
 }
 
 // sealed adopts an agent's records. An answer after the limit still narrows the
@@ -194,12 +187,13 @@
 	m, ok := o.remnants[key]
 	if !ok {
 		m = &remnant{
+			key:   key,
 			home:  h,
 			tasks: map[uint32]job.Found{},
 		}
 		h.found[key] = m
 		o.remnants[key] = m
-		o.forgetAt(now, key)
+		o.forgetAt(now, key, m)
 	}
 	f := job.NewFound(from, r.Result())
 	if known, ok := m.tasks[r.Task().Index()]; ok {
--- a/internal/process/role/owner/timer.go
+++ b/internal/process/role/owner/timer.go
@@ -39,16 +39,21 @@
 	resend                   // A message that did not leave is sent again.
 )
 
-// timer is a moment at which the owner acts.
+// timer is a moment at which the owner acts. Subject is a pointer to what it is
+// about, so that the many timers of submissions stay small.
 type timer struct {
-	at         time.Time
-	what       purpose
-	submission *submission
-	key        identity.Submission
-	batch      *batch
-	room       *room
-	process    identity.Process
-	send       message.Send
+	at      time.Time
+	what    purpose
+	subject any
+}
+
+// arm sets a timer.
+func (o *Owner) arm(at time.Time, what purpose, subject any) {
+	o.timers.Push(timer{
+		at:      at,
+		what:    what,
+		subject: subject,
+	})
 }
 
 // Next is when the owner wants a message.Wake; zero if it waits for messages only.
@@ -84,30 +89,46 @@
 }
 
 func (o *Owner) fire(now time.Time, t timer) {
-	switch t.what {
-	case forget:
-		o.forget(now, t.key)
-	case deadline:
-		if o.live[t.key] == t.submission {
-			o.stop(now, t.submission, answer.DeadlinePassed, "the deadline passed", 0)
+	switch v := t.subject.(type) {
+	case *submission:
+		o.due(now, t.what, v)
+	case *remnant:
+		if o.remnants[v.key] == v {
+			delete(v.home.found, v.key)
+			delete(o.remnants, v.key)
 		}
-	case confirm:
-		if o.live[t.key] == t.submission && t.submission.job.Abandon(answer.OutcomeUnknown, "an agent did not confirm") {
-			o.ended(t.submission)
+	case *batch:
+		if t.what == sendSeal {
+			o.sealBatch(now, v)
+			return
 		}
-	case sendSeal:
-		o.sealBatch(now, t.batch)
-	case limitSeal:
-		for _, h := range t.batch.holdings {
+		for _, h := range v.holdings {
 			o.open(now, h)
 		}
-	case readmit:
-		t.room.readmit(now, o)
-	case bury:
-		delete(o.departed, t.process)
-	case resend:
-		if _, gone := o.departed[t.send.To()]; !gone {
-			o.effects = append(o.effects, t.send)
+	case *room:
+		o.readmit(v)
+	case *identity.Process:
+		delete(o.departed, *v)
+	case *message.Send:
+		if _, gone := o.departed[v.To()]; !gone {
+			o.effects = append(o.effects, *v)
+		}
+	}
+}
+
+// due acts on a submission that is still kept.
+func (o *Owner) due(now time.Time, what purpose, s *submission) {
+	if o.live[s.key()] != s {
+		return
+	}
+	switch what {
+	case forget:
+		o.forget(now, s)
+	case deadline:
+		o.stop(now, s, answer.DeadlinePassed, "the deadline passed", 0)
+	case confirm:
+		if s.job.Abandon(answer.OutcomeUnknown, "an agent did not confirm") {
+			o.ended(s)
 		}
 	}
 }
@@ -120,31 +141,19 @@
 }
 
 // forgetAt arms the end of a key's retention.
-func (o *Owner) forgetAt(now time.Time, key identity.Submission) {
+func (o *Owner) forgetAt(now time.Time, key identity.Submission, subject any) {
 	at := key.FirstSent().Add(o.retention() + keepMargin)
 	if !at.After(now) {
 		at = now.Add(keepMargin)
 	}
-	o.timers.Push(timer{
-		at:   at,
-		what: forget,
-		key:  key,
-	})
+	o.arm(at, forget, subject)
 }
 
 // forget drops a submission at the end of its retention; one with open tasks
 // stays until they have ended.
-func (o *Owner) forget(now time.Time, key identity.Submission) {
-	if r, ok := o.remnants[key]; ok {
-		delete(r.home.found, key)
-		delete(o.remnants, key)
-	}
-	s, ok := o.live[key]
-	if !ok {
-		return
-	}
+func (o *Owner) forget(now time.Time, s *submission) {
 	if !s.job.Answer().Ended() || s.job.Open() > 0 {
-		o.forgetAt(now, key)
+		o.forgetAt(now, s.key(), s)
 		return
 	}
 	o.drop(s)
--- a/internal/request/job/job.go
+++ b/internal/request/job/job.go
@@ -80,18 +80,27 @@
 	covered  bool
 	stop     *stop
 	answer   answer.Answer
+	// The arrays of tasks and holders for jobs of one task.
+	oneTask   [1]task
+	oneHolder [1]holder
 }
 
 // New returns a job of which nothing has started.
 func New(now time.Time, o Order, k configuration.Kind) *Job {
-	return &Job{
+	j := &Job{
 		order:    o,
 		kind:     k,
 		accepted: now,
-		tasks:    make([]task, len(o.payloads)),
 		left:     len(o.payloads),
 		answer:   answer.Pending(),
 	}
+	j.holders = j.oneHolder[:0]
+	if len(o.payloads) == 1 {
+		j.tasks = j.oneTask[:]
+	} else {
+		j.tasks = make([]task, len(o.payloads))
+	}
+	return j
 }
 
 // Order is what the caller submitted.
@@ -372,6 +381,7 @@
 	if j.open == 0 {
 		j.tasks = nil
 		j.holders = nil
+		j.oneTask = [1]task{}
 		return
 	}
 	for i := range j.tasks {
