--- a/internal/process/role/owner/interest.go
+++ b/internal/process/role/owner/interest.go
@@ -96,9 +96,10 @@
 
 // ask wakes an agent whose credit is too old: its answer carries a new one.
 func (o *Owner) ask(now time.Time, a *agent) {
-	if a.asked.IsZero() || now.Sub(a.asked) >= rouseInterval {
-		o.tell(now, a, nil)
+	if a.asked.After(a.heard) && now.Sub(a.asked) < rouseInterval {
+		return
 	}
+	o.tell(now, a, nil)
 }
 
 // sleep takes an agent out of the choice until it is heard again.
--- a/internal/process/role/owner/request.go
+++ b/internal/process/role/owner/request.go
@@ -223,9 +223,13 @@
 	o.live[order.Submission()] = s
 	s.home.subs[s] = struct{}{}
 	o.forgetAt(now, order.Submission(), s)
-	if d := order.Deadline(); !d.IsZero() {
-		o.arm(d, deadline, s)
+	// A job that can never run, or without a deadline, is answered at the latest
+	// when its key expires.
+	end := order.Submission().FirstSent().Add(o.retention())
+	if d := order.Deadline(); !d.IsZero() && d.Before(end) {
+		end = d
 	}
+	o.arm(end, deadline, s)
 }
 
 // drop ends a submission without a word.
