Bound what an owner keeps and test shedding

Cause: kept submissions and their results had no bound, so a busy owner could grow past the 128 MB of a node within one retention.

Ruled out: dropping the oldest answers early, since their keys would then start again.

Change: an owner refuses new jobs once it keeps 60,000 submissions or 32 MB of results, and queues at most 16 MB of payloads. An ended submission gives up its place in the queue. A test covers shedding by harm and the return of a shed job.

Conclusion: queue, kept submissions and results add up to 111 MB at most.

--- a/internal/process/role/owner/admission.go
+++ b/internal/process/role/owner/admission.go
@@ -22,10 +22,13 @@
 	admitPart = 0.7
 	// maxShed bounds the jobs that one new job may push out.
 	maxShed = 64
-	// maxWaitingTasks and maxWaitingBytes bound the queues of one owner, within the
-	// 128 MB of a node.
+	// maxWaitingTasks and maxWaitingBytes bound the queues of one owner, maxLive and
+	// maxKeptBytes what it keeps for the retention. A kept submission takes about
+	// 1.1 KB beside its results, so the four stay within the 128 MB of a node.
 	maxWaitingTasks = 100_000
-	maxWaitingBytes = 48 << 20
+	maxWaitingBytes = 16 << 20
+	maxLive         = 60_000
+	maxKeptBytes    = 32 << 20
 	// minRetryAfter is the least pause that a refused caller is asked for.
 	minRetryAfter = 50 * time.Millisecond
 )
@@ -108,6 +111,9 @@
 // full tells whether the queues have no place for a job.
 func (o *Owner) full(s *submission) bool {
 	order := s.job.Order()
+	if len(o.live) >= maxLive || o.kept > maxKeptBytes {
+		return true
+	}
 	return o.waiting.tasks+len(order.Payloads()) > maxWaitingTasks || o.waiting.bytes+order.Bytes() > maxWaitingBytes
 }
 
--- a/internal/process/role/owner/dispatch.go
+++ b/internal/process/role/owner/dispatch.go
@@ -88,6 +88,9 @@
 
 // dequeue takes the waiting tasks of a submission out of the queue.
 func (o *Owner) dequeue(s *submission) {
+	if s.item == nil {
+		return
+	}
 	o.waiting.tasks -= s.item.Tasks()
 	o.waiting.bytes -= s.bytes
 	s.bytes = 0
@@ -97,6 +100,9 @@
 		s.svc.queue.Remove(i)
 	}
 	s.retries = nil
+	if s.job.Answer().Ended() {
+		s.item = nil
+	}
 }
 
 // dispatch sends starts while agents have room, and tells agents of the rest.
--- a/internal/process/role/owner/load_test.go
+++ b/internal/process/role/owner/load_test.go
@@ -159,6 +159,41 @@
 	})
 }
 
+// TestShedding guards against work of much harm that is refused while work of
+// little harm waits, and against a shed job that cannot come back.
+func TestShedding(t *testing.T) {
+	Convey("jobs of less harm make room and may be sent again", t, func() {
+		s := simulate(1, 1,
+			kindOf("little", configuration.Normal, time.Second, 100*time.Millisecond).WithHarm(1),
+			kindOf("much", configuration.Normal, time.Second, 100*time.Millisecond).WithHarm(5))
+		began := s.now
+		var little, much []uint64
+		for range 20 {
+			little = append(little, s.send("little", 1))
+		}
+		accepted := s.owners[s.current].Snapshot(s.now).Live()
+		for range 6 {
+			much = append(much, s.send("much", 1))
+		}
+		shed := uint64(0)
+		for n, request := range little[:accepted] {
+			if got := s.answers[request]; got.Reason() == answer.Overloaded {
+				So(got.NotRun(), ShouldBeTrue)
+				So(got.RetryAfter(), ShouldBeGreaterThan, 0)
+				shed = uint64(n + 1)
+			}
+		}
+		So(shed, ShouldBeGreaterThan, 0)
+		s.run(2 * time.Second)
+		for _, n := range much {
+			So(s.answers[n].State(), ShouldEqual, answer.Complete)
+		}
+		again := s.submit(key(began, shed), "little", 1, time.Time{})
+		s.run(time.Second)
+		So(s.answers[again].State(), ShouldEqual, answer.Complete)
+	})
+}
+
 // TestFairness guards against narrow jobs behind wide ones and against work that
 // never starts.
 func TestFairness(t *testing.T) {
--- a/internal/process/role/owner/owner.go
+++ b/internal/process/role/owner/owner.go
@@ -78,6 +78,7 @@
 	retries []*queue.Item[work]
 	misfit  []identity.Process
 	bytes   int
+	kept    int
 }
 
 func (s *submission) key() identity.Submission {
@@ -106,6 +107,7 @@
 	usage    *quota.Usage
 	retries  *quota.Retries
 	waiting  waitingBytes
+	kept     int
 	ejected  int
 	asleep   int
 	rouse    time.Time
--- a/internal/process/role/owner/request.go
+++ b/internal/process/role/owner/request.go
@@ -246,6 +246,7 @@
 		}
 		o.discard(a)
 	})
+	o.kept -= s.kept
 	delete(o.live, key)
 	delete(s.home.subs, s)
 }
--- a/internal/process/role/owner/result.go
+++ b/internal/process/role/owner/result.go
@@ -85,6 +85,10 @@
 	}
 	s.waiters = nil
 	s.misfit = nil
+	for _, r := range s.job.Answer().Results() {
+		s.kept += len(r)
+	}
+	o.kept += s.kept
 	o.dequeue(s)
 	o.revoke(s)
 }
--- a/internal/process/role/owner/snapshot.go
+++ b/internal/process/role/owner/snapshot.go
@@ -24,6 +24,7 @@
 	departed   int
 	timers     int
 	bytes      int
+	kept       int
 	oldestWait time.Duration
 }
 
@@ -40,6 +41,7 @@
 		departed: len(o.departed),
 		timers:   o.timers.Len(),
 		bytes:    o.waiting.bytes,
+		kept:     o.kept,
 	}
 	for _, h := range o.shards {
 		if !h.ready {
@@ -141,3 +143,8 @@
 func (s Snapshot) WaitingBytes() int {
 	return s.bytes
 }
+
+// KeptBytes is the size of the results kept for resubmissions.
+func (s Snapshot) KeptBytes() int {
+	return s.kept
+}
