--- a/internal/process/role/network/stream.go
+++ b/internal/process/role/network/stream.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"greengagedoor.example/greengagedoor/internal/connection/link"
@@ -18,6 +22,13 @@
 // maxFrameBytes bounds a frame: a job of 1,100 tasks with its payloads.
 const maxFrameBytes = 16 << 20
 
+// The times of opening a stream. A peer that accepts connections and then says
+// nothing must not keep a goroutine for good.
+const (
+	helloLimit   = 2 * time.Second
+	connectLimit = time.Second
+)
+
 // ErrHello reports a stream that does not begin with the peer's name.
 var ErrHello = errors.New("stream does not begin with a hello")
 
@@ -75,10 +86,15 @@
 // serve runs a stream until it ends. It says hello, waits for the peer's, and
 // then reads while a second goroutine writes.
 func (n *Network) serve(ctx context.Context, x exchange, stop context.CancelFunc, wanted identity.Process) error {
+	limit := time.AfterFunc(helloLimit, stop)
+	defer limit.Stop()
 	if err := x.send(n.hello()); err != nil {
 		return errors.Wrap(err, "send hello")
 	}
 	first, err := x.recv()
+	if !limit.Stop() && err == nil {
+		err = errors.Wrap(ErrHello, "it came too late")
+	}
 	if err != nil {
 		return errors.Wrap(err, "receive hello")
 	}
@@ -232,7 +248,10 @@
 		ctx:     ctx,
 		stop:    stop,
 		options: []grpc.DialOption{
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithConnectParams(grpc.ConnectParams{
+				Backoff:           backoff.DefaultConfig,
+				MinConnectTimeout: connectLimit,
+			}),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxFrameBytes), grpc.MaxCallSendMsgSize(maxFrameBytes)),
 		},
 	}
@@ -256,17 +275,37 @@
 	}()
 }
 
+// credentials secures a link to an address, if the process has certificates.
+func (n *Network) credentials(address string) (grpc.DialOption, error) {
+	if n.seams.Secure == nil {
+		return grpc.WithTransportCredentials(insecure.NewCredentials()), nil
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "address of a link %s", address)
+	}
+	return grpc.WithTransportCredentials(credentials.NewTLS(n.seams.Secure(host))), nil
+}
+
 // open uses a connection of its own for each stream: a connection that has gone
 // silent must not carry the stream that replaces it.
 func (d *dialer) open(peer identity.Process, address string) error {
-	conn, err := grpc.NewClient("passthrough:///"+address, d.options...)
+	secure, err := d.network.credentials(address)
+	if err != nil {
+		return err
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, append(d.options[:len(d.options):len(d.options)], secure)...)
 	if err != nil {
 		return errors.Wrapf(err, "dial %s", address)
 	}
 	defer func() { _ = conn.Close() }()
 	ctx, stop := context.WithCancel(d.ctx)
 	defer stop()
+	limit := time.AfterFunc(helloLimit, stop)
 	g, err := linkpb.NewLinkClient(conn).Exchange(ctx)
+	if !limit.Stop() && err == nil {
+		err = ErrHello
+	}
 	if err != nil {
 		return errors.Wrapf(err, "open stream to %s", address)
 	}
