--- a/internal/process/role/owner/request.go
+++ b/internal/process/role/owner/request.go
@@ -195,6 +195,7 @@
 		svc:     o.service(serviceOf(kind)),
 		learned: o.learnedOf(kind),
 	}
+	s.waiters = s.first[:0]
 	s.item = queue.NewItem(work{
 		submission: s,
 	}, o.spec(now, s))
@@ -221,15 +222,14 @@
 	order := s.job.Order()
 	o.live[order.Submission()] = s
 	s.home.subs[s] = struct{}{}
-	o.forgetAt(now, order.Submission())
-	if d := order.Deadline(); !d.IsZero() {
-		o.timers.Push(timer{
-			at:         d,
-			what:       deadline,
-			submission: s,
-			key:        order.Submission(),
-		})
+	o.forgetAt(now, order.Submission(), s)
+	// A job that can never run, or without a deadline, is answered at the latest
+	// when its key expires.
+	end := order.Submission().FirstSent().Add(o.retention())
+	if d := order.Deadline(); !d.IsZero() && d.Before(end) {
+		end = d
 	}
+	o.arm(end, deadline, s)
 }
 
 // drop ends a submission without a word.
@@ -246,6 +246,7 @@
 		}
 		o.discard(a)
 	})
+	o.kept -= s.kept
 	delete(o.live, key)
 	delete(s.home.subs, s)
 }
