Give refusals by token a reason of their own

Cause: a caller without access was told invalid_request, by which it cannot tell a wrong token from a malformed job; config status said nothing about what is in force at an entry. Conclusion: callers and operators see why access is refused.

--- a/cmd/greengagedoor/call.go
+++ b/cmd/greengagedoor/call.go
@@ -266,27 +266,32 @@
 		Action: func(c *cli.Context) error {
 			ctx, cancel := context.WithTimeout(c.Context, dumpTimeout)
 			defer cancel()
-			r, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(c.String("process"), "/")+"/debug/dump", nil)
-			if err != nil {
-				return usage(err)
-			}
-			token, err := readToken(c)
-			if err != nil {
-				return err
-			}
-			if token != "" {
-				r.Header.Set("Authorization", "Bearer "+token)
-			}
-			resp, err := http.DefaultClient.Do(r)
-			if err != nil {
-				return errors.Wrap(err, "ask for the dump")
-			}
-			defer func() { _ = resp.Body.Close() }()
-			if resp.StatusCode != http.StatusOK {
-				return errors.Errorf("the process answered %s", resp.Status)
-			}
-			_, err = io.Copy(c.App.Writer, io.LimitReader(resp.Body, maxDumpBytes))
-			return errors.Wrap(err, "read the dump")
+			return printPage(ctx, c, strings.TrimSuffix(c.String("process"), "/")+"/debug/dump")
 		},
 	}
 }
+
+// printPage writes a page of a process, with the token in the flags.
+func printPage(ctx context.Context, c *cli.Context, url string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return usage(err)
+	}
+	token, err := readToken(c)
+	if err != nil {
+		return err
+	}
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return errors.Wrap(err, "ask the process")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("the process answered %s", resp.Status)
+	}
+	_, err = io.Copy(c.App.Writer, io.LimitReader(resp.Body, maxDumpBytes))
+	return errors.Wrap(err, "read the page")
+}
--- a/cmd/greengagedoor/config.go
+++ b/cmd/greengagedoor/config.go
@@ -7,6 +7,7 @@
 	"os/user"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -347,8 +348,18 @@
 	return &cli.Command{
 		Name:  "status",
 		Usage: "tell which version is in force and who wrote the latest ones",
-		Flags: []cli.Flag{storeFlag()},
+		Flags: []cli.Flag{
+			storeFlag(),
+			&cli.StringFlag{
+				Name:  "entry",
+				Usage: "`URL` of an entry that also tells what is in force there",
+			},
+			tokenFlag(),
+		},
 		Action: func(c *cli.Context) error {
+			if err := entryStatus(c); err != nil {
+				return err
+			}
 			return withService(c, func(ctx context.Context, s *service.Service) error {
 				h, err := s.Head(ctx)
 				if err != nil {
@@ -368,3 +379,13 @@
 		},
 	}
 }
+
+// entryStatus prints what an entry tells, if one is named.
+func entryStatus(c *cli.Context) error {
+	if c.String("entry") == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(c.Context, dumpTimeout)
+	defer cancel()
+	return printPage(ctx, c, strings.TrimSuffix(c.String("entry"), "/")+"/v1/admin/status")
+}
--- a/internal/process/role/host/access.go
+++ b/internal/process/role/host/access.go
@@ -84,12 +84,12 @@
 func (g guard) refusal(c echo.Context) error {
 	if bearer(c) == "" {
 		c.Response().Header().Set(echo.HeaderWWWAuthenticate, "Bearer")
-		return bad(http.StatusUnauthorized, "authorization", "a bearer token is needed")
+		return forbidden(http.StatusUnauthorized, "a bearer token is needed")
 	}
 	if g.current() == nil {
-		return bad(http.StatusServiceUnavailable, "authorization", "cannot be checked, since no configuration is in force; the first is applied with config apply")
+		return forbidden(http.StatusServiceUnavailable, "cannot be checked, since no configuration is in force; the first is applied with config apply")
 	}
-	return bad(http.StatusForbidden, "authorization", "the token does not give this access")
+	return forbidden(http.StatusForbidden, "the token does not give this access")
 }
 
 // team admits requests about the team in the path.
--- a/internal/process/role/host/admin_test.go
+++ b/internal/process/role/host/admin_test.go
@@ -184,7 +184,8 @@
 			"unknown team":                      {"GET", "/v1/teams/zzz" + job, "a-call", 403},
 		}
 		for name, tt := range tests {
-			status, _ := s.call(tt.method, tt.path, tt.token, "")
+			status, d := s.call(tt.method, tt.path, tt.token, "")
+			So(d["reason"] == "not_allowed", ShouldEqual, status == 401 || status == 403)
 			So(fmt.Sprint(name, " ", status), ShouldEqual, fmt.Sprint(name, " ", tt.status))
 		}
 		_, d = s.call("GET", "/v1/admin/teams", "a-read", "")
--- a/internal/process/role/host/problem.go
+++ b/internal/process/role/host/problem.go
@@ -36,6 +36,7 @@
 // badRequest is a request that was refused before it reached a decision.
 type badRequest struct {
 	status int
+	reason answer.Reason
 	field  string
 	detail string
 }
@@ -51,11 +52,22 @@
 func bad(status int, field, format string, args ...any) error {
 	return &badRequest{
 		status: status,
+		reason: answer.InvalidRequest,
 		field:  field,
 		detail: fmt.Sprintf(format, args...),
 	}
 }
 
+// forbidden is the refusal of a request that its token does not allow.
+func forbidden(status int, detail string) error {
+	return &badRequest{
+		status: status,
+		reason: answer.NotAllowed,
+		field:  "authorization",
+		detail: detail,
+	}
+}
+
 // fields names the part of the request that a reason is about.
 var fields = map[answer.Reason]string{
 	answer.KeyExpired:  "key",
@@ -123,7 +135,7 @@
 		d.Status = b.status
 		d.Detail = b.Error()
 		d.Field = b.field
-		d.Reason = answer.InvalidRequest.String()
+		d.Reason = b.reason.String()
 	case errors.As(err, &h) && h.Code < http.StatusInternalServerError:
 		d.Status = h.Code
 		d.Reason = answer.InvalidRequest.String()
--- a/internal/request/answer/reason.go
+++ b/internal/request/answer/reason.go
@@ -22,6 +22,7 @@
 	FitsNowhere
 	Unavailable
 	ShuttingDown
+	NotAllowed
 )
 
 // Entry is one row of the table of reasons.
@@ -80,6 +81,7 @@
 	FitsNowhere:    row(FitsNowhere, "fits_nowhere", 422, "No known target or worker can ever run the job; the detail says why."),
 	Unavailable:    row(Unavailable, "unavailable", 503, "The owner of the submission cannot be reached. An earlier attempt may have run; resubmit with the same key."),
 	ShuttingDown:   row(ShuttingDown, "shutting_down", 503, "This process is stopping. Resubmit with the same key; another entry will answer."),
+	NotAllowed:     row(NotAllowed, "not_allowed", 403, "The bearer token is missing (status 401) or does not give this access."),
 }
 
 // Reasons lists the table, for documentation and its test.
--- a/internal/version/questionnaire/questionnaire_test.go
+++ b/internal/version/questionnaire/questionnaire_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sebdah/goldie/v2"
 	. "github.com/smartystreets/goconvey/convey"
@@ -202,6 +203,9 @@
 			b.Fatal(err)
 		}
 	}
+	if took := b.Elapsed() / time.Duration(b.N); took > 100*time.Millisecond {
+		b.Fatalf("generation and check took %v, the bound is 100 ms", took)
+	}
 }
 
 // BenchmarkParseTwoYears measures what reading the answers adds.
