Refuse versions that move a team to another region

Cause: the home region decides which owner keeps a key. A commitment longer than the retention would let an answer be forgotten before it is due. Ruled out: forbidding it in the questionnaire only, since a configuration in JSON and a rollback come without answers. Change: the publisher refuses a version that changes the home region of a team of its base; Check refuses a commitment longer than the retention.

--- a/internal/process/role/publisher/publisher.go
+++ b/internal/process/role/publisher/publisher.go
@@ -234,7 +234,11 @@
 }
 
 func (p *Publisher) checked() []any {
-	if ps := p.at.content.Check(); len(ps) > 0 {
+	ps := p.at.content.Check()
+	if p.at.before != nil {
+		ps = append(ps, p.at.content.CheckAfter(p.at.before)...)
+	}
+	if len(ps) > 0 {
 		return p.finish(Result{
 			state:    Invalid,
 			detail:   "the configuration contradicts itself",
--- a/internal/process/role/publisher/service/service_test.go
+++ b/internal/process/role/publisher/service/service_test.go
@@ -204,6 +204,15 @@
 			So(r.State(), ShouldEqual, publisher.Invalid)
 			So(r.Problems(), ShouldHaveLength, 1)
 		})
+		Convey("a team cannot move to another region", func() {
+			moved, err := configuration.NewTeam("a", 1, 1)
+			So(err, ShouldBeNil)
+			c, err := configuration.New(0, content(1).Limits().WithRegions(2), []configuration.Team{moved}, nil)
+			So(err, ShouldBeNil)
+			r := apply(t, s, "k3", 2, c)
+			So(r.State(), ShouldEqual, publisher.Invalid)
+			So(fmt.Sprint(r.Problems()), ShouldContainSubstring, "home region of a team is fixed")
+		})
 		Convey("a rollback is a new version with the old content", func() {
 			r, err := s.Execute(context.Background(), publisher.NewRollback("k3", "bob", 2, 1))
 			So(err, ShouldBeNil)
--- a/internal/version/configuration/check.go
+++ b/internal/version/configuration/check.go
@@ -41,6 +41,10 @@
 	c.checkTeams(add)
 	for _, k := range c.Kinds() {
 		checkKind(k, add)
+		if k.commitment > c.limits.retention {
+			// The answer would be forgotten before it is due.
+			add("kind "+k.team+"/"+k.name, "commitment", k.commitment.String(), "at most the retention of "+c.limits.retention.String())
+		}
 		c.checkWorker(k, add)
 	}
 	c.checkUrgencies(add)
@@ -48,6 +52,19 @@
 	return ps
 }
 
+// CheckAfter returns what must not change from the base to this version. The home
+// region decides which owner keeps a key: after a change, another owner would take
+// a resubmission as new and start its tasks a second time.
+func (c *Configuration) CheckAfter(base *Configuration) Problems {
+	var ps Problems
+	for _, t := range c.Teams() {
+		if b, ok := base.teams[t.name]; ok && b.homeRegion != t.homeRegion {
+			ps = append(ps, NewProblem("team "+t.name, "home_region", strconv.Itoa(t.homeRegion), strconv.Itoa(b.homeRegion)+", since the home region of a team is fixed"))
+		}
+	}
+	return ps
+}
+
 func (c *Configuration) checkTeams(add func(place, field, value, allowed string)) {
 	sum := 0.0
 	for _, t := range c.Teams() {
--- a/internal/version/configuration/configuration_test.go
+++ b/internal/version/configuration/configuration_test.go
@@ -100,6 +100,10 @@
 			c:    build([]configuration.Team{team}, must(configuration.NewKind("a", "x", "x", configuration.Low, time.Second, 2*time.Second))),
 			want: []string{"commitment"},
 		},
+		"commitment longer than the retention": {
+			c:    build([]configuration.Team{team}, must(configuration.NewKind("a", "x", "x", configuration.Low, time.Hour, time.Second))),
+			want: []string{"commitment"},
+		},
 		"unrepeatable with retries": {
 			c:    build([]configuration.Team{team}, normal.WithMaxStarts(2)),
 			want: []string{"max_starts"},
--- a/internal/version/configuration/diff.go
+++ b/internal/version/configuration/diff.go
@@ -79,7 +79,7 @@
 
 var teamFields = []field[Team]{
 	fieldOf("share", func(t Team) string { return Percent(t.share) }, "part of the capacity that the team gets under load"),
-	fieldOf("home_region", func(t Team) string { return strconv.Itoa(t.homeRegion) }, "region whose owners keep the team's submissions; jobs submitted before the change are not found after it"),
+	fieldOf("home_region", func(t Team) string { return strconv.Itoa(t.homeRegion) }, "region whose owners keep the team's submissions; it is fixed, and a version that changes it is refused"),
 	fieldOf("tokens", func(t Team) string { return describeTokens(t.tokenHashes) }, "tokens that give access to the team"),
 }
 
--- a/internal/version/questionnaire/page.go
+++ b/internal/version/questionnaire/page.go
@@ -39,7 +39,7 @@
 
 These are errors, each reported with its file and line, field, value and what is allowed:
 
-- a commitment shorter than the run time;
+- a commitment shorter than the run time, or longer than the retention;
 - shares of all teams that exceed the whole;
 - all kinds of a team, or of the installation, marked critical;
 - retries of a kind whose duplication does medium or high harm;
--- a/internal/version/questionnaire/table.go
+++ b/internal/version/questionnaire/table.go
@@ -15,7 +15,7 @@
 	maxAccel     = 64
 	minRetention = time.Minute
 	maxRetention = time.Hour
-	maxCommit    = 24 * time.Hour
+	maxCommit    = maxRetention
 )
 
 // table has all questions in the order in which they are asked.
@@ -54,7 +54,7 @@
 		"share: what the team gets under load. The shares of all teams must not exceed the whole."),
 	optional(Team, "home_region", "0", whole(0, maxRegions-1),
 		"Which region is nearest to the team's callers?",
-		"home_region: where the team's submissions are kept."),
+		"home_region: where the team's submissions are kept. It cannot change once it is in force."),
 	optional(Team, "caller_tokens", "", hashes(),
 		"Which tokens may submit, query and cancel the team's jobs?",
 		"Access to the team's jobs."),
@@ -109,7 +109,7 @@
 		"preemption of a kind that runs on workers."),
 	required(Kind, "commitment", duration(time.Millisecond, maxCommit),
 		"Within which time was the team promised an answer?",
-		"commitment: a job that is expected to wait longer is refused at once. It cannot be shorter than the run time."),
+		"commitment: a job that is expected to wait longer is refused at once. It cannot be shorter than the run time, nor longer than the retention."),
 	optional(Kind, "retries", "0", whole(0, configuration.MaxStarts-1),
 		"How often may a task be tried again after a failure?",
 		"max_starts, and retry_budget if any kind has retries. Only a kind whose duplication does no or low harm can have retries."),
