--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -2,18 +2,18 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 
 	"greengagedoor.example/greengagedoor/internal/connection/announcement"
 	"greengagedoor.example/greengagedoor/internal/process/duty"
-	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/ledger"
 	"greengagedoor.example/greengagedoor/internal/process/membership"
 	"greengagedoor.example/greengagedoor/internal/process/role/agent"
@@ -44,6 +44,9 @@
 	owner    *role
 	network  *network.Network
 	backend  *backend.Backend
+	station  *station
+	free     atomic.Uint32
+	ready    atomic.Bool
 	links    net.Listener
 	pages    net.Listener
 	drained  chan struct{}
@@ -115,6 +118,13 @@
 	if err != nil {
 		return err
 	}
+	a.owner.next = func(now time.Time) time.Time {
+		if n := dispatch.Next(); !n.IsZero() {
+			return n
+		}
+		return now.Add(wakeInterval)
+	}
+	a.owner.snapshot = func() any { return dispatch.Snapshot(a.common.now()) }
 	return a.connect(pool, worker.Name(), func() uint64 { return issue(a.common.now()) })
 }
 
@@ -139,24 +149,20 @@
 		return err
 	}
 	a.cleanups = append(a.cleanups, cleanup)
+	a.station, err = newStation(a.common, true, a.network.Post, a.publish, a.free.Load)
+	if err != nil {
+		return err
+	}
 	return a.duties()
 }
 
 func (a *Agent) duties() error {
-	reg := &registry{
-		common:  a.common,
-		agent:   true,
-		network: a.network,
-		publish: a.publish,
-		owned:   map[identity.Shard]bool{},
-		routes:  map[identity.Shard]identity.Process{},
-	}
 	links, cleanup, err := a.common.serveLinks(a.links, func(g *grpc.Server) { a.network.Register(g) })
 	if err != nil {
 		return err
 	}
 	a.cleanups = append(a.cleanups, cleanup)
-	e := a.common.newEcho(func() bool { return true })
+	e := a.common.newEcho(a.ready.Load)
 	e.POST("/v1/announce", a.announce)
 	if err := a.common.observe(e, func() *duty.Table { return a.table }, a.agent, a.owner); err != nil {
 		return err
@@ -178,7 +184,7 @@
 	if err != nil {
 		return err
 	}
-	member, err := duty.New("member", "Keeps this process's membership.", nil, reg.run)
+	members, err := a.station.duties()
 	if err != nil {
 		return err
 	}
@@ -190,8 +196,9 @@
 	if err != nil {
 		return err
 	}
-	duties = append(keepers, duties...)
-	a.table, err = duty.NewTable(append([]duty.Duty{links, carrier, admission, dispatch, member, pages}, duties...)...)
+	all := append(keepers, links, carrier, admission, dispatch, pages)
+	all = append(all, duties...)
+	a.table, err = duty.NewTable(append(all, members...)...)
 	return err
 }
 
@@ -222,16 +229,22 @@
 	case <-limit.Done():
 		a.common.log.Warn("tasks still ran when the time for leaving was over")
 	}
+	// The shards go last: until then the records of what ran here can be sealed.
+	a.station.leave(context.WithoutCancel(ctx))
 	return nil
 }
 
 // publish hands a fact about the process to its roles.
 func (a *Agent) publish(ctx context.Context, e any) {
 	switch e.(type) {
-	case membership.Lease, *configuration.Configuration:
+	case *configuration.Configuration:
+		a.ready.Store(true)
 		a.common.countVersion(e)
 		_ = a.agent.ring.Push(ctx, e)
 		_ = a.owner.ring.Push(ctx, e)
+	case membership.Lease, message.Gone:
+		_ = a.agent.ring.Push(ctx, e)
+		_ = a.owner.ring.Push(ctx, e)
 	case membership.Granted, membership.Released, membership.WorkingSet:
 		_ = a.owner.ring.Push(ctx, e)
 	}
@@ -240,6 +253,9 @@
 // deliver routes a received message to the role that handles it.
 func (a *Agent) deliver(ctx context.Context, e any) {
 	if r, ok := e.(message.Received); ok {
+		if a.station.deliver(ctx, r) {
+			return
+		}
 		switch r.Body().(type) {
 		case message.Start, message.Interest, message.Revoke, message.Seal, agent.Barrier:
 			_ = a.agent.ring.Push(ctx, e)
@@ -254,6 +270,8 @@
 
 func (a *Agent) undelivered(ctx context.Context, u message.Undelivered) {
 	switch u.Send().Body().(type) {
+	case membership.Beat, membership.Confirm, membership.Fetch, membership.Body, membership.Recall, membership.Yield, membership.Digest:
+		// The membership repeats what was not answered.
 	case message.Finished, message.Rejected, message.Offer, message.Revoked, message.Sealed, agent.Barrier:
 		_ = a.agent.ring.Push(ctx, u)
 	default:
@@ -271,6 +289,9 @@
 			_ = a.owner.ring.TryPush(message.NewUndelivered(s))
 		}
 	}
+	if r, ok := event.(membership.Released); ok {
+		a.station.stopped(r)
+	}
 }
 
 func (a *Agent) applyAgent(now time.Time, d *agent.Agent, event any) {
@@ -289,6 +310,14 @@
 	}
 }
 
+func (a *Agent) countFree(rooms []message.Room) {
+	var n uint32
+	for _, r := range rooms {
+		n += r.Free()
+	}
+	a.free.Store(n)
+}
+
 func errText(err error) string {
 	if err == nil {
 		return ""
@@ -312,6 +341,7 @@
 	case agent.Control:
 		return agent.NewControlled(e.Task(), e.Means(), false), a.backend.Post(e) == nil
 	case *agent.Free:
+		a.countFree(e.Rooms())
 		return agent.Unpublished{}, a.network.Post(network.NewHint(e.Rooms())) == nil
 	case agent.Drained:
 		close(a.drained)
@@ -319,25 +349,13 @@
 	return nil, true
 }
 
-type announceDocument struct {
-	Target      string   `json:"target"`
-	URL         string   `json:"url"`
-	Services    []string `json:"services"`
-	Slots       int      `json:"slots"`
-	Connections int      `json:"connections"`
-	Leaving     bool     `json:"leaving"`
-}
-
 func (a *Agent) announce(c echo.Context) error {
-	var d announceDocument
-	dec := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, announceMaxBytes))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&d); err != nil {
-		return bodyFault(err)
-	}
-	n, err := announcement.New(d.Target, d.URL, d.Services, d.Slots, d.Connections, d.Leaving)
-	if err != nil {
+	n, err := announcement.Decode(http.MaxBytesReader(c.Response(), c.Request().Body, announceMaxBytes))
+	switch {
+	case errors.Is(err, announcement.ErrInvalid):
 		return bad(http.StatusBadRequest, "", "%v", err)
+	case err != nil:
+		return bad(http.StatusBadRequest, "body", "%v", errors.Cause(err))
 	}
 	if err := a.agent.ring.TryPush(n); err != nil {
 		return c.String(http.StatusServiceUnavailable, err.Error())
--- a/internal/process/role/host/host.go
+++ b/internal/process/role/host/host.go
@@ -51,10 +51,20 @@
 	store       *store.Store
 	log         *logrus.Entry
 	now         func() time.Time
+	cell        string
+	cellSize    int
 	settings    []string
 	metrics     *metric.Set
 }
 
+// WithCell sets the process's cell and the number of agents in a cell. With an
+// empty cell the process takes the first of its availability zone with room.
+func (c Common) WithCell(cell string, size int) Common {
+	c.cell = cell
+	c.cellSize = size
+	return c
+}
+
 // NewCommon joins the settings that every process has. The link address is where
 // other processes reach this one; the HTTP address is for callers, operators and
 // targets.
@@ -76,6 +86,7 @@
 		store:       s,
 		log:         log,
 		now:         time.Now,
+		cellSize:    DefaultCellSize,
 		metrics:     metric.NewSet(),
 	}, nil
 }
