Bound what a caller can hold at an entry

20,000 requests with bodies of 8 MB each could fill an entry's memory, a body that never ended held its connection for good, and so did a caller that stopped reading. A refused body whose reading failed was answered with an empty 200, since the error handler gave up once the request's context had ended.

An entry holds at most 256 MB of payloads; a body has 30 s to arrive and an answer 30 s to leave; idle connections end after 2 min; the error handler always writes its problem. The owner's log lines take the submission from the request that a reply answers, since one event may refuse or end other submissions, too.

Ruled out: lifting the read deadline in every case.

--- a/internal/process/role/entry/entry.go
+++ b/internal/process/role/entry/entry.go
@@ -25,6 +25,9 @@
 const (
 	// MaxRequests bounds the requests that one entry holds.
 	MaxRequests = 20_000
+	// MaxHeldBytes bounds the payloads of these requests, which an entry keeps to
+	// send them again to a new owner. 256 MB is a quarter of a small host.
+	MaxHeldBytes = 256 << 20
 	// MaxCallerSkew is how far ahead a caller's clock may be.
 	MaxCallerSkew = 5 * time.Second
 	// ownerLimit is how long an entry waits for an owner to say anything: a shard
@@ -42,6 +45,7 @@
 type pending struct {
 	submission identity.Submission
 	body       func(request uint64) any
+	bytes      int
 	until      time.Time
 	limit      time.Time
 	sentTo     identity.Process
@@ -61,6 +65,7 @@
 	// effects of an event do not depend on the order of a map. Numbers of ended
 	// requests are dropped by the next wake.
 	order    []uint64
+	held     int
 	draining bool
 	effects  []any
 }
@@ -95,7 +100,7 @@
 			body:       func(n uint64) any { return message.NewCancel(n, v.submission) },
 		})
 	case Abandon:
-		delete(e.requests, v.request)
+		e.drop(v.request)
 	case Drain:
 		e.startDrain(now, v)
 	case message.Received:
@@ -129,6 +134,7 @@
 // Snapshot is the state of an entry in numbers, for the dump.
 type Snapshot struct {
 	requests      int
+	heldBytes     int
 	unanswered    int
 	withoutOwner  int
 	routes        int
@@ -140,10 +146,11 @@
 // Snapshot returns the state in numbers.
 func (e *Entry) Snapshot() Snapshot {
 	s := Snapshot{
-		requests: len(e.requests),
-		routes:   len(e.routes),
-		owners:   e.Owners(),
-		draining: e.draining,
+		requests:  len(e.requests),
+		heldBytes: e.held,
+		routes:    len(e.routes),
+		owners:    e.Owners(),
+		draining:  e.draining,
 	}
 	if e.cfg != nil {
 		s.configVersion = e.cfg.Version()
@@ -189,10 +196,19 @@
 	e.open(now, v.request, &pending{
 		submission: s,
 		until:      v.until,
+		bytes:      size(v.order),
 		body:       func(n uint64) any { return message.NewSubmit(n, v.order) },
 	})
 }
 
+func size(o job.Order) int {
+	n := 0
+	for _, p := range o.Payloads() {
+		n += len(p)
+	}
+	return n
+}
+
 // check compares an order with the limits of the configuration. Whether the kind
 // exists is left to the owner, which may know the submission from an earlier
 // version.
@@ -224,8 +240,15 @@
 	})
 }
 
+func (e *Entry) drop(request uint64) {
+	if p, ok := e.requests[request]; ok {
+		e.held -= p.bytes
+		delete(e.requests, request)
+	}
+}
+
 func (e *Entry) respond(request uint64, a answer.Answer) {
-	delete(e.requests, request)
+	e.drop(request)
 	e.effects = append(e.effects, Respond{
 		request: request,
 		answer:  a,
@@ -237,7 +260,7 @@
 		e.respond(request, answer.NotPassed(answer.ShuttingDown, "the entry is stopping", drainRetry))
 		return
 	}
-	if len(e.requests) >= MaxRequests {
+	if len(e.requests) >= MaxRequests || e.held+p.bytes > MaxHeldBytes {
 		e.respond(request, answer.NotPassed(answer.Overloaded, "the entry holds too many requests", time.Second))
 		return
 	}
@@ -254,6 +277,7 @@
 		p.limit = p.until
 	}
 	e.requests[request] = p
+	e.held += p.bytes
 	e.order = append(e.order, request)
 	e.pass(request, p)
 }
--- a/internal/process/role/entry/entry_test.go
+++ b/internal/process/role/entry/entry_test.go
@@ -258,3 +258,34 @@
 		})
 	}
 }
+
+// TestHeldBytes guards against payloads that fill the memory of an entry, and
+// against room that is not given back when a request ends.
+func TestHeldBytes(t *testing.T) {
+	Convey("requests are held up to the bound", t, func() {
+		e := ready(t)
+		large := orderWith(t, entry.MaxHeldBytes/4)
+		until := start.Add(time.Minute)
+		for n := range uint64(4) {
+			So(answers(e.Handle(start, entry.NewSubmit(n, large, until))), ShouldBeEmpty)
+		}
+		refused := answers(e.Handle(start, entry.NewSubmit(4, orderWith(t, 1), until)))[4]
+		So(refused.Reason(), ShouldEqual, answer.Overloaded)
+		So(refused.NotRun(), ShouldBeFalse)
+		e.Handle(start, entry.NewAbandon(0))
+		e.Handle(start, replyFrom(first, 1, answer.Completion([][]byte{nil})))
+		So(answers(e.Handle(start, entry.NewSubmit(5, large, until))), ShouldBeEmpty)
+		So(answers(e.Handle(start, entry.NewSubmit(6, large, until))), ShouldBeEmpty)
+		So(answers(e.Handle(start, entry.NewSubmit(7, large, until))), ShouldHaveLength, 1)
+	})
+}
+
+// orderWith returns an order with one payload of n bytes.
+func orderWith(t *testing.T, n int) job.Order {
+	t.Helper()
+	o, err := job.NewOrder(orderOf(t, 1).Submission(), "log_sale", time.Time{}, [][]byte{make([]byte, n)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return o
+}
--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -48,6 +48,7 @@
 	links    net.Listener
 	pages    net.Listener
 	drained  chan struct{}
+	askers   askers
 	cleanups []func()
 }
 
@@ -57,6 +58,7 @@
 	a := &Agent{
 		common:  c,
 		drained: make(chan struct{}),
+		askers:  askers{},
 	}
 	if err := a.build(pool, worker, seed); err != nil {
 		a.cleanup()
@@ -258,8 +260,9 @@
 }
 
 func (a *Agent) applyOwner(now time.Time, o *owner.Owner, event any) {
+	a.askers.note(event)
 	for _, s := range o.Handle(now, event) {
-		a.common.observeOwner(event, s)
+		a.common.observeOwner(a.askers, s)
 		err := a.network.Post(s)
 		a.common.countSend(err)
 		if err != nil {
--- a/internal/process/role/host/caller.go
+++ b/internal/process/role/host/caller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/sirupsen/logrus"
 
 	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/role/entry"
@@ -41,10 +42,13 @@
 	if err != nil {
 		return err
 	}
-	order, err := readOrder(c)
+	order, err := e.common.readOrder(c)
 	if err != nil {
 		return err
 	}
+	if e.common.logs(logrus.InfoLevel) {
+		e.common.about(order.Submission()).WithField("tasks", len(order.Payloads())).Info("submission received")
+	}
 	until := e.common.now().Add(wait)
 	return e.answer(c, order.Submission(), func(n uint64) any { return entry.NewSubmit(n, order, until) })
 }
--- a/internal/process/role/host/decode.go
+++ b/internal/process/role/host/decode.go
@@ -6,6 +6,7 @@
 	"mime"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -22,6 +23,9 @@
 	// maxDeadlineMS is the end of the year 9999, the last that RFC 3339 can write.
 	maxDeadlineMS = 253_402_300_799_999
 	waitParameter = "wait_ms"
+	// usualTransferLimit is how long a body may take to arrive, and an answer to
+	// leave; the largest take seconds on a slow line.
+	usualTransferLimit = 30 * time.Second
 )
 
 type submitDocument struct {
@@ -81,10 +85,15 @@
 
 // readOrder reads the body of a submission. Nothing outside the handler changes
 // before the whole body has been checked.
-func readOrder(c echo.Context) (job.Order, error) {
+func (com Common) readOrder(c echo.Context) (job.Order, error) {
 	if t, _, err := mime.ParseMediaType(c.Request().Header.Get(echo.HeaderContentType)); err != nil || t != echo.MIMEApplicationJSON {
 		return job.Order{}, bad(http.StatusUnsupportedMediaType, "content_type", "is %q, allowed is application/json", clip(t))
 	}
+	// The deadline is lifted once the body is whole, since the server reads on to
+	// notice that the caller has gone. After a cut body it stays: the server reads
+	// the rest before it answers.
+	rc := http.NewResponseController(c.Response())
+	_ = rc.SetReadDeadline(time.Now().Add(com.transferLimit))
 	var d submitDocument
 	dec := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
 	dec.DisallowUnknownFields()
@@ -94,6 +103,7 @@
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return job.Order{}, bodyFault(err)
 	}
+	_ = rc.SetReadDeadline(time.Time{})
 	return d.order(c.Param("team"))
 }
 
@@ -138,6 +148,8 @@
 	switch {
 	case err == nil:
 		return bad(http.StatusBadRequest, "body", "has more than one JSON value")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return bad(http.StatusRequestTimeout, "body", "did not arrive in time")
 	case errors.As(err, &large):
 		return bad(http.StatusRequestEntityTooLarge, "body", "has more than %d bytes", maxBodyBytes)
 	case errors.As(err, &wrong) && wrong.Field != "":
--- a/internal/process/role/host/host.go
+++ b/internal/process/role/host/host.go
@@ -49,6 +49,8 @@
 	now         func() time.Time
 	settings    []string
 	metrics     *metric.Set
+	// transferLimit is how long a body may take to arrive, and an answer to leave.
+	transferLimit time.Duration
 }
 
 // NewCommon joins the settings that every process has. The link address is where
@@ -62,17 +64,18 @@
 		return Common{}, errors.New("availability zone, addresses and store are needed")
 	}
 	return Common{
-		process:     p,
-		region:      region,
-		regions:     regions,
-		shards:      shards,
-		zone:        zone,
-		linkAddress: linkAddress,
-		httpAddress: httpAddress,
-		store:       s,
-		log:         log,
-		now:         time.Now,
-		metrics:     metric.NewSet(),
+		process:       p,
+		region:        region,
+		regions:       regions,
+		shards:        shards,
+		zone:          zone,
+		linkAddress:   linkAddress,
+		httpAddress:   httpAddress,
+		store:         s,
+		log:           log,
+		now:           time.Now,
+		metrics:       metric.NewSet(),
+		transferLimit: usualTransferLimit,
 	}, nil
 }
 
@@ -209,10 +212,23 @@
 	}, err
 }
 
+// limitWrites ends the connection of a caller that does not read its answer. The
+// time counts from the first byte, since handlers wait for answers.
+func (c Common) limitWrites(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(ctx echo.Context) error {
+		rc := http.NewResponseController(ctx.Response())
+		ctx.Response().Before(func() {
+			_ = rc.SetWriteDeadline(time.Now().Add(c.transferLimit))
+		})
+		return next(ctx)
+	}
+}
+
 // newEcho returns an HTTP router with the pages that every process has.
 func (c Common) newEcho(ready func() bool) *echo.Echo {
 	e := echo.New()
 	e.HTTPErrorHandler = c.handleError
+	e.Use(c.limitWrites)
 	e.HideBanner = true
 	e.HidePort = true
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
--- a/internal/process/role/host/logging.go
+++ b/internal/process/role/host/logging.go
@@ -36,6 +36,12 @@
 		answer.Failed:   metric.JobsFailed,
 		answer.Refused:  metric.JobsRefused,
 	}
+	replyLines = map[answer.State]string{
+		answer.Running:  "submission accepted or joined",
+		answer.Complete: "submission ended",
+		answer.Failed:   "submission ended",
+		answer.Refused:  "submission refused",
+	}
 )
 
 // countSend counts a message that the network took or had no room for.
@@ -75,8 +81,68 @@
 	return l.WithFields(fields)
 }
 
-// observeOwner counts and logs one effect of an event at an owner.
-func (c Common) observeOwner(event any, effect message.Send) {
+// asker names a caller's request at its entry.
+type asker struct {
+	entry   identity.Process
+	request uint64
+}
+
+// maxAskers bounds the requests whose submission an owner remembers for its log.
+const maxAskers = 50_000
+
+// askers tells which submission a reply is about: one event may lead to replies
+// about others, such as jobs that make room for the one submitted. The owner's
+// duty alone uses it. An entry ends with its request's final reply, or with the
+// process that asked.
+type askers map[asker]identity.Submission
+
+// note remembers who asks for what. Queries change nothing and are left out.
+func (a askers) note(event any) {
+	if g, ok := event.(message.Gone); ok {
+		for k := range a {
+			if k.entry == g.Process() {
+				delete(a, k)
+			}
+		}
+		return
+	}
+	r, ok := event.(message.Received)
+	if !ok {
+		return
+	}
+	if len(a) >= maxAskers {
+		// Lines are missing from now on rather than memory.
+		clear(a)
+	}
+	switch m := r.Body().(type) {
+	case message.Submit:
+		a[asker{
+			entry:   r.From(),
+			request: m.Request(),
+		}] = m.Order().Submission()
+	case message.Cancel:
+		a[asker{
+			entry:   r.From(),
+			request: m.Request(),
+		}] = m.Submission()
+	}
+}
+
+// of returns the submission of a reply and forgets it with the final one.
+func (a askers) of(to identity.Process, m message.Reply) (identity.Submission, bool) {
+	k := asker{
+		entry:   to,
+		request: m.Request(),
+	}
+	s, ok := a[k]
+	if ok && m.Answer().Ended() {
+		delete(a, k)
+	}
+	return s, ok
+}
+
+// observeOwner counts and logs one effect of an owner.
+func (c Common) observeOwner(a askers, effect message.Send) {
 	switch m := effect.Body().(type) {
 	case message.Start:
 		c.metrics.Add(metric.StartsSent, 1)
@@ -87,54 +153,17 @@
 			}).Debug("task sent")
 		}
 	case message.Reply:
+		s, ok := a.of(effect.To(), m)
+		if !ok {
+			return
+		}
 		c.metrics.Add(replyMetrics[m.Answer().State()], 1)
-		if s, ok := submissionOf(event); ok && c.logs(logrus.InfoLevel) {
-			c.logReply(event, s, m.Answer())
+		if c.logs(logrus.InfoLevel) {
+			describe(c.about(s), m.Answer()).Info(replyLines[m.Answer().State()])
 		}
 	}
 }
 
-func (c Common) logReply(event any, s identity.Submission, a answer.Answer) {
-	l := describe(c.about(s), a)
-	switch {
-	case a.State() == answer.Refused:
-		l.Info("submission refused")
-	case a.State() == answer.Running:
-		l.Info("submission accepted or joined")
-	case isSubmit(event):
-		l.Info("submission has its answer already")
-	default:
-		l.Info("submission ended")
-	}
-}
-
-func isSubmit(event any) bool {
-	r, ok := event.(message.Received)
-	if !ok {
-		return false
-	}
-	_, ok = r.Body().(message.Submit)
-	return ok
-}
-
-// submissionOf returns the submission that a received message is about. Queries
-// change nothing and are left out.
-func submissionOf(event any) (identity.Submission, bool) {
-	r, ok := event.(message.Received)
-	if !ok {
-		return identity.Submission{}, false
-	}
-	switch m := r.Body().(type) {
-	case message.Submit:
-		return m.Order().Submission(), true
-	case message.Cancel:
-		return m.Submission(), true
-	case message.Finished:
-		return m.Task().Submission(), true
-	}
-	return identity.Submission{}, false
-}
-
 // observeAgent counts and logs one effect of an agent.
 func (c Common) observeAgent(effect any) {
 	switch e := effect.(type) {
--- a/internal/process/role/host/problem.go
+++ b/internal/process/role/host/problem.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -108,7 +109,7 @@
 
 // handleError writes the errors of handlers and of the router as problems.
 func (c Common) handleError(err error, ctx echo.Context) {
-	if ctx.Response().Committed || ctx.Request().Context().Err() != nil {
+	if ctx.Response().Committed {
 		return
 	}
 	d := problemDocument{
@@ -128,6 +129,8 @@
 		d.Status = h.Code
 		d.Reason = answer.InvalidRequest.String()
 		d.Field, d.Detail = routeFault(ctx, h.Code)
+	case errors.Is(err, context.Canceled):
+		// The caller has gone; whatever is written, nobody reads it.
 	default:
 		c.log.WithError(err).Error("request failed")
 	}
--- a/internal/process/role/local/observe_test.go
+++ b/internal/process/role/local/observe_test.go
@@ -41,7 +41,7 @@
 		So(send(t, "GET", s.Agents()[0]+"/debug/dump", nil, "").body, ShouldContainSubstring, "caller count=")
 		stop()
 		So(lines.String(), ShouldNotContainSubstring, payload)
-		for _, message := range []string{"submission accepted or joined", "task sent", "task started", "task ended", "submission ended", "caller answered"} {
+		for _, message := range []string{"submission received", "submission accepted or joined", "task sent", "task started", "task ended", "submission ended", "caller answered"} {
 			So(linesOf(lines.String(), message, "tegnestuen/"+key), ShouldEqual, 1)
 		}
 	})
--- a/internal/process/web/web.go
+++ b/internal/process/web/web.go
@@ -20,6 +20,8 @@
 const (
 	// headerTimeout ends connections that do not send a request.
 	headerTimeout = 10 * time.Second
+	// idleTimeout ends connections that send no further request.
+	idleTimeout = 2 * time.Minute
 	// ShutdownLimit is how long a stopping server waits for requests in flight. Roles
 	// drain before; a longer wait would only be spent on connections that a client
 	// opened and never used, which net/http waits 5 s for.
@@ -46,6 +48,7 @@
 	server := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
 	}
 	d, err := duty.New(name, purpose, nil, func(ctx context.Context) error {
 		return run(ctx, server, l)
