--- a/internal/process/role/host/host.go
+++ b/internal/process/role/host/host.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
+	"greengagedoor.example/greengagedoor/internal/process/certificate"
 	"greengagedoor.example/greengagedoor/internal/process/duty"
 	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/metric"
@@ -44,15 +45,28 @@
 	zone        string
 	linkAddress string
 	httpAddress string
+	access      string
+	pageKeeper  *certificate.Keeper
+	linkKeeper  *certificate.Keeper
 	store       *store.Store
 	log         *logrus.Entry
 	now         func() time.Time
+	cell        string
+	cellSize    int
 	settings    []string
 	metrics     *metric.Set
 	// transferLimit is how long a body may take to arrive, and an answer to leave.
 	transferLimit time.Duration
 }
 
+// WithCell sets the process's cell and the number of agents in a cell. With an
+// empty cell the process takes the first of its availability zone with room.
+func (c Common) WithCell(cell string, size int) Common {
+	c.cell = cell
+	c.cellSize = size
+	return c
+}
+
 // NewCommon joins the settings that every process has. The link address is where
 // other processes reach this one; the HTTP address is for callers, operators and
 // targets.
@@ -74,6 +88,7 @@
 		store:         s,
 		log:           log,
 		now:           time.Now,
+		cellSize:      DefaultCellSize,
 		metrics:       metric.NewSet(),
 		transferLimit: usualTransferLimit,
 	}, nil
@@ -107,6 +122,7 @@
 		_ = links.Close()
 		return nil, nil, nil, err
 	}
+	pages = c.securePages(pages)
 	return links, pages, func() {
 		_ = links.Close()
 		_ = pages.Close()
@@ -186,8 +202,8 @@
 }
 
 // serveLinks returns a duty that serves the links of other processes.
-func serveLinks(l net.Listener, register func(*grpc.Server)) (duty.Duty, func(), error) {
-	g := grpc.NewServer(grpc.MaxRecvMsgSize(maxStreamBytes), grpc.MaxSendMsgSize(maxStreamBytes))
+func (c Common) serveLinks(l net.Listener, register func(*grpc.Server)) (duty.Duty, func(), error) {
+	g := grpc.NewServer(append(c.linkOptions(), grpc.MaxRecvMsgSize(maxStreamBytes), grpc.MaxSendMsgSize(maxStreamBytes))...)
 	register(g)
 	d, err := duty.New("links", "Accepts the streams of other processes.", nil, func(ctx context.Context) error {
 		ended := make(chan struct{})
