Give a refused job whose deadline is over a status of its own

A submission whose deadline had passed got a problem document with status 200, since the reason belongs to failed jobs. pkg/caller takes the state from the body, but any other client would take the refusal for an answer.

A refusal whose reason has a status below 400 is now 422 and names deadline_ms.

Measured: go test -run Refusals ./internal/process/role/local passes with the new case; before, a trial printed status 200 for it.

--- a/internal/process/role/host/problem.go
+++ b/internal/process/role/host/problem.go
@@ -66,13 +66,20 @@
 	answer.UnknownTeam: "team",
 	answer.UnknownKind: "kind",
 	answer.FitsNowhere: "kind",
+	// The owner refuses a job whose deadline is over when it comes.
+	answer.DeadlinePassed: "deadline_ms",
 	// The only request that a decision finds invalid has too many or too large tasks.
 	answer.InvalidRequest: "tasks",
 }
 
 func refuse(c echo.Context, s identity.Submission, a answer.Answer) error {
+	status := a.Reason().Entry().Status()
+	if status < http.StatusBadRequest {
+		// The reason is one of failed jobs, which are answered with 200.
+		status = http.StatusUnprocessableEntity
+	}
 	return writeProblem(c, problemDocument{
-		Status:       a.Reason().Entry().Status(),
+		Status:       status,
 		Detail:       a.Detail(),
 		Submission:   s.String(),
 		Reason:       a.Reason().String(),
--- a/internal/process/role/local/refusal_test.go
+++ b/internal/process/role/local/refusal_test.go
@@ -29,6 +29,7 @@
 	status int
 	reason string
 	field  string
+	notRun bool
 }
 
 const invalid = "invalid_request"
@@ -52,6 +53,12 @@
 	return r
 }
 
+// sure marks a refusal by the owner, which knows that nothing ran.
+func (r refusal) sure() refusal {
+	r.notRun = true
+	return r
+}
+
 func submission(key, kind, tasks string) string {
 	return `{"key":"` + key + `","kind":"` + kind + `","tasks":` + tasks + `}`
 }
@@ -76,6 +83,7 @@
 		"two_values":          refusalOf(http.MethodPost, jobs, submission(key, "log_sale", "[1]")+"{}", 400, invalid, "body"),
 		"unknown_field":       refusalOf(http.MethodPost, jobs, `{"priority":1}`, 400, invalid, "priority"),
 		"negative_deadline":   refusalOf(http.MethodPost, jobs, `{"key":"`+key+`","kind":"log_sale","deadline_ms":-1,"tasks":[1]}`, 400, invalid, "deadline_ms"),
+		"past_deadline":       refusalOf(http.MethodPost, jobs, `{"key":"`+key+`","kind":"log_sale","deadline_ms":1,"tasks":[1]}`, 422, "deadline_passed", "deadline_ms").sure(),
 		"key_not_uuid":        refusalOf(http.MethodPost, jobs, submission("17", "log_sale", "[1]"), 400, invalid, "key"),
 		"key_of_version_4":    refusalOf(http.MethodPost, jobs, submission(uuid.NewString(), "log_sale", "[1]"), 400, invalid, "key"),
 		"expired_key":         refusalOf(http.MethodPost, jobs, submission(keyAt(time.Now().Add(-time.Hour)), "log_sale", "[1]"), 410, "key_expired", "key"),
@@ -106,7 +114,7 @@
 				So(p.Reason, ShouldEqual, tt.reason)
 				So(p.Field, ShouldEqual, tt.field)
 				So(p.State, ShouldEqual, "refused")
-				So(p.NotRun, ShouldBeFalse)
+				So(p.NotRun, ShouldEqual, tt.notRun)
 				So(started(t, s), ShouldEqual, 0)
 			})
 		})
