--- a/internal/process/standin/load/report.go
+++ b/internal/process/standin/load/report.go
@@ -211,3 +211,17 @@
 	}
 	return a / b
 }
+
+// Slowest writes the n jobs that waited longest, to find the cause of a tail.
+func (r *Result) Slowest(w io.Writer, n int) {
+	samples := append([]Sample(nil), r.samples...)
+	sort.Slice(samples, func(i, j int) bool { return samples[i].wait() > samples[j].wait() })
+	for _, s := range samples[:min(n, len(samples))] {
+		fmt.Fprintf(w, "%s: sent at %v, %d tasks, longest %v, waited %v, outcome %d\n", s.job.kind.name, s.job.at.Round(time.Millisecond),
+			len(s.job.tasks), s.job.Longest().Round(time.Millisecond), s.wait().Round(time.Millisecond), s.answer.outcome)
+	}
+}
+
+func (s Sample) wait() time.Duration {
+	return s.response - s.answer.service
+}
