Let the split of shards settle and measure the membership's cost

Cause: at 200 members in 7 cells the shard map never came to rest: every directory recalled from its groups and assigned by its own view, so each round made new owners with next to none (32 store writes/s and 519 KB/s at a directory 20 s after the start). A directory whose last lease could not be dropped renewed its session for ever, so that nobody could take the cell (found by the state machine test). The right to seize was worked out for every member and event. Ruled out: one directory that rebalances for the region, which would wait for its turn when one owner holds everything after a start. Change: owners give up a part drawn by hash, so that all directories together recall what was meant, and only far too many or next to none counts; a shard goes to an agent with the fewest. A session without a cell is left to end. The cells that vote are kept with the fleet.

--- a/internal/process/role/directory/assign.go
+++ b/internal/process/role/directory/assign.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"math"
 	"sort"
 	"strconv"
 	"time"
@@ -75,8 +76,8 @@
 	mine  map[int]bool
 	// orphans tells that shards have no owner, or one that was lost.
 	orphans bool
-	// need is how many shards this directory has to recall.
-	need int
+	// give is the part of its shards that each owner has to give up.
+	give map[identity.Process]float64
 }
 
 // planned returns the plan of the newest stored state. Cells without a directory
@@ -114,25 +115,42 @@
 			p.orphans = p.orphans || !live
 		}
 	}
-	p.need = d.need(r, len(p.seats))
+	p.give = d.give(r)
 	return p
 }
 
-// need is this directory's part of the shards that have to move from owners with
-// too many to owners with far too few. If every directory recalled all of them,
-// they would together empty the owners.
-func (d *Directory) need(r region, directories int) int {
+// give returns which owners have to give up shards, and which part of them: those
+// with far more than the others, and those above the mean while others have next
+// to none. Owners that differ less are left alone, since directories that assign
+// at the same time never reach an even split.
+func (d *Directory) give(r region) map[identity.Process]float64 {
 	if len(r.open) == 0 {
-		return 0
+		return nil
+	}
+	mean := d.set.layout.Count() / len(r.open)
+	limit := (d.set.layout.Count() + len(r.open) - 1) / len(r.open)
+	need, surplus := 0, 0
+	for _, m := range r.open {
+		n := r.loads[m.Process()]
+		if 4*n < mean {
+			need += mean - n
+		}
+		surplus += max(n-mean, 0)
 	}
-	part := d.set.layout.Count() / len(r.open)
-	need := 0
+	give := map[identity.Process]float64{}
 	for _, m := range r.open {
-		if n := r.loads[m.Process()]; 2*n < part {
-			need += part - n
+		n := r.loads[m.Process()]
+		var excess float64
+		if n > limit+limit/2+3 {
+			excess = float64(n - limit)
+		} else if need > 0 && n > mean {
+			excess = float64(need) * float64(n-mean) / float64(max(surplus, need))
+		}
+		if excess > 0 {
+			give[m.Process()] = excess / float64(n)
 		}
 	}
-	return (need + directories - 1) / directories
+	return give
 }
 
 func (d *Directory) storedGroups() map[int]membership.Group {
@@ -217,38 +235,42 @@
 	return ok && y.epoch == route.Epoch() && !d.readFrom.Before(y.at)
 }
 
-// choose returns the first-ranked agent with less than its part of the shards,
-// other than the former owner if there is one; none if nobody takes shards.
+// choose returns the first-ranked of the agents with the fewest shards, other
+// than the former owner if there is one; none if nobody takes shards.
 func (d *Directory) choose(r region, s identity.Shard, former identity.Process) identity.Process {
-	if len(r.open) == 0 {
+	least := -1
+	for _, m := range r.open {
+		if n := r.loads[m.Process()]; m.Process() != former && (least < 0 || n < least) {
+			least = n
+		}
+	}
+	if least < 0 {
+		if len(r.open) > 0 {
+			return former
+		}
 		return identity.Process{}
 	}
-	limit := (d.set.layout.Count() + len(r.open) - 1) / len(r.open)
+	limit := least + d.set.layout.Count()/len(r.open)/4
 	subject := "shard/" + strconv.Itoa(int(s))
-	var best, least identity.Process
+	var best identity.Process
 	var rank uint64
 	for _, m := range r.open {
 		p := m.Process()
-		if p == former && len(r.open) > 1 {
+		if p == former || r.loads[p] > limit {
 			continue
 		}
-		if least.IsZero() || r.loads[p] < r.loads[least] {
-			least = p
-		}
-		if w := membership.Rank(subject, p.Name()); r.loads[p] < limit && (best.IsZero() || w > rank) {
+		if w := membership.Rank(subject, p.Name()); best.IsZero() || w > rank {
 			best, rank = p, w
 		}
 	}
-	if best.IsZero() {
-		return least
-	}
 	return best
 }
 
 // rebalance recalls shards from owners that have more than their part. It waits
-// until the last change has settled.
+// until the last change has settled. Which shards go is drawn by hash, so that
+// all directories together recall the part that was meant.
 func (d *Directory) rebalance(now time.Time, p *plan) {
-	if p.need == 0 || now.Sub(d.moved) < settleTime {
+	if len(p.give) == 0 || now.Sub(d.moved) < settleTime {
 		return
 	}
 	for _, c := range d.recalls {
@@ -256,30 +278,27 @@
 			return
 		}
 	}
-	r := d.survey()
-	part := d.set.layout.Count() / len(r.open)
-	need := p.need
+	clear(d.recalls)
 	stored := d.storedGroups()
 	claims := map[identity.Process][]membership.Claim{}
+	draw := "recall/" + strconv.FormatUint(d.fleet.Index(), 10)
 	for _, n := range d.set.layout.Groups(d.set.region) {
 		if !p.mine[n] {
 			continue
 		}
 		for _, route := range stored[n].Routes() {
-			owner := route.Owner()
-			if need == 0 || r.loads[owner] <= part {
+			part := float64(membership.Rank(draw, strconv.Itoa(int(route.Shard())))) / math.MaxUint64
+			if part >= p.give[route.Owner()] {
 				continue
 			}
-			need--
-			r.loads[owner]--
-			claims[owner] = append(claims[owner], membership.NewClaim(route.Shard(), route.Epoch()))
+			claims[route.Owner()] = append(claims[route.Owner()], membership.NewClaim(route.Shard(), route.Epoch()))
 			d.recalls[route.Shard()] = recalled{
 				epoch: route.Epoch(),
 				at:    now,
 			}
 		}
 	}
-	d.sendRecalls(r, claims)
+	d.sendRecalls(d.survey(), claims)
 }
 
 func (d *Directory) sendRecalls(r region, claims map[identity.Process][]membership.Claim) {
--- a/internal/process/role/directory/digest.go
+++ b/internal/process/role/directory/digest.go
@@ -123,21 +123,10 @@
 	return 2*n > len(names)
 }
 
-// electorate lists the region's cells with members.
-func (d *Directory) electorate() []membership.Cell {
-	var cells []membership.Cell
-	for _, c := range d.fleet.Region(d.set.region) {
-		if len(c.Live()) > 0 {
-			cells = append(cells, c)
-		}
-	}
-	return cells
-}
-
 // outage tells whether most cells, the own one included, report now that the
 // store does not answer.
 func (d *Directory) outage(now time.Time) bool {
-	cells := d.electorate()
+	cells := d.voters
 	if len(cells) < minCells {
 		return false
 	}
@@ -158,7 +147,7 @@
 // available tells whether most cells have reported for AnswersFor that the store
 // answers, so that no directory can be confirming members without it.
 func (d *Directory) available(now time.Time) bool {
-	cells := d.electorate()
+	cells := d.voters
 	if len(cells) < minCells {
 		return true
 	}
@@ -175,7 +164,7 @@
 // OutageMode tells operators whether the region has enough cells to go on
 // without the store.
 func (d *Directory) OutageMode() bool {
-	return len(d.electorate()) >= minCells
+	return len(d.voters) >= minCells
 }
 
 // keepDigests sends the digest when it is due.
@@ -206,7 +195,7 @@
 
 func (d *Directory) digest(now time.Time, h *held) membership.Digest {
 	var reports []membership.Report
-	for _, c := range d.electorate() {
+	for _, c := range d.voters {
 		r, ok := d.reports[c.Name()]
 		if age := now.Sub(r.stated); ok && age <= answersAge {
 			reports = append(reports, membership.NewReport(c.Name(), r.answers, age, min(now.Sub(r.since), sinceLimit)))
--- a/internal/process/role/directory/directory.go
+++ b/internal/process/role/directory/directory.go
@@ -125,10 +125,12 @@
 	cells   map[string]*held
 	fleet   membership.Fleet
 	plan    *plan
-	change  *change
-	number  uint64
-	marks   uint64
-	reread  bool
+	// voters are the region's cells with members.
+	voters []membership.Cell
+	change *change
+	number uint64
+	marks  uint64
+	reread bool
 	// readFrom is when the newest finished read of the fleet was sent.
 	readFrom time.Time
 	version  uint64
--- a/internal/process/role/directory/lease.go
+++ b/internal/process/role/directory/lease.go
@@ -50,6 +50,9 @@
 	if d.lease != nil || now.Before(d.retryAt) {
 		return
 	}
+	// A session that holds nothing any more is not renewed: a lease that it still
+	// holds, because a Drop did not take effect, ends with it.
+	d.release()
 	switch {
 	case d.ending:
 		d.end(now)
@@ -201,7 +204,7 @@
 
 // release ends a session that holds nothing.
 func (d *Directory) release() {
-	if len(d.cells) > 0 || len(d.claims) > 0 || d.session == "" {
+	if len(d.cells) > 0 || len(d.claims) > 0 || d.session == "" || d.ending {
 		return
 	}
 	d.session = ""
--- a/internal/process/role/directory/roster.go
+++ b/internal/process/role/directory/roster.go
@@ -35,6 +35,12 @@
 	before := d.fleet
 	d.fleet = f
 	d.plan = nil
+	d.voters = nil
+	for _, c := range f.Region(d.set.region) {
+		if len(c.Live()) > 0 {
+			d.voters = append(d.voters, c)
+		}
+	}
 	for _, g := range f.Groups() {
 		for _, r := range g.Routes() {
 			if y, ok := d.yields[r.Shard()]; ok && r.Epoch() > y.epoch {
@@ -197,7 +203,7 @@
 	if m, ok := h.members[p]; ok && m.last.After(last) {
 		last = m.last
 	}
-	if !h.written || !d.maySeize(now) || now.Sub(last) < LostAfter {
+	if now.Sub(last) < LostAfter || !h.written || !d.maySeize(now) {
 		return time.Time{}, false
 	}
 	return now, true
