--- a/cmd/greengagedoor/call.go
+++ b/cmd/greengagedoor/call.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -35,9 +36,28 @@
 			Value: 30,
 			Usage: "`SECONDS` to wait for the final answer",
 		},
+		tokenFlag(),
 	}, more...)
 }
 
+// tokenFlag names a file, since flags can be read by everybody on the host.
+func tokenFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name:    "token-file",
+		EnvVars: []string{"GREENGAGEDOOR_TOKEN_FILE"},
+		Usage:   "`FILE` with the bearer token; not needed where access is off",
+	}
+}
+
+func readToken(c *cli.Context) (string, error) {
+	path := c.String("token-file")
+	if path == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(path)
+	return strings.TrimSpace(string(data)), errors.Wrap(err, "read the token")
+}
+
 func teamFlag() cli.Flag {
 	return &cli.StringFlag{
 		Name:  "team",
@@ -52,8 +72,8 @@
 	}
 }
 
-// needed reports flags that are not given; the library's own check gives no
-// error that can be told from others.
+// needed reports flags that are not given, before a job gets a key that nobody
+// will use.
 func needed(c *cli.Context, names ...string) error {
 	for _, n := range names {
 		if c.String(n) == "" {
@@ -73,6 +93,11 @@
 		return usage(err)
 	}
 	defer cleanup()
+	token, err := readToken(c)
+	if err != nil {
+		return err
+	}
+	client = client.WithToken(token)
 	ctx, cancel := context.WithTimeout(c.Context, time.Duration(c.Int("seconds"))*time.Second)
 	defer cancel()
 	a, err := f(ctx, client)
@@ -236,24 +261,37 @@
 				Value: "http://127.0.0.1:8080",
 				Usage: "`URL` of the process's HTTP interface",
 			},
+			tokenFlag(),
 		},
 		Action: func(c *cli.Context) error {
 			ctx, cancel := context.WithTimeout(c.Context, dumpTimeout)
 			defer cancel()
-			r, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(c.String("process"), "/")+"/debug/dump", nil)
-			if err != nil {
-				return usage(err)
-			}
-			resp, err := http.DefaultClient.Do(r)
-			if err != nil {
-				return errors.Wrap(err, "ask for the dump")
-			}
-			defer func() { _ = resp.Body.Close() }()
-			if resp.StatusCode != http.StatusOK {
-				return errors.Errorf("the process answered %s", resp.Status)
-			}
-			_, err = io.Copy(c.App.Writer, io.LimitReader(resp.Body, maxDumpBytes))
-			return errors.Wrap(err, "read the dump")
+			return printPage(ctx, c, strings.TrimSuffix(c.String("process"), "/")+"/debug/dump")
 		},
 	}
 }
+
+// printPage writes a page of a process, with the token in the flags.
+func printPage(ctx context.Context, c *cli.Context, url string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return usage(err)
+	}
+	token, err := readToken(c)
+	if err != nil {
+		return err
+	}
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return errors.Wrap(err, "ask the process")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("the process answered %s", resp.Status)
+	}
+	_, err = io.Copy(c.App.Writer, io.LimitReader(resp.Body, maxDumpBytes))
+	return errors.Wrap(err, "read the page")
+}
--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -10,6 +9,7 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 
 	"greengagedoor.example/greengagedoor/internal/connection/announcement"
@@ -31,8 +31,8 @@
 	ledgerBytes      = 24 << 20
 	retention        = 10 * time.Minute
 	announceMaxBytes = 64 << 10
-	// AgentDrainLimit is how long a leaving agent waits for its running tasks; most take
-	// less than a second, a few several.
+	// AgentDrainLimit is how long a leaving agent waits for its running tasks; most
+	// take less than a second, a few several.
 	AgentDrainLimit = 20 * time.Second
 )
 
@@ -50,6 +50,7 @@
 	links    net.Listener
 	pages    net.Listener
 	drained  chan struct{}
+	askers   askers
 	cleanups []func()
 }
 
@@ -59,6 +60,7 @@
 	a := &Agent{
 		common:  c,
 		drained: make(chan struct{}),
+		askers:  askers{},
 	}
 	if err := a.build(pool, worker, seed); err != nil {
 		a.cleanup()
@@ -118,6 +120,13 @@
 	if err != nil {
 		return err
 	}
+	a.owner.next = func(now time.Time) time.Time {
+		if n := dispatch.Next(); !n.IsZero() {
+			return n
+		}
+		return now.Add(wakeInterval)
+	}
+	a.owner.snapshot = func() any { return dispatch.Snapshot(a.common.now()) }
 	return a.connect(pool, worker.Name(), func() uint64 { return issue(a.common.now()) })
 }
 
@@ -126,6 +135,7 @@
 	var cleanup func()
 	a.network, cleanup, err = network.New(a.common.process, a.common.linkAddress, network.Seams{
 		Now:         a.common.now,
+		Secure:      a.common.openSecure(),
 		Credit:      credit,
 		Deliver:     a.deliver,
 		Undelivered: a.undelivered,
@@ -149,7 +159,7 @@
 }
 
 func (a *Agent) duties() error {
-	links, cleanup, err := serveLinks(a.links, func(g *grpc.Server) { a.network.Register(g) })
+	links, cleanup, err := a.common.serveLinks(a.links, func(g *grpc.Server) { a.network.Register(g) })
 	if err != nil {
 		return err
 	}
@@ -184,7 +194,12 @@
 	if err != nil {
 		return err
 	}
-	all := append([]duty.Duty{links, carrier, admission, dispatch, pages}, duties...)
+	keepers, err := a.common.keepers()
+	if err != nil {
+		return err
+	}
+	all := append(keepers, links, carrier, admission, dispatch, pages)
+	all = append(all, duties...)
 	a.table, err = duty.NewTable(append(all, members...)...)
 	return err
 }
@@ -267,8 +282,9 @@
 }
 
 func (a *Agent) applyOwner(now time.Time, o *owner.Owner, event any) {
+	a.askers.note(event)
 	for _, s := range o.Handle(now, event) {
-		a.common.observeOwner(event, s)
+		a.common.observeOwner(a.askers, s)
 		err := a.network.Post(s)
 		a.common.countSend(err)
 		if err != nil {
@@ -336,25 +352,13 @@
 	return nil, true
 }
 
-type announceDocument struct {
-	Target      string   `json:"target"`
-	URL         string   `json:"url"`
-	Services    []string `json:"services"`
-	Slots       int      `json:"slots"`
-	Connections int      `json:"connections"`
-	Leaving     bool     `json:"leaving"`
-}
-
 func (a *Agent) announce(c echo.Context) error {
-	var d announceDocument
-	dec := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, announceMaxBytes))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&d); err != nil {
-		return bodyFault(err)
-	}
-	n, err := announcement.New(d.Target, d.URL, d.Services, d.Slots, d.Connections, d.Leaving)
-	if err != nil {
+	n, err := announcement.Decode(http.MaxBytesReader(c.Response(), c.Request().Body, announceMaxBytes))
+	switch {
+	case errors.Is(err, announcement.ErrInvalid):
 		return bad(http.StatusBadRequest, "", "%v", err)
+	case err != nil:
+		return bad(http.StatusBadRequest, "body", "%v", errors.Cause(err))
 	}
 	if err := a.agent.ring.TryPush(n); err != nil {
 		return c.String(http.StatusServiceUnavailable, err.Error())
--- a/internal/process/role/host/caller.go
+++ b/internal/process/role/host/caller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/sirupsen/logrus"
 
 	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/role/entry"
@@ -29,10 +30,10 @@
 	Results    []json.RawMessage `json:"results,omitempty"`
 }
 
-func (e *Entry) register(router *echo.Echo) {
-	router.POST(jobsPath, e.submit)
-	router.GET(jobPath, e.query)
-	router.DELETE(jobPath, e.cancel)
+func (e *Entry) register(router *echo.Echo, g guard) {
+	router.POST(jobsPath, e.submit, g.team(callerAccess, operatorAccess))
+	router.GET(jobPath, e.query, g.team(callerAccess, operatorAccess, readerAccess))
+	router.DELETE(jobPath, e.cancel, g.team(callerAccess, operatorAccess))
 	router.GET("/v1/reasons", reasons)
 }
 
@@ -41,10 +42,13 @@
 	if err != nil {
 		return err
 	}
-	order, err := readOrder(c)
+	order, err := e.common.readOrder(c)
 	if err != nil {
 		return err
 	}
+	if e.common.logs(logrus.InfoLevel) {
+		e.common.about(order.Submission()).WithField("tasks", len(order.Payloads())).Info("submission received")
+	}
 	until := e.common.now().Add(wait)
 	return e.answer(c, order.Submission(), func(n uint64) any { return entry.NewSubmit(n, order, until) })
 }
--- a/internal/process/role/host/entry.go
+++ b/internal/process/role/host/entry.go
@@ -33,6 +33,7 @@
 	network  *network.Network
 	station  *station
 	ready    atomic.Bool
+	current  atomic.Pointer[configuration.Configuration]
 	drained  chan struct{}
 	requests atomic.Uint64
 	links    net.Listener
@@ -88,6 +89,7 @@
 	e.entry.snapshot = func() any { return decision.Snapshot() }
 	e.network, cleanup, err = network.New(e.common.process, e.common.linkAddress, network.Seams{
 		Now:         e.common.now,
+		Secure:      e.common.openSecure(),
 		Deliver:     e.deliver,
 		Undelivered: func(ctx context.Context, u message.Undelivered) { _ = e.entry.ring.Push(ctx, u) },
 	}, e.common.log)
@@ -110,13 +112,22 @@
 }
 
 func (e *Entry) duties() error {
-	links, cleanup, err := serveLinks(e.links, func(g *grpc.Server) { e.network.Register(g) })
+	links, cleanup, err := e.common.serveLinks(e.links, func(g *grpc.Server) { e.network.Register(g) })
 	if err != nil {
 		return err
 	}
 	e.cleanups = append(e.cleanups, cleanup)
 	router := e.common.newEcho(e.ready.Load)
-	e.register(router)
+	g := guard{
+		open:    e.common.openAccess(),
+		current: e.current.Load,
+	}
+	router.Use(g.debug)
+	e.register(router, g)
+	changes, err := e.admin(router, g)
+	if err != nil {
+		return err
+	}
 	if err := e.common.observe(router, func() *duty.Table { return e.table }, e.entry); err != nil {
 		return err
 	}
@@ -137,7 +148,12 @@
 	if err != nil {
 		return err
 	}
-	e.table, err = duty.NewTable(append([]duty.Duty{carrier, links, decision, pages}, members...)...)
+	keepers, err := e.common.keepers()
+	if err != nil {
+		return err
+	}
+	all := append(keepers, carrier, links, decision, changes, pages)
+	e.table, err = duty.NewTable(append(all, members...)...)
 	return err
 }
 
@@ -180,6 +196,9 @@
 }
 
 func (e *Entry) publish(ctx context.Context, v any) {
+	if cfg, ok := v.(*configuration.Configuration); ok {
+		e.current.Store(cfg)
+	}
 	switch v.(type) {
 	case *configuration.Configuration, membership.Routes:
 		e.common.countVersion(v)
--- a/internal/process/role/host/host.go
+++ b/internal/process/role/host/host.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
+	"greengagedoor.example/greengagedoor/internal/process/certificate"
 	"greengagedoor.example/greengagedoor/internal/process/duty"
 	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/metric"
@@ -44,6 +45,9 @@
 	zone        string
 	linkAddress string
 	httpAddress string
+	access      string
+	pageKeeper  *certificate.Keeper
+	linkKeeper  *certificate.Keeper
 	store       *store.Store
 	log         *logrus.Entry
 	now         func() time.Time
@@ -51,6 +55,8 @@
 	cellSize    int
 	settings    []string
 	metrics     *metric.Set
+	// transferLimit is how long a body may take to arrive, and an answer to leave.
+	transferLimit time.Duration
 }
 
 // WithCell sets the process's cell and the number of agents in a cell. With an
@@ -72,18 +78,19 @@
 		return Common{}, errors.New("availability zone, addresses and store are needed")
 	}
 	return Common{
-		process:     p,
-		region:      region,
-		regions:     regions,
-		shards:      shards,
-		zone:        zone,
-		linkAddress: linkAddress,
-		httpAddress: httpAddress,
-		store:       s,
-		log:         log,
-		now:         time.Now,
-		cellSize:    DefaultCellSize,
-		metrics:     metric.NewSet(),
+		process:       p,
+		region:        region,
+		regions:       regions,
+		shards:        shards,
+		zone:          zone,
+		linkAddress:   linkAddress,
+		httpAddress:   httpAddress,
+		store:         s,
+		log:           log,
+		now:           time.Now,
+		cellSize:      DefaultCellSize,
+		metrics:       metric.NewSet(),
+		transferLimit: usualTransferLimit,
 	}, nil
 }
 
@@ -115,6 +122,7 @@
 		_ = links.Close()
 		return nil, nil, nil, err
 	}
+	pages = c.securePages(pages)
 	return links, pages, func() {
 		_ = links.Close()
 		_ = pages.Close()
@@ -194,8 +202,8 @@
 }
 
 // serveLinks returns a duty that serves the links of other processes.
-func serveLinks(l net.Listener, register func(*grpc.Server)) (duty.Duty, func(), error) {
-	g := grpc.NewServer(grpc.MaxRecvMsgSize(maxStreamBytes), grpc.MaxSendMsgSize(maxStreamBytes))
+func (c Common) serveLinks(l net.Listener, register func(*grpc.Server)) (duty.Duty, func(), error) {
+	g := grpc.NewServer(append(c.linkOptions(), grpc.MaxRecvMsgSize(maxStreamBytes), grpc.MaxSendMsgSize(maxStreamBytes))...)
 	register(g)
 	d, err := duty.New("links", "Accepts the streams of other processes.", nil, func(ctx context.Context) error {
 		ended := make(chan struct{})
@@ -220,10 +228,23 @@
 	}, err
 }
 
+// limitWrites ends the connection of a caller that does not read its answer. The
+// time counts from the first byte, since handlers wait for answers.
+func (c Common) limitWrites(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(ctx echo.Context) error {
+		rc := http.NewResponseController(ctx.Response())
+		ctx.Response().Before(func() {
+			_ = rc.SetWriteDeadline(time.Now().Add(c.transferLimit))
+		})
+		return next(ctx)
+	}
+}
+
 // newEcho returns an HTTP router with the pages that every process has.
 func (c Common) newEcho(ready func() bool) *echo.Echo {
 	e := echo.New()
 	e.HTTPErrorHandler = c.handleError
+	e.Use(c.limitWrites)
 	e.HideBanner = true
 	e.HidePort = true
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
--- a/internal/process/role/host/problem.go
+++ b/internal/process/role/host/problem.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -36,6 +37,7 @@
 // badRequest is a request that was refused before it reached a decision.
 type badRequest struct {
 	status int
+	reason answer.Reason
 	field  string
 	detail string
 }
@@ -51,11 +53,22 @@
 func bad(status int, field, format string, args ...any) error {
 	return &badRequest{
 		status: status,
+		reason: answer.InvalidRequest,
 		field:  field,
 		detail: fmt.Sprintf(format, args...),
 	}
 }
 
+// forbidden is the refusal of a request that its token does not allow.
+func forbidden(status int, detail string) error {
+	return &badRequest{
+		status: status,
+		reason: answer.NotAllowed,
+		field:  "authorization",
+		detail: detail,
+	}
+}
+
 // fields names the part of the request that a reason is about.
 var fields = map[answer.Reason]string{
 	answer.KeyExpired:  "key",
@@ -65,13 +78,20 @@
 	answer.UnknownTeam: "team",
 	answer.UnknownKind: "kind",
 	answer.FitsNowhere: "kind",
+	// The owner refuses a job whose deadline is over when it comes.
+	answer.DeadlinePassed: "deadline_ms",
 	// The only request that a decision finds invalid has too many or too large tasks.
 	answer.InvalidRequest: "tasks",
 }
 
 func refuse(c echo.Context, s identity.Submission, a answer.Answer) error {
+	status := a.Reason().Entry().Status()
+	if status < http.StatusBadRequest {
+		// The reason is one of failed jobs, which are answered with 200.
+		status = http.StatusUnprocessableEntity
+	}
 	return writeProblem(c, problemDocument{
-		Status:       a.Reason().Entry().Status(),
+		Status:       status,
 		Detail:       a.Detail(),
 		Submission:   s.String(),
 		Reason:       a.Reason().String(),
@@ -108,7 +128,7 @@
 
 // handleError writes the errors of handlers and of the router as problems.
 func (c Common) handleError(err error, ctx echo.Context) {
-	if ctx.Response().Committed || ctx.Request().Context().Err() != nil {
+	if ctx.Response().Committed {
 		return
 	}
 	d := problemDocument{
@@ -123,11 +143,13 @@
 		d.Status = b.status
 		d.Detail = b.Error()
 		d.Field = b.field
-		d.Reason = answer.InvalidRequest.String()
+		d.Reason = b.reason.String()
 	case errors.As(err, &h) && h.Code < http.StatusInternalServerError:
 		d.Status = h.Code
 		d.Reason = answer.InvalidRequest.String()
 		d.Field, d.Detail = routeFault(ctx, h.Code)
+	case errors.Is(err, context.Canceled):
+		// The caller has gone; whatever is written, nobody reads it.
 	default:
 		c.log.WithError(err).Error("request failed")
 	}
--- a/internal/process/role/local/shutdown_test.go
+++ b/internal/process/role/local/shutdown_test.go
@@ -77,6 +77,8 @@
 				waitClosed(t, strings.TrimPrefix(s.Entries()[1], "http://"))
 				So(time.Since(began), ShouldBeLessThan, host.DrainLimit+time.Second+web.ShutdownLimit)
 				<-stopped
+				// The agents stop after the entries and wait for the task, too.
+				So(time.Since(began), ShouldBeLessThan, host.DrainLimit+5*time.Second+host.AgentDrainLimit)
 			})
 		})
 	}
--- a/internal/process/role/owner/snapshot.go
+++ b/internal/process/role/owner/snapshot.go
@@ -9,22 +9,23 @@
 
 // Snapshot is a count of the owner's state for the dump. It holds no payloads.
 type Snapshot struct {
-	leased    bool
-	shards    int
-	sealing   int
-	gaps      int
-	held      int
-	live      int
-	remnants  int
-	waiting   [configuration.Urgencies]int
-	open      int
-	agents    int
-	asleep    int
-	ejected   int
-	departed  int
-	timers    int
-	bytes     int
-	oldestNow time.Duration
+	leased     bool
+	shards     int
+	sealing    int
+	gaps       int
+	held       int
+	live       int
+	remnants   int
+	waiting    [configuration.Urgencies]int
+	open       int
+	agents     int
+	asleep     int
+	ejected    int
+	departed   int
+	timers     int
+	bytes      int
+	kept       int
+	oldestWait time.Duration
 }
 
 // Snapshot counts the owner's state.
@@ -40,6 +41,7 @@
 		departed: len(o.departed),
 		timers:   o.timers.Len(),
 		bytes:    o.waiting.bytes,
+		kept:     o.kept,
 	}
 	for _, h := range o.shards {
 		if !h.ready {
@@ -55,7 +57,7 @@
 		for c := queue.Class(0); c < queue.Classes; c++ {
 			n, oldest := svc.queue.Waiting(now, c)
 			s.waiting[c.Urgency()] += n
-			s.oldestNow = max(s.oldestNow, oldest)
+			s.oldestWait = max(s.oldestWait, oldest)
 		}
 	}
 	return s
@@ -104,7 +106,7 @@
 
 // Oldest is the wait of the oldest waiting task.
 func (s Snapshot) Oldest() time.Duration {
-	return s.oldestNow
+	return s.oldestWait
 }
 
 // Open is the number of starts without a result.
@@ -141,3 +143,8 @@
 func (s Snapshot) WaitingBytes() int {
 	return s.bytes
 }
+
+// KeptBytes is the size of the results kept for resubmissions.
+func (s Snapshot) KeptBytes() int {
+	return s.kept
+}
