Bound the store stand-in and test the membership against store faults

Cause: the stand-in kept every deleted key for ever, and could not answer an old value; nothing checked that a successor waits for the end of an outage. Change: the stand-in keeps 256 deletions by key and one index for older ones, and can repeat old answers (old_answer). Agents join with lost, old, slow and missing answers over the real store protocol. One more test under the virtual clock: the store comes back for all but one directory.

--- a/internal/process/role/directory/directory_test.go
+++ b/internal/process/role/directory/directory_test.go
@@ -125,3 +125,42 @@
 		}
 	})
 }
+
+// Guards against a directory that declares members lost whom its predecessor,
+// still without the store, goes on confirming by old reports of the outage.
+func TestSuccessorWaitsForTheOutageToEndEverywhere(t *testing.T) {
+	Convey("The store comes back for all but one directory", t, func() {
+		for seed := uint64(1); seed <= 8; seed++ {
+			s := newSimulation(t, seed, 64)
+			s.fleetOf(4, 4)
+			s.until(20*time.Second, "start", s.allServed)
+			s.run(10 * time.Second)
+			cell := s.cells()[0]
+			former := s.holder(cell)
+			var inCell []*node
+			for _, n := range s.nodes {
+				if n.member.Cell() == cell && n != former {
+					inCell = append(inCell, n)
+				}
+			}
+			follower, successor := inCell[0], inCell[1]
+			back := false
+			s.cut = func(a, b *node) bool {
+				pair := func(x, y *node) bool { return (a == x && b == y) || (a == y && b == x) }
+				if pair(former, successor) || pair(follower, successor) {
+					return true
+				}
+				return back && b == former && a != follower && a != former
+			}
+			s.store.down = true
+			s.run(5 * time.Second)
+			s.store.down = false
+			former.noStore = true
+			back = true
+			term := s.store.cells[cell].Term()
+			s.until(6*time.Second, "successor", func() bool { return s.store.cells[cell].Term() > term })
+			s.run(15 * time.Second)
+			So(s.allServed(), ShouldBeTrue)
+		}
+	})
+}
--- a/internal/process/role/host/station_test.go
+++ b/internal/process/role/host/station_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,6 +23,7 @@
 
 type platform struct {
 	t     *testing.T
+	kv    *keyvalue.Store
 	url   string
 	store *store.Store
 }
@@ -48,6 +50,7 @@
 	t.Cleanup(cleanup)
 	return &platform{
 		t:     t,
+		kv:    s,
 		url:   server.URL,
 		store: st,
 	}
@@ -96,6 +99,19 @@
 	}
 }
 
+// endAll ends agents at the same time and waits for them.
+func endAll(ends []func()) {
+	var all sync.WaitGroup
+	for _, end := range ends {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			end()
+		}()
+	}
+	all.Wait()
+}
+
 // loads counts the shards of each live owner.
 func (p *platform) loads() map[string]int {
 	pairs, index, err := p.store.List(context.Background(), wire.FleetPrefix)
@@ -150,12 +166,7 @@
 		ends[0]()
 		t.Logf("left after %v: %v", time.Since(began), p.loads())
 		So(p.loads()["a0"], ShouldEqual, 0)
-		for _, end := range ends[1:] {
-			go end()
-		}
-		for _, end := range ends[1:] {
-			end()
-		}
+		endAll(ends[1:])
 		t.Logf("all left after %v", time.Since(began))
 	})
 }
@@ -236,3 +247,32 @@
 		t.Logf("entry ready %v after the first version", time.Since(began))
 	})
 }
+
+// Guards against agents that stay out, or shards without owner, after store
+// answers that were lost once the change took effect, or that were old.
+func TestAgentsJoinUnderStoreFaults(t *testing.T) {
+	for name, f := range map[string]keyvalue.Faults{
+		"lost answers":         keyvalue.NewFaults(false, 0, 4),
+		"old answers":          keyvalue.NewFaults(false, 0, 0).WithOldAnswers(6),
+		"slow answers":         keyvalue.NewFaults(false, 150*time.Millisecond, 0),
+		"slow, lost and old":   keyvalue.NewFaults(false, 50*time.Millisecond, 4).WithOldAnswers(6),
+		"down, then available": keyvalue.NewFaults(true, 0, 0),
+	} {
+		t.Run(name, func(t *testing.T) {
+			Convey(name, t, func() {
+				p := newPlatform(t)
+				ends := []func(){p.start("a0", "a", 1)}
+				p.await(10*time.Second, func(n map[string]int) bool { return n["a0"] == 64 })
+				So(p.kv.SetFaults(context.Background(), f), ShouldBeNil)
+				ends = append(ends, p.start("a1", "a", 2), p.start("b0", "b", 3))
+				defer endAll(ends)
+				time.Sleep(time.Second)
+				if name == "down, then available" {
+					So(p.kv.SetFaults(context.Background(), keyvalue.NewFaults(false, 0, 0)), ShouldBeNil)
+				}
+				d := p.await(20*time.Second, func(n map[string]int) bool { return n["a0"] >= 10 && n["a1"] >= 10 && n["b0"] >= 10 })
+				t.Logf("%s: spread over all agents after %v", name, d+time.Second)
+			})
+		})
+	}
+}
--- a/internal/process/standin/keyvalue/keyvalue.go
+++ b/internal/process/standin/keyvalue/keyvalue.go
@@ -4,22 +4,14 @@
 // uses: sessions with a time to live, check-and-set by modify index, acquiring a
 // key with a session, and blocking queries. One goroutine owns the data; each
 // HTTP request is a message to it. Faults can be switched on: no answer, slow
-// answers, and answers lost after the change took effect.
+// answers, answers lost after the change took effect, and old answers to reads.
 package keyvalue
 
 import (
 	"context"
-	"encoding/base64"
-	"encoding/json"
-	"io"
-	"net/http"
-	"sort"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
-	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
 	"greengagedoor.example/greengagedoor/internal/process/ring"
@@ -31,6 +23,11 @@
 	ringSize      = 4096
 	maxWait       = time.Minute
 	sweepInterval = 100 * time.Millisecond
+	// maxTombstones bounds the deletions that are kept by key. Older ones count for
+	// every prefix, which wakes some blocking queries without a change.
+	maxTombstones = 256
+	// maxFormer bounds the answers that are kept for the fault of old answers.
+	maxFormer = 256
 )
 
 type entry struct {
@@ -85,8 +82,17 @@
 	return c.waiting
 }
 
+// listed is an answer to a read.
+type listed struct {
+	pairs  []pair
+	newest uint64
+}
+
 type data struct {
 	index    uint64
+	former   map[string]listed
+	deleted  []tombstone
+	pruned   uint64
 	entries  map[string]*entry
 	sessions map[string]*session
 	counts   Counts
@@ -94,8 +100,29 @@
 	waiters  []*call
 }
 
+// tombstone is a deleted key with the index of its deletion.
+type tombstone struct {
+	key   string
+	index uint64
+}
+
+// remove deletes a key.
+func (d *data) remove(key string) {
+	d.index++
+	delete(d.entries, key)
+	d.deleted = append(d.deleted, tombstone{
+		key:   key,
+		index: d.index,
+	})
+	if len(d.deleted) > maxTombstones {
+		d.pruned = d.deleted[0].index
+		d.deleted = append([]tombstone(nil), d.deleted[1:]...)
+	}
+}
+
 // Faults are what the stand-in does wrong.
 type Faults struct {
+	oldAnswer  int
 	down       bool
 	delay      time.Duration
 	loseAnswer int
@@ -111,6 +138,13 @@
 	}
 }
 
+// WithOldAnswers has that many coming reads answered with what an earlier read of
+// the same keys was answered.
+func (f Faults) WithOldAnswers(n int) Faults {
+	f.oldAnswer = n
+	return f
+}
+
 // Store is the stand-in.
 type Store struct {
 	ring *ring.Ring[*call]
@@ -133,6 +167,7 @@
 func (s *Store) Run(ctx context.Context) error {
 	d := &data{
 		index:    1,
+		former:   map[string]listed{},
 		entries:  map[string]*entry{},
 		sessions: map[string]*session{},
 	}
@@ -169,15 +204,19 @@
 	return indexOf(d, c.key, c.prefix) > c.index
 }
 
-// indexOf is the newest index under a key. Deletions count for prefixes through
-// a tombstone entry without value.
+// indexOf is the newest index under a key, deletions included.
 func indexOf(d *data, key string, prefix bool) uint64 {
-	var newest uint64
-	if !prefix {
-		if e, ok := d.entries[key]; ok {
-			return e.modify
+	newest := d.pruned
+	if e, ok := d.entries[key]; ok && !prefix {
+		return max(newest, e.modify)
+	}
+	for _, t := range d.deleted {
+		if t.key == key || (prefix && strings.HasPrefix(t.key, key)) {
+			newest = max(newest, t.index)
 		}
-		return 0
+	}
+	if !prefix {
+		return newest
 	}
 	for k, e := range d.entries {
 		if strings.HasPrefix(k, key) {
@@ -228,12 +267,9 @@
 // drop ends a session; the keys that it acquired are deleted.
 func drop(d *data, id string) {
 	delete(d.sessions, id)
-	for _, e := range d.entries {
+	for key, e := range d.entries {
 		if e.session == id {
-			d.index++
-			e.value = nil
-			e.session = ""
-			e.modify = d.index
+			d.remove(key)
 		}
 	}
 }
@@ -266,307 +302,3 @@
 	})
 	return counts, err
 }
-
-// Register adds the HTTP interface to a server.
-func (s *Store) Register(e *echo.Echo) {
-	e.GET("/v1/kv/*", s.guarded(false, s.get))
-	e.PUT("/v1/kv/*", s.guarded(true, s.put))
-	e.DELETE("/v1/kv/*", s.guarded(true, s.remove))
-	e.PUT("/v1/session/create", s.guarded(true, s.createSession))
-	e.PUT("/v1/session/renew/:id", s.guarded(true, s.renewSession))
-	e.PUT("/v1/session/destroy/:id", s.guarded(true, s.destroySession))
-	e.PUT("/standin/faults", s.putFaults)
-	e.GET("/standin/counts", s.getCounts)
-}
-
-func (s *Store) guarded(write bool, h echo.HandlerFunc) echo.HandlerFunc {
-	return func(c echo.Context) error {
-		ctx := c.Request().Context()
-		var f Faults
-		lose := false
-		err := s.call(ctx, &call{
-			do: func(d *data) {
-				f = d.faults
-				if write {
-					d.counts.writes++
-				} else {
-					d.counts.reads++
-				}
-				if write && d.faults.loseAnswer > 0 {
-					d.faults.loseAnswer--
-					lose = true
-				}
-			},
-		})
-		if err != nil {
-			return err
-		}
-		if f.down {
-			return c.String(http.StatusInternalServerError, "no leader")
-		}
-		if f.delay > 0 {
-			select {
-			case <-time.After(f.delay):
-			case <-ctx.Done():
-				return ctx.Err()
-			}
-		}
-		if !lose {
-			return h(c)
-		}
-		return s.lost(c, h)
-	}
-}
-
-// lost carries out the change and closes the connection without its answer.
-func (s *Store) lost(c echo.Context, h echo.HandlerFunc) error {
-	answer := c.Response().Writer
-	c.Response().Writer = &discard{
-		header: http.Header{},
-	}
-	if err := h(c); err != nil {
-		return err
-	}
-	c.Response().Writer = answer
-	panic(http.ErrAbortHandler)
-}
-
-// discard is a response that nobody will see.
-type discard struct {
-	header http.Header
-}
-
-// Header is the header that nobody will see.
-func (d *discard) Header() http.Header {
-	return d.header
-}
-
-// Write drops p.
-func (d *discard) Write(p []byte) (int, error) {
-	return len(p), nil
-}
-
-// WriteHeader drops the status.
-func (d *discard) WriteHeader(int) {}
-
-func (s *Store) get(c echo.Context) error {
-	key := c.Param("*")
-	prefix := c.QueryParams().Has("recurse")
-	index, _ := strconv.ParseUint(c.QueryParam("index"), 10, 64)
-	wait, err := time.ParseDuration(c.QueryParam("wait"))
-	if err != nil || wait > maxWait {
-		wait = maxWait
-	}
-	var pairs []pair
-	var newest uint64
-	err = s.call(c.Request().Context(), &call{
-		key:    key,
-		prefix: prefix,
-		index:  index,
-		until:  s.now().Add(wait),
-		do: func(d *data) {
-			pairs = find(d, key, prefix)
-			newest = max(indexOf(d, key, prefix), 1)
-		},
-	})
-	if err != nil {
-		return err
-	}
-	c.Response().Header().Set("X-Consul-Index", strconv.FormatUint(newest, 10))
-	if len(pairs) == 0 {
-		return c.NoContent(http.StatusNotFound)
-	}
-	return c.JSON(http.StatusOK, pairs)
-}
-
-func find(d *data, key string, prefix bool) []pair {
-	var pairs []pair
-	for k, e := range d.entries {
-		if e.value == nil || (k != key && !(prefix && strings.HasPrefix(k, key))) {
-			continue
-		}
-		v := base64.StdEncoding.EncodeToString(e.value)
-		pairs = append(pairs, pair{
-			Key:         k,
-			Value:       &v,
-			CreateIndex: e.create,
-			ModifyIndex: e.modify,
-			Session:     e.session,
-		})
-	}
-	sort.Slice(pairs, func(i, j int) bool { return pairs[i].Key < pairs[j].Key })
-	return pairs
-}
-
-func (s *Store) put(c echo.Context) error {
-	body, err := io.ReadAll(io.LimitReader(c.Request().Body, MaxValueBytes+1))
-	if err != nil {
-		return errors.Wrap(err, "read value")
-	}
-	if len(body) > MaxValueBytes {
-		return c.String(http.StatusRequestEntityTooLarge, "value exceeds the limit")
-	}
-	key := c.Param("*")
-	done := false
-	err = s.call(c.Request().Context(), &call{
-		do: func(d *data) { done = put(d, c, key, body) },
-	})
-	if err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, done)
-}
-
-func put(d *data, c echo.Context, key string, body []byte) bool {
-	e := d.entries[key]
-	if c.QueryParams().Has("cas") {
-		want, err := strconv.ParseUint(c.QueryParam("cas"), 10, 64)
-		if err != nil {
-			return false
-		}
-		var have uint64
-		if e != nil && e.value != nil {
-			have = e.modify
-		}
-		if have != want {
-			return false
-		}
-	}
-	id := c.QueryParam("acquire")
-	if id != "" {
-		if d.sessions[id] == nil || (e != nil && e.session != "" && e.session != id) {
-			return false
-		}
-	}
-	if id := c.QueryParam("release"); id != "" {
-		return release(d, e, id)
-	}
-	if e == nil {
-		e = &entry{}
-		d.entries[key] = e
-	}
-	d.index++
-	if e.value == nil {
-		e.create = d.index
-	}
-	e.value = append([]byte{}, body...)
-	e.modify = d.index
-	if id != "" {
-		e.session = id
-	}
-	return true
-}
-
-// release keeps the key without holder.
-func release(d *data, e *entry, id string) bool {
-	if e == nil || e.session != id {
-		return false
-	}
-	d.index++
-	e.session = ""
-	e.modify = d.index
-	return true
-}
-
-func (s *Store) remove(c echo.Context) error {
-	key := c.Param("*")
-	err := s.call(c.Request().Context(), &call{
-		do: func(d *data) {
-			if e, ok := d.entries[key]; ok && e.value != nil {
-				d.index++
-				e.value = nil
-				e.session = ""
-				e.modify = d.index
-			}
-		},
-	})
-	if err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, true)
-}
-
-func (s *Store) createSession(c echo.Context) error {
-	var body struct {
-		TTL string `json:"TTL"`
-	}
-	if err := json.NewDecoder(c.Request().Body).Decode(&body); err != nil {
-		return c.String(http.StatusBadRequest, err.Error())
-	}
-	ttl, err := time.ParseDuration(body.TTL)
-	if err != nil || ttl <= 0 {
-		return c.String(http.StatusBadRequest, "TTL is not a positive duration")
-	}
-	id := uuid.NewString()
-	err = s.call(c.Request().Context(), &call{
-		do: func(d *data) {
-			d.sessions[id] = &session{
-				ttl:     ttl,
-				expires: s.now().Add(ttl),
-			}
-		},
-	})
-	if err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, map[string]string{"ID": id})
-}
-
-func (s *Store) renewSession(c echo.Context) error {
-	id := c.Param("id")
-	found := false
-	err := s.call(c.Request().Context(), &call{
-		do: func(d *data) {
-			x, ok := d.sessions[id]
-			if !ok {
-				return
-			}
-			found = true
-			x.expires = s.now().Add(x.ttl)
-		},
-	})
-	if err != nil {
-		return err
-	}
-	if !found {
-		return c.NoContent(http.StatusNotFound)
-	}
-	return c.JSON(http.StatusOK, []map[string]string{{"ID": id}})
-}
-
-func (s *Store) destroySession(c echo.Context) error {
-	err := s.call(c.Request().Context(), &call{
-		do: func(d *data) { drop(d, c.Param("id")) },
-	})
-	if err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, true)
-}
-
-func (s *Store) putFaults(c echo.Context) error {
-	var body struct {
-		Down       bool `json:"down"`
-		DelayMS    int  `json:"delay_ms"`
-		LoseAnswer int  `json:"lose_answer"`
-	}
-	if err := json.NewDecoder(c.Request().Body).Decode(&body); err != nil {
-		return c.String(http.StatusBadRequest, err.Error())
-	}
-	if err := s.SetFaults(c.Request().Context(), NewFaults(body.Down, time.Duration(body.DelayMS)*time.Millisecond, body.LoseAnswer)); err != nil {
-		return err
-	}
-	return c.NoContent(http.StatusNoContent)
-}
-
-func (s *Store) getCounts(c echo.Context) error {
-	n, err := s.Counts(c.Request().Context())
-	if err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, map[string]int64{
-		"reads":   n.reads,
-		"writes":  n.writes,
-		"waiting": n.waiting,
-	})
-}
