--- a/internal/process/role/host/problem.go
+++ b/internal/process/role/host/problem.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -77,13 +78,20 @@
 	answer.UnknownTeam: "team",
 	answer.UnknownKind: "kind",
 	answer.FitsNowhere: "kind",
+	// The owner refuses a job whose deadline is over when it comes.
+	answer.DeadlinePassed: "deadline_ms",
 	// The only request that a decision finds invalid has too many or too large tasks.
 	answer.InvalidRequest: "tasks",
 }
 
 func refuse(c echo.Context, s identity.Submission, a answer.Answer) error {
+	status := a.Reason().Entry().Status()
+	if status < http.StatusBadRequest {
+		// The reason is one of failed jobs, which are answered with 200.
+		status = http.StatusUnprocessableEntity
+	}
 	return writeProblem(c, problemDocument{
-		Status:       a.Reason().Entry().Status(),
+		Status:       status,
 		Detail:       a.Detail(),
 		Submission:   s.String(),
 		Reason:       a.Reason().String(),
@@ -120,7 +128,7 @@
 
 // handleError writes the errors of handlers and of the router as problems.
 func (c Common) handleError(err error, ctx echo.Context) {
-	if ctx.Response().Committed || ctx.Request().Context().Err() != nil {
+	if ctx.Response().Committed {
 		return
 	}
 	d := problemDocument{
@@ -140,6 +148,8 @@
 		d.Status = h.Code
 		d.Reason = answer.InvalidRequest.String()
 		d.Field, d.Detail = routeFault(ctx, h.Code)
+	case errors.Is(err, context.Canceled):
+		// The caller has gone; whatever is written, nobody reads it.
 	default:
 		c.log.WithError(err).Error("request failed")
 	}
