Report a lasting certificate fault once

Cause: a certificate file that cannot be used was logged every 2 s. Change: a fault is reported when it appears or changes. Checked: go test -race ./internal/process/certificate passes with two looks at each broken file. Before, a trial on loopback with TLS on all listeners showed jobs complete with the first and with a replaced certificate, the former certificate refused, and the replaced one kept while its file was broken; the fault stood in the log twice within 3 s.

--- a/internal/process/certificate/certificate.go
+++ b/internal/process/certificate/certificate.go
@@ -69,6 +69,8 @@
 	files  Files
 	report func(error)
 	loaded atomic.Pointer[loaded]
+	// fault is the last one reported. Only the goroutine of Run uses it.
+	fault string
 }
 
 // New reads the files, which must be usable at the start. Report is told of later
@@ -98,11 +100,18 @@
 	}
 }
 
-// Refresh reads the files at once and takes them if they are usable.
+// Refresh reads the files at once and takes them if they are usable. A fault that
+// lasts is reported once. It must not be called beside Run.
 func (k *Keeper) Refresh() {
-	if changed, err := k.reload(); changed || err != nil {
+	changed, err := k.reload()
+	fault := ""
+	if err != nil {
+		fault = err.Error()
+	}
+	if changed || fault != "" && fault != k.fault {
 		k.report(err)
 	}
+	k.fault = fault
 }
 
 func (k *Keeper) reload() (changed bool, err error) {
--- a/internal/process/certificate/certificate_test.go
+++ b/internal/process/certificate/certificate_test.go
@@ -103,6 +103,7 @@
 			saved := must(os.ReadFile(filepath.Join(dir, name)))
 			So(os.WriteFile(filepath.Join(dir, name), saved[:10], 0o600), ShouldBeNil)
 			k.Refresh()
+			k.Refresh()
 			So(meet(k, k), ShouldBeNil)
 			So(os.WriteFile(filepath.Join(dir, name), saved, 0o600), ShouldBeNil)
 		}
