Let the owner's state machine get past long exchanges

Cause: with the owner's handling of records, lost agents or departed members taken out, the state machine still passed: single deliveries seldom bring a seal, its records and a resubmission to their end within one case.

Change: the machine has a step that delivers everything, and changes the owner more often.

Ruled out: more cases, since 3,000 cases of 100 steps found none of the three.

--- a/internal/process/role/owner/oracle_test.go
+++ b/internal/process/role/owner/oracle_test.go
@@ -55,6 +55,7 @@
 			"deliver":  m.deliver,
 			"report":   m.report,
 			"finish":   m.finish,
+			"settle":   m.settle,
 			"advance":  m.advance,
 			"kill":     m.kill,
 			"failover": m.failover,
@@ -102,6 +103,13 @@
 	m.w.deliver(m.agent(t))
 }
 
+// settle delivers everything, so that the machine gets past long exchanges.
+func (m *machine) settle(*rapid.T) {
+	m.w.hold = false
+	m.w.settle()
+	m.w.hold = true
+}
+
 func (m *machine) report(t *rapid.T) {
 	m.w.report(m.agent(t))
 }
@@ -139,7 +147,7 @@
 
 // failover replaces the owner 2 s after its last start, as the directory does.
 func (m *machine) failover(t *rapid.T) {
-	if rapid.IntRange(0, 4).Draw(t, "rarely") > 0 {
+	if rapid.IntRange(0, 2).Draw(t, "rarely") > 0 {
 		t.Skip("seldom")
 	}
 	for _, a := range m.w.agents {
