--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -32,7 +32,7 @@
 	// IdleLimit closes the streams of a link on which neither side sent a body.
 	IdleLimit = time.Minute
 	// Window is the largest number of bodies without acknowledgement.
-	Window = 4096
+	Window = 2048
 	// WindowBytes bounds their size, for a peer that never comes back.
 	WindowBytes = 16 << 20
 	// acknowledgeEvery bounds the bodies that a peer must keep when traffic flows
--- a/internal/process/role/host/host.go
+++ b/internal/process/role/host/host.go
@@ -21,6 +21,7 @@
 	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/metric"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
+	"greengagedoor.example/greengagedoor/internal/process/role/network"
 	"greengagedoor.example/greengagedoor/internal/process/store"
 	"greengagedoor.example/greengagedoor/internal/process/web"
 )
@@ -30,9 +31,8 @@
 
 // The sizes and times that all processes share.
 const (
-	roleRingSize   = 8192
-	wakeInterval   = 50 * time.Millisecond
-	maxStreamBytes = 16 << 20
+	roleRingSize = 8192
+	wakeInterval = 50 * time.Millisecond
 )
 
 // Common are the settings that every process has.
@@ -184,7 +184,7 @@
 
 // serveLinks returns a duty that serves the links of other processes.
 func serveLinks(l net.Listener, register func(*grpc.Server)) (duty.Duty, func(), error) {
-	g := grpc.NewServer(grpc.MaxRecvMsgSize(maxStreamBytes), grpc.MaxSendMsgSize(maxStreamBytes))
+	g := grpc.NewServer(network.ServerOptions()...)
 	register(g)
 	d, err := duty.New("links", "Accepts the streams of other processes.", nil, func(ctx context.Context) error {
 		ended := make(chan struct{})
--- a/internal/process/role/network/network.go
+++ b/internal/process/role/network/network.go
@@ -381,7 +381,8 @@
 	if !ok || n.cut(l.Peer()) {
 		return
 	}
-	if err := s.out.TryPush(e.Frame()); err != nil {
+	f := e.Frame()
+	if err := s.out.TryPush(&f); err != nil {
 		n.log.WithField("peer", l.Peer().String()).Warn("stream takes no more frames, closing it")
 		s.close()
 	}
--- a/internal/process/role/network/network_test.go
+++ b/internal/process/role/network/network_test.go
@@ -72,7 +72,7 @@
 		defer close(done)
 		_ = carrier.Run(ctx)
 	}()
-	g := grpc.NewServer()
+	g := grpc.NewServer(network.ServerOptions()...)
 	carrier.Register(g)
 	served := make(chan struct{})
 	go func() {
--- a/internal/process/role/network/stream.go
+++ b/internal/process/role/network/stream.go
@@ -17,6 +17,15 @@
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 )
 
+const (
+	// streamSize leaves room for a whole window that is sent again and for what
+	// comes meanwhile.
+	streamSize = 2 * link.Window
+	// bufferBytes is small, since most frames have some hundred bytes and a process
+	// has links to dozens of others.
+	bufferBytes = 4 << 10
+)
+
 // maxFrameBytes bounds a frame: a job of 1,100 tasks with its payloads.
 const maxFrameBytes = 16 << 20
 
@@ -39,7 +48,7 @@
 // stream is one gRPC stream with its reader and writer.
 type stream struct {
 	id      link.Stream
-	out     *ring.Ring[link.Frame]
+	out     *ring.Ring[*link.Frame]
 	stop    context.CancelFunc
 	flushed chan struct{}
 	drain   chan struct{}
@@ -58,7 +67,7 @@
 var streamNumbers atomic.Uint64
 
 func newStream(stop context.CancelFunc) (*stream, error) {
-	out, err := ring.New[link.Frame]("stream", link.Window+ringSize)
+	out, err := ring.New[*link.Frame]("stream", streamSize)
 	if err != nil {
 		return nil, err
 	}
@@ -179,7 +188,7 @@
 }
 
 // put sends a frame; the credit is issued here, as late as possible.
-func (n *Network) put(s *stream, x exchange, f link.Frame) bool {
+func (n *Network) put(s *stream, x exchange, f *link.Frame) bool {
 	hint, has := f.Hint()
 	err := x.send(&linkpb.Frame{
 		Sequence: f.Sequence(),
@@ -195,6 +204,16 @@
 	return err == nil
 }
 
+// ServerOptions are what a gRPC server of links needs.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(maxFrameBytes),
+		grpc.MaxSendMsgSize(maxFrameBytes),
+		grpc.ReadBufferSize(bufferBytes),
+		grpc.WriteBufferSize(bufferBytes),
+	}
+}
+
 // Service is the gRPC server of the links.
 type Service struct {
 	linkpb.UnimplementedLinkServer
@@ -247,6 +266,8 @@
 		stop:    stop,
 		options: []grpc.DialOption{
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithReadBufferSize(bufferBytes),
+			grpc.WithWriteBufferSize(bufferBytes),
 			grpc.WithConnectParams(grpc.ConnectParams{
 				Backoff:           backoff.DefaultConfig,
 				MinConnectTimeout: connectLimit,
