--- a/internal/process/role/host/entry.go
+++ b/internal/process/role/host/entry.go
@@ -10,7 +10,6 @@
 	"google.golang.org/grpc"
 
 	"greengagedoor.example/greengagedoor/internal/process/duty"
-	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/membership"
 	"greengagedoor.example/greengagedoor/internal/process/metric"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
@@ -32,7 +31,9 @@
 	table    *duty.Table
 	entry    *role
 	network  *network.Network
+	station  *station
 	ready    atomic.Bool
+	current  atomic.Pointer[configuration.Configuration]
 	drained  chan struct{}
 	requests atomic.Uint64
 	links    net.Listener
@@ -88,31 +89,45 @@
 	e.entry.snapshot = func() any { return decision.Snapshot() }
 	e.network, cleanup, err = network.New(e.common.process, e.common.linkAddress, network.Seams{
 		Now:         e.common.now,
-		Deliver:     func(ctx context.Context, v any) { _ = e.entry.ring.Push(ctx, v) },
+		Secure:      e.common.openSecure(),
+		Deliver:     e.deliver,
 		Undelivered: func(ctx context.Context, u message.Undelivered) { _ = e.entry.ring.Push(ctx, u) },
 	}, e.common.log)
 	if err != nil {
 		return err
 	}
 	e.cleanups = append(e.cleanups, cleanup)
+	e.station, err = newStation(e.common, false, e.network.Post, e.publish, func() uint32 { return 0 })
+	if err != nil {
+		return err
+	}
 	return e.duties()
 }
 
+func (e *Entry) deliver(ctx context.Context, v any) {
+	if r, ok := v.(message.Received); ok && e.station.deliver(ctx, r) {
+		return
+	}
+	_ = e.entry.ring.Push(ctx, v)
+}
+
 func (e *Entry) duties() error {
-	reg := &registry{
-		common:  e.common,
-		network: e.network,
-		publish: e.publish,
-		owned:   map[identity.Shard]bool{},
-		routes:  map[identity.Shard]identity.Process{},
-	}
-	links, cleanup, err := serveLinks(e.links, func(g *grpc.Server) { e.network.Register(g) })
+	links, cleanup, err := e.common.serveLinks(e.links, func(g *grpc.Server) { e.network.Register(g) })
 	if err != nil {
 		return err
 	}
 	e.cleanups = append(e.cleanups, cleanup)
 	router := e.common.newEcho(e.ready.Load)
-	e.register(router)
+	g := guard{
+		open:    e.common.openAccess(),
+		current: e.current.Load,
+	}
+	router.Use(g.debug)
+	e.register(router, g)
+	changes, err := e.admin(router, g)
+	if err != nil {
+		return err
+	}
 	if err := e.common.observe(router, func() *duty.Table { return e.table }, e.entry); err != nil {
 		return err
 	}
@@ -129,11 +144,16 @@
 	if err != nil {
 		return err
 	}
-	member, err := duty.New("member", "Follows configuration and shard map.", nil, reg.run)
+	members, err := e.station.duties()
 	if err != nil {
 		return err
 	}
-	e.table, err = duty.NewTable(carrier, links, decision, member, pages)
+	keepers, err := e.common.keepers()
+	if err != nil {
+		return err
+	}
+	all := append(keepers, carrier, links, decision, changes, pages)
+	e.table, err = duty.NewTable(append(all, members...)...)
 	return err
 }
 
@@ -176,6 +196,9 @@
 }
 
 func (e *Entry) publish(ctx context.Context, v any) {
+	if cfg, ok := v.(*configuration.Configuration); ok {
+		e.current.Store(cfg)
+	}
 	switch v.(type) {
 	case *configuration.Configuration, membership.Routes:
 		e.common.countVersion(v)
