--- a/internal/process/role/local/run.go
+++ b/internal/process/role/local/run.go
@@ -19,8 +19,8 @@
 	resendDelay   = 20 * time.Millisecond
 )
 
-// Ready waits until every entry takes jobs and knows shards of every agent, so
-// that no shard moves to an agent that joins after the first job.
+// Ready waits until every process takes work and every entry knows shards of
+// every agent, so that no shard moves to an agent that joins after the first job.
 func (s *System) Ready(ctx context.Context) error {
 	ticker := time.NewTicker(readyInterval)
 	defer ticker.Stop()
@@ -30,12 +30,27 @@
 		},
 	}
 	for _, e := range s.entries {
-		for e.Owners() < len(zones) || !answers(ctx, client, "http://"+e.HTTPAddress()+"/readyz") {
-			select {
-			case <-ticker.C:
-			case <-ctx.Done():
-				return errors.Wrap(ctx.Err(), "the system did not become ready")
-			}
+		err := until(ctx, ticker, func() bool { return e.Owners() >= len(zones) })
+		if err != nil {
+			return err
+		}
+	}
+	for _, url := range append(s.Entries(), s.Agents()...) {
+		err := until(ctx, ticker, func() bool { return answers(ctx, client, url+"/readyz") })
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// until asks at every tick until the answer is yes.
+func until(ctx context.Context, ticker *time.Ticker, ask func() bool) error {
+	for !ask() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "the system did not become ready")
 		}
 	}
 	return nil
