--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -166,7 +166,7 @@
 	a.cleanups = append(a.cleanups, cleanup)
 	e := a.common.newEcho(a.ready.Load)
 	e.POST("/v1/announce", a.announce)
-	if err := a.common.observe(e, func() *duty.Table { return a.table }, a.agent, a.owner); err != nil {
+	if err := a.common.observe(e, func() *duty.Table { return a.table }, a.agent, a.owner, a.station.member, a.station.directory); err != nil {
 		return err
 	}
 	pages, cleanup, err := web.Serve(a.pages, "http", "Serves callers, operators and targets.", e)
--- a/internal/process/role/host/entry.go
+++ b/internal/process/role/host/entry.go
@@ -128,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	if err := e.common.observe(router, func() *duty.Table { return e.table }, e.entry); err != nil {
+	if err := e.common.observe(router, func() *duty.Table { return e.table }, e.entry, e.station.member, e.station.directory); err != nil {
 		return err
 	}
 	pages, cleanup, err := web.Serve(e.pages, "http", "Serves callers, operators and targets.", router)
--- a/internal/process/role/host/observe.go
+++ b/internal/process/role/host/observe.go
@@ -29,7 +29,7 @@
 // a finding.
 func (r *role) section() []string {
 	if r.snapshot == nil {
-		return nil
+		return []string{"this decision has no snapshot"}
 	}
 	reply, err := ring.New[[]string]("inspect", 1)
 	if err != nil {
@@ -50,27 +50,35 @@
 	return []string{"the duty did not answer: " + err.Error()}
 }
 
-// describeValue lists the fields of a snapshot in snake case, one a line, and the
-// elements of a slice below the slice's name. Snapshots hold numbers and names.
+// describeValue lists the fields of a snapshot in snake case, one a line, and each
+// element of a slice of structs on a line of its own. Snapshots hold numbers and
+// names.
 func describeValue(name string, v reflect.Value) []string {
-	switch v.Kind() {
-	case reflect.Struct:
-		if v.Type() == reflect.TypeFor[time.Time]() {
-			break
+	switch {
+	case v.Type() == reflect.TypeFor[time.Time]():
+		// The fields of a decision are not exported, so the time cannot be formatted.
+		if v.IsZero() {
+			return []string{name + " = none"}
 		}
+		return []string{name + " = set"}
+	case v.Type() == reflect.TypeFor[time.Duration]():
+		return []string{fmt.Sprintf("%s = %v", name, time.Duration(v.Int()))}
+	case v.Kind() == reflect.Struct:
 		var lines []string
 		for i := range v.NumField() {
 			lines = append(lines, describeValue(join(name, snake(v.Type().Field(i).Name)), v.Field(i))...)
 		}
 		return lines
-	case reflect.Slice, reflect.Array:
-		if v.Type().Elem().Kind() == reflect.Struct {
-			var lines []string
-			for i := range v.Len() {
-				lines = append(lines, fmt.Sprintf("%s = %+v", name, v.Index(i)))
+	case v.Kind() == reflect.Slice && v.Type().Elem().Kind() == reflect.Struct:
+		var lines []string
+		for i := range v.Len() {
+			fields := describeValue("", v.Index(i))
+			for f, text := range fields {
+				fields[f] = strings.Replace(text, " = ", "=", 1)
 			}
-			return lines
+			lines = append(lines, name+" = "+strings.Join(fields, " "))
 		}
+		return lines
 	}
 	return []string{fmt.Sprintf("%s = %v", name, v)}
 }
@@ -190,6 +198,10 @@
 		sections = append(sections, s)
 	}
 	for _, r := range roles {
+		if r == nil {
+			// Only agents have a directory.
+			continue
+		}
 		s, err := dump.NewSection("role_"+r.name, "The state of this role's decision.", r.section)
 		if err != nil {
 			return nil, err
--- a/internal/process/role/local/docs_test.go
+++ b/internal/process/role/local/docs_test.go
@@ -115,6 +115,7 @@
 // TestCurlLines guards against lines on the page that the system answers in
 // another way than the page says.
 func TestCurlLines(t *testing.T) {
+	t.Parallel()
 	page, err := os.ReadFile(apiPage)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/process/role/local/observe_test.go
+++ b/internal/process/role/local/observe_test.go
@@ -15,6 +15,7 @@
 // TestPages guards against a process without its pages, a dump without its
 // sections, and payloads in dump or log.
 func TestPages(t *testing.T) {
+	t.Parallel()
 	const payload = "only-the-target-may-see-this"
 	var lines bytes.Buffer
 	s, stop := startStoppable(t, &lines)
--- a/internal/process/role/local/refusal_test.go
+++ b/internal/process/role/local/refusal_test.go
@@ -103,6 +103,7 @@
 // TestRefusals guards against bad input that is accepted, that gets an answer
 // without the field that is wrong, or that starts something.
 func TestRefusals(t *testing.T) {
+	t.Parallel()
 	s := start(t)
 	for name, tt := range refusals() {
 		t.Run(name, func(t *testing.T) {
@@ -124,6 +125,7 @@
 // TestKeyConflict guards against a key whose second body replaces or joins the
 // first.
 func TestKeyConflict(t *testing.T) {
+	t.Parallel()
 	s := start(t)
 	Convey("another body under a key is refused and leaves the answer as it is", t, func() {
 		key := keyAt(time.Now())
--- a/internal/process/role/local/session_test.go
+++ b/internal/process/role/local/session_test.go
@@ -83,6 +83,7 @@
 // TestSession guards against a change of any byte that callers see in a whole
 // session; -update writes the file anew.
 func TestSession(t *testing.T) {
+	t.Parallel()
 	began := time.Now()
 	s, _ := startAt(t, func() time.Time { return sessionStart.Add(time.Since(began)) }, io.Discard)
 	var got strings.Builder
