Check that a start decided before a pause takes no effect later

Cause: the random walk seldom pauses an owner between its decision and the sending of the start. Conclusion: whether the test notices a missing epoch and credit check is still to be shown.

--- a/internal/process/role/promise/world_test.go
+++ b/internal/process/role/promise/world_test.go
@@ -38,6 +38,7 @@
 	entry   *entry.Entry
 	dead    bool
 	paused  bool
+	holding bool      // Sends nothing, while it goes on deciding.
 	pausing bool      // Pauses between the next decisions and the sending of their messages.
 	cut     bool      // Cut off from the directory.
 	beat    time.Time // Last heartbeat that the directory received.
@@ -206,7 +207,9 @@
 		n.paused = true
 		return
 	}
-	w.flush(i, n)
+	if !n.holding {
+		w.flush(i, n)
+	}
 }
 
 // flush puts what a node has sent onto the network.
