Halve the control bytes of a directory

Cause: with a beat every 400 ms each link between member and directory carried a link heartbeat (after 300 ms) beside each beat and each confirmation, as many bytes as the messages; digests named every cell in full, 8 times a second out and in at 25 cells and more. Ruled out: a longer link heartbeat, which credits of 500 ms do not allow, and smaller cells, which cost more than 100 store writes/s.

--- a/internal/process/membership/digest.go
+++ b/internal/process/membership/digest.go
@@ -1,18 +1,30 @@
 package membership
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// CellKey stands for a cell's name in reports, which are sent every second.
+type CellKey uint32
+
+// KeyOf is the key of a cell's name.
+func KeyOf(cell string) CellKey {
+	return CellKey(xxhash.Sum64String(cell))
+}
 
 // Report is what a cell's directory says about the store. It holds for the span
 // from since to stated; both are ages, since no clock is shared.
 type Report struct {
-	cell    string
+	cell    CellKey
 	answers bool
 	stated  time.Duration
 	since   time.Duration
 }
 
 // NewReport returns the report.
-func NewReport(cell string, answers bool, stated, since time.Duration) Report {
+func NewReport(cell CellKey, answers bool, stated, since time.Duration) Report {
 	return Report{
 		cell:    cell,
 		answers: answers,
@@ -22,7 +34,7 @@
 }
 
 // Cell is the reporting cell.
-func (r Report) Cell() string {
+func (r Report) Cell() CellKey {
 	return r.cell
 }
 
--- a/internal/process/role/directory/digest.go
+++ b/internal/process/role/directory/digest.go
@@ -83,7 +83,7 @@
 		}
 		if !h.written || !d.quorum(now, h) {
 			h.quorumSince = time.Time{}
-			delete(d.reports, h.name)
+			delete(d.reports, membership.KeyOf(h.name))
 			continue
 		}
 		if h.quorumSince.IsZero() {
@@ -96,7 +96,7 @@
 		if since.After(now) {
 			continue
 		}
-		d.reports[h.name] = report{
+		d.reports[membership.KeyOf(h.name)] = report{
 			answers: d.answers,
 			stated:  now,
 			since:   since,
@@ -132,7 +132,7 @@
 	}
 	n, own := 0, false
 	for _, c := range cells {
-		r, ok := d.reports[c.Name()]
+		r, ok := d.reports[membership.KeyOf(c.Name())]
 		if !ok || r.answers || now.Sub(r.stated) > downAge {
 			continue
 		}
@@ -153,7 +153,7 @@
 	}
 	n := 0
 	for _, c := range cells {
-		r, ok := d.reports[c.Name()]
+		r, ok := d.reports[membership.KeyOf(c.Name())]
 		if ok && r.answers && now.Sub(r.stated) <= answersAge && now.Sub(r.since) >= AnswersFor {
 			n++
 		}
@@ -196,9 +196,9 @@
 func (d *Directory) digest(now time.Time, h *held) membership.Digest {
 	var reports []membership.Report
 	for _, c := range d.voters {
-		r, ok := d.reports[c.Name()]
+		r, ok := d.reports[membership.KeyOf(c.Name())]
 		if age := now.Sub(r.stated); ok && age <= answersAge {
-			reports = append(reports, membership.NewReport(c.Name(), r.answers, age, min(now.Sub(r.since), sinceLimit)))
+			reports = append(reports, membership.NewReport(membership.KeyOf(c.Name()), r.answers, age, min(now.Sub(r.since), sinceLimit)))
 		}
 	}
 	var members, inForce, free uint32
@@ -216,41 +216,51 @@
 }
 
 // neighbours are the directories that get a digest: all while the store does
-// not answer, else a ring with chords, by which a report reaches all directories
-// of up to 25 cells in two hops.
+// not answer, else those that follow from this one's place in a de Bruijn graph,
+// the graph with the fewest links by which a report reaches all directories in
+// two hops. With DigestLinks it does so for up to 64 cells.
 func (d *Directory) neighbours(few bool) []membership.Member {
 	var holders []membership.Member
-	own := 0
+	own := -1
 	for _, c := range d.fleet.Region(d.set.region) {
 		p := c.Holder().Process()
 		if p == d.set.self.Process() {
+			if own >= 0 {
+				continue
+			}
 			own = len(holders)
-		} else if !p.IsZero() {
+		}
+		if !p.IsZero() {
 			holders = append(holders, c.Holder())
 		}
 	}
-	if !few || len(holders) <= DigestLinks {
-		return holders
-	}
-	n := len(holders) + 1
-	base := int(math.Ceil(math.Sqrt(float64(n))))
+	n := len(holders)
+	links := min(int(math.Ceil(math.Sqrt(float64(n)))), DigestLinks)
 	var out []membership.Member
-	for i := 1; i <= DigestLinks/2; i++ {
-		for _, offset := range []int{i, i * base} {
-			if offset < n {
-				// The list leaves this directory out, so the next one has its place.
-				out = append(out, holders[(own+offset-1)%len(holders)])
-			}
+	for i, m := range holders {
+		// The graph leads from own to links*own, …, links*own+links-1, modulo n.
+		step := (i - links*max(own, 0)%n + n) % n
+		if i != own && (!few || n <= DigestLinks || step < links) {
+			out = append(out, m)
 		}
 	}
 	return out
 }
 
+func (d *Directory) ownCell(c membership.CellKey) bool {
+	for _, h := range d.cells {
+		if h.own && membership.KeyOf(h.name) == c {
+			return true
+		}
+	}
+	return false
+}
+
 // digested takes the digest of another directory. A directory that is new to
 // this one gets an answer at once.
 func (d *Directory) digested(now time.Time, from identity.Process, g membership.Digest) {
 	for _, r := range g.Reports() {
-		if h, ok := d.cells[r.Cell()]; ok && h.own {
+		if d.ownCell(r.Cell()) {
 			continue
 		}
 		stated := now.Add(-r.Stated())
--- a/internal/process/role/directory/directory.go
+++ b/internal/process/role/directory/directory.go
@@ -149,7 +149,7 @@
 	answers      bool
 	answersSince time.Time
 	digestAt     time.Time
-	reports      map[string]report
+	reports      map[membership.CellKey]report
 	peers        map[string]peer
 	entitledNow  bool
 	entitledAt   time.Time
@@ -174,7 +174,7 @@
 		absent:  map[string]time.Time{},
 		yields:  map[identity.Shard]yielded{},
 		recalls: map[identity.Shard]recalled{},
-		reports: map[string]report{},
+		reports: map[membership.CellKey]report{},
 		peers:   map[string]peer{},
 	}
 }
@@ -310,7 +310,11 @@
 	if !d.entitledNow {
 		return
 	}
-	d.send(from, membership.NewConfirm(b.Number(), h.term, d.standing(h, from, b), d.versions()))
+	v := d.versions()
+	if v == b.Versions() {
+		v = membership.Versions{}
+	}
+	d.send(from, membership.NewConfirm(b.Number(), h.term, d.standing(h, from, b), v))
 }
 
 func (d *Directory) standing(h *held, from identity.Process, b membership.Beat) membership.Standing {
--- a/internal/process/role/member/member.go
+++ b/internal/process/role/member/member.go
@@ -1,6 +1,6 @@
 // Package member decides for a process's place in its cell.
 //
-// A member sends a heartbeat to its cell's directory every 400 ms. A confirmation
+// A member sends a heartbeat to its cell's directory every 290 ms. A confirmation
 // gives an agent a lease that counts from the sending of the heartbeat, and the
 // version numbers by which the member finds out what it has to fetch. Without a
 // directory the member looks into the store and, if the cell's lease is free,
@@ -25,13 +25,15 @@
 
 // The times of a member.
 const (
-	// BeatInterval leaves room for two lost heartbeats within a lease.
-	BeatInterval = 400 * time.Millisecond
+	// BeatInterval leaves room for lost heartbeats within a lease. It is just below
+	// the heartbeat interval of a link: at 400 ms each link between member and
+	// directory carried a heartbeat of its own beside each beat, half of the bytes.
+	BeatInterval = 290 * time.Millisecond
 	// LeaseTime counts from the sending of a heartbeat.
 	LeaseTime = 1500 * time.Millisecond
 	// CreditTime is how long a start can take effect after the owner sent it.
 	CreditTime = 500 * time.Millisecond
-	// silenceLimit is two heartbeats without confirmation.
+	// silenceLimit leaves room for two heartbeats without confirmation.
 	silenceLimit = 800 * time.Millisecond
 	// RankDelay separates the members that try to take the cell's lease.
 	RankDelay = 200 * time.Millisecond
--- a/internal/process/role/wire/membership.go
+++ b/internal/process/role/wire/membership.go
@@ -11,6 +11,12 @@
 	"greengagedoor.example/greengagedoor/internal/request/message"
 )
 
+// The steps keep an entry of a digest at 6 B.
+const (
+	ageStep   = 40 * time.Millisecond
+	sinceStep = 100 * time.Millisecond
+)
+
 // membershipBodyOf encodes the messages of package membership.
 func membershipBodyOf(m any) (*wirepb.Body, error) {
 	switch m := m.(type) {
@@ -85,7 +91,7 @@
 		p, err := decodeProcess(k.Yield.GetOwner())
 		return membership.NewYield(p, decodeClaims(k.Yield.GetClaims())), err
 	case *wirepb.Body_Digest:
-		return decodeDigest(k.Digest), nil
+		return decodeDigest(k.Digest)
 	}
 	return nil, errors.Errorf("unknown message %T", b.GetKind())
 }
@@ -143,7 +149,12 @@
 	return out, nil
 }
 
+// encodeVersions leaves out versions that say nothing, as in a confirmation to a
+// member that has them all.
 func encodeVersions(v membership.Versions) *wirepb.Versions {
+	if v == (membership.Versions{}) {
+		return nil
+	}
 	return &wirepb.Versions{
 		Configuration: v.Configuration(),
 		Routes:        v.Routes(),
@@ -290,12 +301,14 @@
 		Free:     m.Free(),
 	}
 	for _, r := range m.Reports() {
-		d.Reports = append(d.Reports, &wirepb.Report{
-			Cell:    r.Cell(),
-			Answers: r.Answers(),
-			AgeMs:   uint32(r.Stated().Milliseconds()),
-			SinceMs: uint32(r.Since().Milliseconds()),
-		})
+		// The age is rounded up and the span down, so that no report looks better.
+		state := uint32((r.Stated()+ageStep-1)/ageStep) << 1
+		if r.Answers() {
+			state |= 1
+		}
+		d.Cells = append(d.Cells, uint32(r.Cell()))
+		d.States = append(d.States, state)
+		d.Since = append(d.Since, uint32(r.Since()/sinceStep))
 	}
 	return &wirepb.Body{
 		Kind: &wirepb.Body_Digest{
@@ -304,11 +317,15 @@
 	}
 }
 
-func decodeDigest(p *wirepb.Digest) membership.Digest {
-	var reports []membership.Report
-	for _, r := range p.GetReports() {
-		reports = append(reports, membership.NewReport(r.GetCell(), r.GetAnswers(),
-			time.Duration(r.GetAgeMs())*time.Millisecond, time.Duration(r.GetSinceMs())*time.Millisecond))
+func decodeDigest(p *wirepb.Digest) (any, error) {
+	if len(p.GetStates()) != len(p.GetCells()) || len(p.GetSince()) != len(p.GetCells()) {
+		return nil, errors.Errorf("digest has %d cells, %d states and %d spans", len(p.GetCells()), len(p.GetStates()), len(p.GetSince()))
+	}
+	reports := make([]membership.Report, 0, len(p.GetCells()))
+	for i, c := range p.GetCells() {
+		state := p.GetStates()[i]
+		reports = append(reports, membership.NewReport(membership.CellKey(c), state&1 == 1,
+			time.Duration(state>>1)*ageStep, time.Duration(p.GetSince()[i])*sinceStep))
 	}
-	return membership.NewDigest(p.GetCell(), decodeVersions(p.GetVersions()), reports, p.GetMembers(), p.GetInForce(), p.GetFree())
+	return membership.NewDigest(p.GetCell(), decodeVersions(p.GetVersions()), reports, p.GetMembers(), p.GetInForce(), p.GetFree()), nil
 }
