--- a/internal/process/role/owner/seal.go
+++ b/internal/process/role/owner/seal.go
@@ -74,8 +74,8 @@
 	h := &holding{
 		grant:   message.NewGrant(e.Shard(), e.Epoch()),
 		granted: now,
-		subs:  map[*submission]struct{}{},
-		found: map[identity.Submission]*remnant{},
+		subs:    map[*submission]struct{}{},
+		found:   map[identity.Submission]*remnant{},
 	}
 	o.shards[e.Shard()] = h
 	if len(e.Roster()) == 0 {
