Send a report again only while it says what its receiver lacks

Cause: the state machine, extended by messages that did not leave, found four ways in which a late report could contradict a newer owner. An end went again to the owner of a lower epoch after a revocation by its successor. A refusal from before a seal was sent again because a later refusal of the same task was looked up in its place. An end from before a second start was sent again under the epoch of the second one. The first two and the last can make an owner take a running task for one that never started, and start it elsewhere.

Ruled out: giving up all reports that did not leave. Their owner would wait for good, since only the agent knows that nothing more comes.

Change: a revocation makes its sender the shard's owner; the earliest refusal of a task decides; an end is kept only if the ledger holds the same one and the receiver still owns the shard. A result that the ledger has given up meanwhile still goes out. The worker publishes the services of kinds that fit no worker as well, so that their owner is told; the demands of one owner are bounded to 256.

--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -253,13 +253,13 @@
 	}
 }
 
-// Find returns the record of a task.
+// Find returns the record of a task with the end of its last start.
 func (l *Ledger) Find(task identity.Task) (Record, bool) {
 	r, ok := l.records[task]
 	if !ok {
 		return Record{}, false
 	}
-	return r.copied(), true
+	return r.plain(), true
 }
 
 // OfSubmission returns the records of a submission in the order of their starts.
--- a/internal/process/ledger/record.go
+++ b/internal/process/ledger/record.go
@@ -127,9 +127,14 @@
 	return records
 }
 
-func (r *Record) copied() Record {
+func (r *Record) plain() Record {
 	c := *r
 	c.lists = [indexes]neighbours{}
+	return c
+}
+
+func (r *Record) copied() Record {
+	c := r.plain()
 	if c.result.State() == outcome.Revoked && c.starts > 0 {
 		// Only the last start did not reach the back end; the one before failed.
 		c.result = outcome.Failure("an earlier start failed", 0)
--- a/internal/process/role/agent/failure_test.go
+++ b/internal/process/role/agent/failure_test.go
@@ -277,6 +277,25 @@
 	}
 }
 
+// TestEvictedReport guards against an end that is never reported because the
+// ledger has given up its result meanwhile.
+func TestEvictedReport(t *testing.T) {
+	Convey("the result goes out again", t, func() {
+		b := newBench(t)
+		b.announce("t", 8, false)
+		big := outcome.Success(make([]byte, 1<<20), 1)
+		for i := range 2 {
+			b.start(one, taskOf(i), 1, normal)
+			b.end(taskOf(i), big)
+		}
+		So(b.agent.Snapshot().Evicted(), ShouldEqual, 1)
+		b.handle(message.NewUndelivered(message.NewSend(one, message.NewFinished(taskOf(0), big))))
+		got := sent[message.Finished](b.advance(time.Second), one)
+		So(got, ShouldHaveLength, 1)
+		So(got[0].Result().State(), ShouldEqual, outcome.Succeeded)
+	})
+}
+
 // TestDrain guards against an agent that leaves while tasks run, or never.
 func TestDrain(t *testing.T) {
 	Convey("it shows no room and waits for running tasks and reports", t, func() {
--- a/internal/process/role/agent/machine_test.go
+++ b/internal/process/role/agent/machine_test.go
@@ -1,6 +1,7 @@
 package agent_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -33,7 +34,16 @@
 type machine struct {
 	*bench
 	oracle
-	from identity.Process
+	from    identity.Process
+	reports []report
+	waking  bool
+}
+
+// report is a sent message with the epoch of its shard at that time.
+type report struct {
+	send  message.Send
+	epoch identity.Epoch
+	again bool
 }
 
 func (m *machine) shard(task identity.Task) identity.Shard {
@@ -48,10 +58,12 @@
 			m.called(t, start, e)
 		case agent.Place:
 			t.Fatalf("a task was placed without a worker")
-		case message.Send:
-			if f, ok := e.Body().(message.Finished); ok && e.To() != m.owners[m.shard(f.Task())] {
-				t.Fatalf("the end of %s went to %s, its owner is %s", f.Task(), e.To(), m.owners[m.shard(f.Task())])
+		case agent.Drained:
+			if len(m.running) > 0 || !m.draining {
+				t.Fatalf("the agent has drained while %d tasks run", len(m.running))
 			}
+		case message.Send:
+			m.reported(t, e)
 		}
 	}
 	s := m.agent.Snapshot()
@@ -74,6 +86,63 @@
 	}
 }
 
+// reported checks an end or a refusal. One that is sent again must still hold.
+func (m *machine) reported(t *rapid.T, s message.Send) {
+	var task identity.Task
+	switch b := s.Body().(type) {
+	case message.Finished:
+		task = b.Task()
+		if s.To() != m.owners[m.shard(task)] {
+			t.Fatalf("the end of %s went to %s, its owner is %s", task, s.To(), m.owners[m.shard(task)])
+		}
+	case message.Rejected:
+		task = b.Task()
+	default:
+		return
+	}
+	if m.waking && !m.holds(s, task) {
+		t.Fatalf("%T for %s was sent again, which no longer holds", s.Body(), task)
+	}
+	m.reports = append(m.reports, report{
+		send:  s,
+		epoch: m.epochs[m.shard(task)],
+	})
+}
+
+// holds looks for a report that did not leave, and that a seal since its sending
+// has not replaced.
+func (m *machine) holds(s message.Send, task identity.Task) bool {
+	_, finished := s.Body().(message.Finished)
+	_, runs := m.running[task]
+	for n, r := range m.reports {
+		var same bool
+		switch b := r.send.Body().(type) {
+		case message.Finished:
+			same = finished && b.Task() == task && !runs
+		case message.Rejected:
+			same = !finished && b.Task() == task
+		}
+		if r.again && same && r.send.To() == s.To() && r.epoch == m.epochs[m.shard(task)] {
+			m.reports = slices.Delete(m.reports, n, n+1)
+			return true
+		}
+	}
+	return false
+}
+
+// undeliver reports that one of the latest messages did not leave.
+func (m *machine) undeliver(t *rapid.T) {
+	if len(m.reports) == 0 {
+		return
+	}
+	n := rapid.IntRange(max(len(m.reports)-5, 0), len(m.reports)-1).Draw(t, "report")
+	if m.reports[n].again {
+		return
+	}
+	m.reports[n].again = true
+	m.check(t, nil, m.handle(message.NewUndelivered(m.reports[n].send)))
+}
+
 func (m *machine) called(t *rapid.T, start *message.Start, c agent.Call) {
 	task := c.Task()
 	switch {
@@ -122,8 +191,10 @@
 
 var owners = []identity.Process{one, two}
 
-func (m *machine) epoch(s identity.Shard) identity.Epoch {
-	return max(m.epochs[s], 10)
+// owner draws an epoch from the former one to two later ones. Each has one owner.
+func (m *machine) owner(t *rapid.T, s identity.Shard) (identity.Process, identity.Epoch) {
+	epoch := max(m.epochs[s], 10) + identity.Epoch(rapid.SampledFrom([]int{1, 1, 1, 0, 2, 3}).Draw(t, "epoch")) - 1
+	return owners[epoch%2], epoch
 }
 
 func kindFor(task identity.Task) string {
@@ -131,10 +202,10 @@
 }
 
 func (m *machine) start(t *rapid.T) {
-	m.from = rapid.SampledFrom(owners).Draw(t, "owner")
 	task := taskOf(rapid.IntRange(0, 40).Draw(t, "task") * 33)
 	kind := kindFor(task)
-	epoch := m.epoch(m.shard(task)) + identity.Epoch(rapid.IntRange(0, 2).Draw(t, "epoch")) - 1
+	var epoch identity.Epoch
+	m.from, epoch = m.owner(t, m.shard(task))
 	age := rapid.SampledFrom([]uint64{0, 0, 0, 0, 0, 500, 501}).Draw(t, "age")
 	msg := message.NewStart(task, message.NewGrant(m.shard(task), epoch), m.credit(m.now)-min(age, m.credit(m.now)), kind, nil, time.Time{})
 	list := m.receive(m.from, msg)
@@ -184,7 +255,9 @@
 }
 
 func (m *machine) pass(t *rapid.T) {
+	m.waking = true
 	m.check(t, nil, m.advance(rapid.SampledFrom([]time.Duration{1, 10, 20, 500, 1100}).Draw(t, "ms")*time.Millisecond))
+	m.waking = false
 }
 
 func (m *machine) grant(t *rapid.T) {
@@ -203,9 +276,8 @@
 }
 
 func (m *machine) sealShard(t *rapid.T) {
-	owner := rapid.SampledFrom(owners).Draw(t, "owner")
 	shard := identity.Shard(rapid.IntRange(0, 1).Draw(t, "shard"))
-	epoch := m.epoch(shard) + identity.Epoch(rapid.IntRange(0, 2).Draw(t, "epoch")) - 1
+	owner, epoch := m.owner(t, shard)
 	got := m.receive(owner, message.NewSeal([]message.Grant{message.NewGrant(shard, epoch)}))
 	answers := sent[message.Sealed](got, owner)
 	if len(answers) != 1 {
@@ -241,10 +313,9 @@
 }
 
 func (m *machine) revokeJob(t *rapid.T) {
-	owner := rapid.SampledFrom(owners).Draw(t, "owner")
 	task := taskOf(rapid.IntRange(0, 40).Draw(t, "task") * 33)
 	shard := m.shard(task)
-	epoch := m.epoch(shard) + identity.Epoch(rapid.IntRange(0, 1).Draw(t, "epoch")) - 1
+	owner, epoch := m.owner(t, shard)
 	got := m.receive(owner, message.NewRevoke([]message.Grant{message.NewGrant(shard, epoch)}, []identity.Submission{task.Submission()}))
 	answers := sent[message.Revoked](got, owner)
 	if len(answers) != 1 {
@@ -252,6 +323,7 @@
 	}
 	if epoch >= m.epochs[shard] {
 		m.epochs[shard] = epoch
+		m.owners[shard] = owner
 		m.revoked[task.Submission()] = true
 	}
 	m.check(t, nil, got)
@@ -278,17 +350,18 @@
 		}
 		m.now = m.now.Add(time.Second)
 		rt.Repeat(map[string]func(*rapid.T){
-			"start":    m.start,
-			"start2":   m.start,
-			"start3":   m.start,
-			"finish":   m.finish,
-			"finish2":  m.finish,
-			"announce": m.announceTarget,
-			"pass":     m.pass,
-			"lease":    m.grant,
-			"interest": m.want,
-			"seal":     m.sealShard,
-			"revoke":   m.revokeJob,
+			"start":     m.start,
+			"start2":    m.start,
+			"start3":    m.start,
+			"finish":    m.finish,
+			"finish2":   m.finish,
+			"announce":  m.announceTarget,
+			"pass":      m.pass,
+			"lease":     m.grant,
+			"interest":  m.want,
+			"seal":      m.sealShard,
+			"revoke":    m.revokeJob,
+			"undeliver": m.undeliver,
 			"gone": func(t *rapid.T) {
 				m.check(t, nil, m.handle(message.NewGone(rapid.SampledFrom(owners).Draw(t, "owner"))))
 			},
--- a/internal/process/role/agent/offer.go
+++ b/internal/process/role/agent/offer.go
@@ -92,7 +92,7 @@
 	}
 	former := i.demands
 	i.demands = make([]demand, 0, len(m.Demands()))
-	for _, d := range m.Demands() {
+	for _, d := range m.Demands()[:min(len(m.Demands()), maxDemands)] {
 		i.demands = append(i.demands, demand{
 			service: a.wanted(d.Service()),
 			class:   classOf(d.Urgency() == configuration.Critical, d.Long()),
@@ -117,8 +117,12 @@
 	}
 }
 
-// maxDemand bounds a count, so that sums cannot overflow.
-const maxDemand = 1 << 30
+const (
+	// maxDemand bounds a count, so that sums cannot overflow.
+	maxDemand = 1 << 30
+	// maxDemands bounds the entries of one owner; 32 services of 8 classes each.
+	maxDemands = 256
+)
 
 // cover assigns an outstanding offer to a demand that may use it.
 func (i *interest) cover(o *offer) bool {
--- a/internal/process/role/agent/report.go
+++ b/internal/process/role/agent/report.go
@@ -5,6 +5,7 @@
 
 	"greengagedoor.example/greengagedoor/internal/process/identity"
 	"greengagedoor.example/greengagedoor/internal/process/ledger"
+	"greengagedoor.example/greengagedoor/internal/process/outcome"
 	"greengagedoor.example/greengagedoor/internal/request/message"
 )
 
@@ -55,15 +56,19 @@
 	r.next = (r.next + 1) % len(r.latest)
 }
 
+// find returns the refusal of a task with the lowest epoch. If the shard was
+// sealed between two refusals, it is not known which of them did not leave, and
+// the earlier one must not be sent again.
 func (r *rejections) find(task identity.Task) (rejection, bool) {
-	n := r.next
-	for range r.latest {
-		n = (n + len(r.latest) - 1) % len(r.latest)
-		if r.latest[n].task == task {
-			return r.latest[n], true
+	var found rejection
+	ok := false
+	for _, e := range r.latest {
+		if e.task == task && (!ok || e.epoch < found.epoch) {
+			found = e
+			ok = true
 		}
 	}
-	return rejection{}, false
+	return found, ok
 }
 
 // sealing is an answer of several messages whose last part is held back until it
@@ -172,6 +177,10 @@
 	switch m := s.Body().(type) {
 	case message.Finished:
 		r, ok := a.ledger.Find(m.Task())
+		if ok && (!sameEnd(m.Result().State(), r.Result().State()) || a.owners[r.Shard()] != s.To()) {
+			// The task has started again since, or another owner has the records.
+			return
+		}
 		a.keep(now, ok, unsent{
 			send:  s,
 			bound: true,
@@ -207,6 +216,12 @@
 	}
 }
 
+// sameEnd tells whether a record holds the end that was sent. The ledger may have
+// given up the result of a success.
+func sameEnd(sent, kept outcome.State) bool {
+	return sent == kept || (sent == outcome.Succeeded && kept == outcome.Unknown)
+}
+
 func (a *Agent) keep(now time.Time, known bool, u unsent) {
 	if !known || len(a.unsent) >= maxUnsent {
 		a.counts.abandoned++
--- a/internal/process/role/agent/revoke.go
+++ b/internal/process/role/agent/revoke.go
@@ -71,6 +71,7 @@
 		if n >= len(m.Grants()) || !a.ledger.Raise(m.Grants()[n].Shard(), m.Grants()[n].Epoch()) {
 			continue
 		}
+		a.owners[m.Grants()[n].Shard()] = owner
 		a.revoked.add(now, s)
 		done = append(done, s)
 		for _, r := range a.ledger.OfSubmission(s) {
--- a/internal/process/role/agent/worker.go
+++ b/internal/process/role/agent/worker.go
@@ -116,7 +116,8 @@
 }
 
 // setServices publishes the worker's room under the services of all kinds that
-// run on workers and fit this one.
+// run on workers. One that fits no worker is published too: its owner learns from
+// the refusal that it can never run.
 func (a *Agent) setServices() {
 	w := a.worker
 	if w == nil || a.cfg == nil {
@@ -126,7 +127,7 @@
 	a.unserve(w.target)
 	w.services = nil
 	for _, k := range a.cfg.Kinds() {
-		if k.BackEnd() == configuration.Worker && k.Resources().Fits(w.event.resources) {
+		if k.BackEnd() == configuration.Worker {
 			w.services = append(w.services, k.Service())
 		}
 	}
--- a/internal/process/role/agent/worker_test.go
+++ b/internal/process/role/agent/worker_test.go
@@ -49,6 +49,9 @@
 		t.Run(name, func(t *testing.T) {
 			Convey("the worker takes what fits", t, func() {
 				b := withWorker(t, tt.cores)
+				b.announce("t", 8, true)
+				So(b.rooms, ShouldContainKey, "print")
+				b.announce("t", 8, false)
 				for range tt.runs {
 					_, cause := b.run(one, batch)
 					So(cause, ShouldEqual, "")
