--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -50,6 +50,7 @@
 	links    net.Listener
 	pages    net.Listener
 	drained  chan struct{}
+	askers   askers
 	cleanups []func()
 }
 
@@ -59,6 +60,7 @@
 	a := &Agent{
 		common:  c,
 		drained: make(chan struct{}),
+		askers:  askers{},
 	}
 	if err := a.build(pool, worker, seed); err != nil {
 		a.cleanup()
@@ -164,7 +166,7 @@
 	a.cleanups = append(a.cleanups, cleanup)
 	e := a.common.newEcho(a.ready.Load)
 	e.POST("/v1/announce", a.announce)
-	if err := a.common.observe(e, func() *duty.Table { return a.table }, a.agent, a.owner); err != nil {
+	if err := a.common.observe(e, func() *duty.Table { return a.table }, a.agent, a.owner, a.station.member, a.station.directory); err != nil {
 		return err
 	}
 	pages, cleanup, err := web.Serve(a.pages, "http", "Serves callers, operators and targets.", e)
@@ -280,8 +282,9 @@
 }
 
 func (a *Agent) applyOwner(now time.Time, o *owner.Owner, event any) {
+	a.askers.note(event)
 	for _, s := range o.Handle(now, event) {
-		a.common.observeOwner(event, s)
+		a.common.observeOwner(a.askers, s)
 		err := a.network.Post(s)
 		a.common.countSend(err)
 		if err != nil {
--- a/internal/process/role/local/observe_test.go
+++ b/internal/process/role/local/observe_test.go
@@ -15,6 +15,7 @@
 // TestPages guards against a process without its pages, a dump without its
 // sections, and payloads in dump or log.
 func TestPages(t *testing.T) {
+	t.Parallel()
 	const payload = "only-the-target-may-see-this"
 	var lines bytes.Buffer
 	s, stop := startStoppable(t, &lines)
@@ -41,7 +42,7 @@
 		So(send(t, "GET", s.Agents()[0]+"/debug/dump", nil, "").body, ShouldContainSubstring, "caller count=")
 		stop()
 		So(lines.String(), ShouldNotContainSubstring, payload)
-		for _, message := range []string{"submission accepted or joined", "task sent", "task started", "task ended", "submission ended", "caller answered"} {
+		for _, message := range []string{"submission received", "submission accepted or joined", "task sent", "task started", "task ended", "submission ended", "caller answered"} {
 			So(linesOf(lines.String(), message, "tegnestuen/"+key), ShouldEqual, 1)
 		}
 	})
--- a/internal/process/role/owner/seal.go
+++ b/internal/process/role/owner/seal.go
@@ -30,6 +30,7 @@
 // holding is a shard that this process owns. It ends when the shard is released.
 type holding struct {
 	grant    message.Grant
+	granted  time.Time // No start of a former owner takes effect after this.
 	batch    *batch
 	ready    bool
 	released bool
@@ -42,6 +43,7 @@
 
 // remnant is what records say about a submission whose body is not known here.
 type remnant struct {
+	key       identity.Submission
 	home      *holding
 	tasks     map[uint32]job.Found
 	waiters   []waiter
@@ -70,9 +72,10 @@
 		o.release(e.Shard())
 	}
 	h := &holding{
-		grant: message.NewGrant(e.Shard(), e.Epoch()),
-		subs:  map[*submission]struct{}{},
-		found: map[identity.Submission]*remnant{},
+		grant:   message.NewGrant(e.Shard(), e.Epoch()),
+		granted: now,
+		subs:    map[*submission]struct{}{},
+		found:   map[identity.Submission]*remnant{},
 	}
 	o.shards[e.Shard()] = h
 	if len(e.Roster()) == 0 {
@@ -89,11 +92,7 @@
 			index:   map[identity.Shard]int{},
 			members: map[identity.Process]*sealing{},
 		}
-		o.timers.Push(timer{
-			at:    now.Add(sealDelay),
-			what:  sendSeal,
-			batch: o.opening,
-		})
+		o.arm(now.Add(sealDelay), sendSeal, o.opening)
 	}
 	b := o.opening
 	h.batch = b
@@ -145,11 +144,7 @@
 			o.open(now, h)
 		}
 	}
-	o.timers.Push(timer{
-		at:    now.Add(sealLimit),
-		what:  limitSeal,
-		batch: b,
-	})
+	o.arm(now.Add(sealLimit), limitSeal, b)
 }
 
 // sealed adopts an agent's records. An answer after the limit still narrows the
@@ -194,12 +189,13 @@
 	m, ok := o.remnants[key]
 	if !ok {
 		m = &remnant{
+			key:   key,
 			home:  h,
 			tasks: map[uint32]job.Found{},
 		}
 		h.found[key] = m
 		o.remnants[key] = m
-		o.forgetAt(now, key)
+		o.forgetAt(now, key, m)
 	}
 	f := job.NewFound(from, r.Result())
 	if known, ok := m.tasks[r.Task().Index()]; ok {
@@ -229,7 +225,8 @@
 	return false
 }
 
-// lostMember turns an agent that will not answer into a gap that ends now.
+// lostMember turns an agent that will not answer into a gap that ends with the
+// grant.
 func (o *Owner) lostMember(now time.Time, p identity.Process) {
 	if o.opening != nil {
 		if s, ok := o.opening.members[p]; ok && s.lost.IsZero() {
@@ -247,7 +244,7 @@
 				continue
 			}
 			h.awaiting--
-			h.lost = now
+			h.lost = h.granted
 			if h.awaiting == 0 {
 				o.open(now, h)
 			}
@@ -270,12 +267,13 @@
 }
 
 // covered tells whether a start record of the key may be lost. The gap of an
-// agent that may be alive ends now, that of a lost one at its loss; either covers
-// the keys of callers whose clocks are ahead.
-func (h *holding) covered(now time.Time, key identity.Submission) bool {
+// agent that may be alive ends with the grant, since a former owner was fenced by
+// then, and that of a lost one at its loss. Either covers the keys of callers whose
+// clocks are ahead.
+func (h *holding) covered(key identity.Submission) bool {
 	end := h.lost
 	if h.awaiting > 0 {
-		end = now
+		end = h.granted
 	}
 	return !end.IsZero() && !key.FirstSent().After(end.Add(maxCallerSkew))
 }
@@ -333,7 +331,7 @@
 	delete(m.home.found, key)
 	delete(o.remnants, key)
 	s.waiters = append(s.waiters, m.waiters...)
-	ended := s.job.Adopt(m.tasks, m.home.covered(now, key))
+	ended := s.job.Adopt(m.tasks, m.home.covered(key))
 	s.job.Holders(func(p identity.Process) {
 		a := o.knowing(p)
 		a.jobs[s] = struct{}{}
