Let roles pass over every variable that commands read

GREENGAGEDOOR_TOKEN_FILE in the environment stopped a role as an unknown setting. A test now takes the variables from the commands' flags.

--- a/cmd/greengagedoor/local.go
+++ b/cmd/greengagedoor/local.go
@@ -74,7 +74,7 @@
 		return err
 	}
 	defer stop()
-	if err := sample(ctx, c, s, c.App.Writer); err != nil {
+	if err := watched(ctx, failed, func(ctx context.Context) error { return sample(ctx, c, s, c.App.Writer) }); err != nil {
 		return err
 	}
 	if !c.Bool("keep") {
@@ -94,6 +94,23 @@
 	}
 }
 
+// watched runs f until it ends or a part of the system does, whose error is then
+// the result.
+func watched(ctx context.Context, failed <-chan error, f func(context.Context) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- f(ctx) }()
+	select {
+	case err := <-done:
+		return err
+	case err := <-failed:
+		cancel()
+		<-done
+		return err
+	}
+}
+
 func sample(ctx context.Context, c *cli.Context, s *local.System, w io.Writer) error {
 	cfg, err := local.SampleConfiguration()
 	if err != nil {
--- a/cmd/greengagedoor/main_test.go
+++ b/cmd/greengagedoor/main_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/urfave/cli/v2"
 )
 
 // run executes the program with arguments and returns its output and exit code.
@@ -190,3 +191,29 @@
 		So(n, ShouldEqual, 3)
 	})
 }
+
+// TestCommandVariables guards against a variable of a command that stops a role
+// in the same environment as an unknown setting.
+func TestCommandVariables(t *testing.T) {
+	Convey("roles pass over the variables of commands", t, func() {
+		n := 0
+		var visit func([]*cli.Command)
+		visit = func(commands []*cli.Command) {
+			for _, c := range commands {
+				for _, f := range c.Flags {
+					if d, ok := f.(cli.DocGenerationFlag); ok {
+						for _, name := range d.GetEnvVars() {
+							n++
+							t.Setenv(name, "x")
+						}
+					}
+				}
+				visit(c.Subcommands)
+			}
+		}
+		visit(newApp().Commands)
+		So(n, ShouldBeGreaterThan, 0)
+		_, code := run(t, "entry", "--check", "--settings", "../../samples/entry.ini")
+		So(code, ShouldEqual, 0)
+	})
+}
--- a/internal/process/setting/load.go
+++ b/internal/process/setting/load.go
@@ -16,8 +16,9 @@
 // commandVariables are read by commands that are no roles; a role that runs in the
 // same environment passes over them.
 var commandVariables = map[string]bool{
-	"GREENGAGEDOOR_ENTRIES": true,
-	"GREENGAGEDOOR_STORE":   true,
+	"GREENGAGEDOOR_ENTRIES":    true,
+	"GREENGAGEDOOR_STORE":      true,
+	"GREENGAGEDOOR_TOKEN_FILE": true,
 }
 
 // source names for values that do not come from a file.
