Bound the results of a job and the tasks of a submission to 8 MB

Cause: a result may have 1 MB and a job 1,100 tasks, so an answer could exceed the 16 MB of a frame. The link does not carry such an answer, and the caller learned nothing true about a job that had ended.

Ruled out: several frames for one answer, which every reader of a Reply would have to put together again; a larger frame, which only moves the limit; a check of submissions in NewOrder, since the owner's codec uses it too and a decoding error there has no answer.

Change: the owner's job adds up the results that it keeps. Above 8 MB it fails with the new reason results_too_large and ran "something"; the owner revokes the rest as after any failed task. Results found after a failover count too. The entry's decision refuses a submission whose payloads, with 8 bytes for each task, exceed 8 MB; on links a task takes at most 6 bytes beside its payload. TestHeldBytes used orders of 64 MB, which are now refused. It fills the same bound with the largest orders that are passed on and one that reaches the bound exactly, so one byte more is still refused.

Conclusion: every answer and every submission that is passed on fits a frame.

--- a/internal/process/role/entry/entry.go
+++ b/internal/process/role/entry/entry.go
@@ -196,23 +196,18 @@
 	e.open(now, v.request, &pending{
 		submission: s,
 		until:      v.until,
-		bytes:      size(v.order),
+		bytes:      v.order.Bytes(),
 		body:       func(n uint64) any { return message.NewSubmit(n, v.order) },
 	})
 }
 
-func size(o job.Order) int {
-	n := 0
-	for _, p := range o.Payloads() {
-		n += len(p)
-	}
-	return n
-}
-
 // check compares an order with the limits of the configuration. Whether the kind
 // exists is left to the owner, which may know the submission from an earlier
 // version.
 func (e *Entry) check(o job.Order) (string, bool) {
+	if o.TooLarge() {
+		return fmt.Sprintf("tasks: they have more than %d bytes together, counting 8 bytes for each task beside its payload", job.MaxOrderBytes), false
+	}
 	if e.cfg == nil {
 		return "", true
 	}
--- a/internal/process/role/entry/entry_test.go
+++ b/internal/process/role/entry/entry_test.go
@@ -264,19 +264,22 @@
 func TestHeldBytes(t *testing.T) {
 	Convey("requests are held up to the bound", t, func() {
 		e := ready(t)
-		large := orderWith(t, entry.MaxHeldBytes/4)
+		// The largest order that is passed on, and one that fills the rest.
+		large := orderWith(t, job.MaxOrderBytes-8)
+		const fitting = entry.MaxHeldBytes / job.MaxOrderBytes
 		until := start.Add(time.Minute)
-		for n := range uint64(4) {
+		for n := range uint64(fitting) {
 			So(answers(e.Handle(start, entry.NewSubmit(n, large, until))), ShouldBeEmpty)
 		}
-		refused := answers(e.Handle(start, entry.NewSubmit(4, orderWith(t, 1), until)))[4]
+		So(answers(e.Handle(start, entry.NewSubmit(100, orderWith(t, 8*fitting), until))), ShouldBeEmpty)
+		refused := answers(e.Handle(start, entry.NewSubmit(101, orderWith(t, 1), until)))[101]
 		So(refused.Reason(), ShouldEqual, answer.Overloaded)
 		So(refused.NotRun(), ShouldBeFalse)
 		e.Handle(start, entry.NewAbandon(0))
 		e.Handle(start, replyFrom(first, 1, answer.Completion([][]byte{nil})))
-		So(answers(e.Handle(start, entry.NewSubmit(5, large, until))), ShouldBeEmpty)
-		So(answers(e.Handle(start, entry.NewSubmit(6, large, until))), ShouldBeEmpty)
-		So(answers(e.Handle(start, entry.NewSubmit(7, large, until))), ShouldHaveLength, 1)
+		So(answers(e.Handle(start, entry.NewSubmit(102, large, until))), ShouldBeEmpty)
+		So(answers(e.Handle(start, entry.NewSubmit(103, large, until))), ShouldBeEmpty)
+		So(answers(e.Handle(start, entry.NewSubmit(104, large, until))), ShouldHaveLength, 1)
 	})
 }
 
@@ -289,3 +292,42 @@
 	}
 	return o
 }
+
+// TestOrderTooLarge guards against a submission that is passed on although it may
+// exceed a frame, which ends every stream that carries it.
+func TestOrderTooLarge(t *testing.T) {
+	tests := map[string]struct {
+		payloads []int
+		refused  bool
+	}{
+		"at the limit": {
+			payloads: []int{job.MaxOrderBytes - 8},
+		},
+		"one byte over": {
+			payloads: []int{job.MaxOrderBytes - 7},
+			refused:  true,
+		},
+		"over with two tasks": {
+			payloads: []int{job.MaxOrderBytes / 2, job.MaxOrderBytes / 2},
+			refused:  true,
+		},
+	}
+	for name, tt := range tests {
+		Convey(name, t, func() {
+			var payloads [][]byte
+			for _, n := range tt.payloads {
+				payloads = append(payloads, make([]byte, n))
+			}
+			o, err := job.NewOrder(orderOf(t, 1).Submission(), "log_sale", time.Time{}, payloads)
+			So(err, ShouldBeNil)
+			effects := ready(t).Handle(start, entry.NewSubmit(1, o, start.Add(time.Minute)))
+			So(len(sentTo(effects)) == 0, ShouldEqual, tt.refused)
+			So(len(answers(effects)) == 1, ShouldEqual, tt.refused)
+			for _, a := range answers(effects) {
+				So(a.Reason(), ShouldEqual, answer.InvalidRequest)
+				So(a.NotRun(), ShouldBeFalse)
+				So(a.Detail(), ShouldStartWith, "tasks: ")
+			}
+		})
+	}
+}
--- a/internal/request/job/job.go
+++ b/internal/request/job/job.go
@@ -9,6 +9,7 @@
 package job
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,6 +20,10 @@
 	"greengagedoor.example/greengagedoor/internal/version/configuration"
 )
 
+// MaxResultBytes bounds the results of one job together. The answer is one frame
+// of a link, which has at most 16 MB.
+const MaxResultBytes = 8 << 20
+
 // ErrState reports a step that the task's state does not permit.
 var ErrState = errors.New("step does not fit the task's state")
 
@@ -77,6 +82,7 @@
 	left     int // Tasks that have not succeeded.
 	ran      int // Tasks that certainly ran.
 	unknown  int // Tasks that may have run.
+	bytes    int // Size of the results that are kept.
 	covered  bool
 	stop     *stop
 	answer   answer.Answer
@@ -334,12 +340,15 @@
 	}
 	switch r.State() {
 	case outcome.Succeeded:
-		j.tasks[index].body = r.Body()
-		j.left--
-		if j.left > 0 {
+		j.succeed(index, r.Body())
+		switch {
+		case j.bytes > MaxResultBytes:
+			j.tooLarge()
+		case j.left > 0:
 			return Progress
+		default:
+			j.complete()
 		}
-		j.complete()
 	case outcome.Failed:
 		j.fail(answer.TaskFailed, r.Detail())
 	default:
@@ -348,6 +357,16 @@
 	return Ended
 }
 
+func (j *Job) succeed(index uint32, body []byte) {
+	j.tasks[index].body = body
+	j.bytes += len(body)
+	j.left--
+}
+
+func (j *Job) tooLarge() {
+	j.fail(answer.ResultsTooLarge, "the results have more than "+strconv.Itoa(MaxResultBytes)+" bytes")
+}
+
 func (j *Job) complete() {
 	results := make([][]byte, len(j.tasks))
 	for i := range j.tasks {
--- a/internal/request/job/order.go
+++ b/internal/request/job/order.go
@@ -10,6 +10,15 @@
 	"greengagedoor.example/greengagedoor/internal/process/identity"
 )
 
+const (
+	// MaxOrderBytes bounds the tasks of one submission, which is one frame of a
+	// link, of at most 16 MB.
+	MaxOrderBytes = 8 << 20
+	// taskBytes is counted for each task beside its payload; on links a task takes
+	// up to 6 bytes more than its payload.
+	taskBytes = 8
+)
+
 // Order is what a caller submitted: the content of one submission.
 type Order struct {
 	submission identity.Submission
@@ -88,3 +97,9 @@
 	}
 	return n
 }
+
+// TooLarge tells whether the order exceeds MaxOrderBytes and so may not fit a
+// frame.
+func (o Order) TooLarge() bool {
+	return o.Bytes()+taskBytes*len(o.payloads) > MaxOrderBytes
+}
--- a/internal/request/job/stop.go
+++ b/internal/request/job/stop.go
@@ -170,6 +170,8 @@
 		j.fail(answer.TaskFailed, failed.Detail())
 	case lost != nil:
 		j.fail(answer.OutcomeUnknown, lost.Detail())
+	case j.bytes > MaxResultBytes:
+		j.tooLarge()
 	case j.left == 0:
 		j.complete()
 	case revoked:
@@ -193,7 +195,6 @@
 	}
 	j.close(index, ended)
 	if f.result.State() == outcome.Succeeded {
-		j.tasks[index].body = f.result.Body()
-		j.left--
+		j.succeed(index, f.result.Body())
 	}
 }
