End a store write with a 5xx status as unknown

Cause: a write that got status 500 was reported as "nothing was changed". A store that loses its leader answers 500 for a change that has taken effect or still will.

Ruled out: telling apart the texts of 500 answers, since the published interface does not fix them.

Change: the client ends a write with a 5xx status as ErrUnknown; 4xx still means that nothing was changed. The callers already resolve an unknown end: the directory lists the fleet after each write and repeats an Acquire under the same session; the publisher reads the head back and repeats the write of a body, which finds its own value. Only the archiving of an audit segment gave up; it now reads the audit and archives again. The stand-in has the fault "answer 500 after the change" (fail_after, WithFailuresAfter).

Agents also join under the new fault (TestAgentsJoinUnderStoreFaults).

Conclusion: an operator is not told any more that nothing was changed while the version came into force.

--- a/internal/process/role/host/station_test.go
+++ b/internal/process/role/host/station_test.go
@@ -249,10 +249,11 @@
 }
 
 // Guards against agents that stay out, or shards without owner, after store
-// answers that were lost once the change took effect, or that were old.
+// answers that were lost or an error once the change took effect, or that were old.
 func TestAgentsJoinUnderStoreFaults(t *testing.T) {
 	for name, f := range map[string]keyvalue.Faults{
 		"lost answers":         keyvalue.NewFaults(false, 0, 4),
+		"errors after changes": keyvalue.NewFaults(false, 0, 0).WithFailuresAfter(4),
 		"old answers":          keyvalue.NewFaults(false, 0, 0).WithOldAnswers(6),
 		"slow answers":         keyvalue.NewFaults(false, 150*time.Millisecond, 0),
 		"slow, lost and old":   keyvalue.NewFaults(false, 50*time.Millisecond, 4).WithOldAnswers(6),
--- a/internal/process/role/publisher/publisher_test.go
+++ b/internal/process/role/publisher/publisher_test.go
@@ -53,6 +53,8 @@
 	done := publisher.NewWritten(publisher.Done)
 	lost := publisher.NewWritten(publisher.Unknown)
 	audit := publisher.NewAuditRead(publisher.Done, publisher.NewAudit(0, 0, nil), 7)
+	full := publisher.NewAuditRead(publisher.Done, publisher.NewAudit(0, 0, make([]publisher.Record, publisher.SegmentRecords)), 7)
+	same := publisher.NewWritten(publisher.Same)
 	start := []string{"ReadHead", "ReadVersion 4", "CreateVersion 5"}
 	tests := map[string]struct {
 		events []any
@@ -94,6 +96,10 @@
 			events: []any{base, publisher.NewVersionRead(publisher.Unavailable, nil), publisher.NewAuditRead(publisher.Unavailable, publisher.Audit{}, 0)},
 			want:   []string{"ReadHead", "ReadVersion 4", "ReadAudit", "Reply store_unavailable"},
 		},
+		"answer to the archiving lost": {
+			events: []any{base, body, done, done, full, lost, full, same, done},
+			want:   append(start[:3:3], "MoveHead 5 at 40", "ReadAudit", "Archive", "ReadAudit", "Archive", "WriteAudit", "Reply applied"),
+		},
 		"audit overtaken": {
 			events: []any{base, body, done, done, audit, publisher.NewWritten(publisher.Refused), audit, done},
 			want:   append(start[:3:3], "MoveHead 5 at 40", "ReadAudit", "WriteAudit", "ReadAudit", "WriteAudit", "Reply applied"),
--- a/internal/process/role/publisher/record.go
+++ b/internal/process/role/publisher/record.go
@@ -40,6 +40,12 @@
 // archived goes on with an empty segment. Another publisher may have archived
 // the same segment before.
 func (p *Publisher) archived(now time.Time, o Outcome) []any {
+	if o == Unknown && p.at.tries < maxTries {
+		// Archiving again finds the same segment if the former write took effect.
+		p.at.tries++
+		p.phase = readingAudit
+		return []any{ReadAudit{}}
+	}
 	if o != Done && o != Same {
 		return p.reply(p.at.result)
 	}
--- a/internal/process/standin/keyvalue/http.go
+++ b/internal/process/standin/keyvalue/http.go
@@ -31,7 +31,7 @@
 	return func(c echo.Context) error {
 		ctx := c.Request().Context()
 		var f Faults
-		lose := false
+		lose, fail := false, false
 		err := s.call(ctx, &call{
 			do: func(d *data) {
 				f = d.faults
@@ -40,9 +40,14 @@
 				} else {
 					d.counts.reads++
 				}
-				if write && d.faults.loseAnswer > 0 {
+				switch {
+				case !write:
+				case d.faults.loseAnswer > 0:
 					d.faults.loseAnswer--
 					lose = true
+				case d.faults.failAfter > 0:
+					d.faults.failAfter--
+					fail = true
 				}
 			},
 		})
@@ -59,26 +64,43 @@
 				return ctx.Err()
 			}
 		}
-		if !lose {
-			return h(c)
+		switch {
+		case lose:
+			return s.lost(c, h)
+		case fail:
+			return s.failed(c, h)
 		}
-		return s.lost(c, h)
+		return h(c)
 	}
 }
 
 // lost carries out the change and closes the connection without its answer.
 func (s *Store) lost(c echo.Context, h echo.HandlerFunc) error {
-	answer := c.Response().Writer
-	c.Response().Writer = &discard{
-		header: http.Header{},
-	}
-	if err := h(c); err != nil {
+	if err := s.unseen(c, h); err != nil {
 		return err
 	}
-	c.Response().Writer = answer
 	panic(http.ErrAbortHandler)
 }
 
+// failed carries out the change and answers that it failed.
+func (s *Store) failed(c echo.Context, h echo.HandlerFunc) error {
+	if err := s.unseen(c, h); err != nil {
+		return err
+	}
+	return c.String(http.StatusInternalServerError, "leadership lost while committing log")
+}
+
+// unseen carries out the change and drops the answer.
+func (s *Store) unseen(c echo.Context, h echo.HandlerFunc) error {
+	answer := c.Response()
+	c.SetResponse(echo.NewResponse(&discard{
+		header: http.Header{},
+	}, c.Echo()))
+	err := h(c)
+	c.SetResponse(answer)
+	return err
+}
+
 // discard is a response that nobody will see.
 type discard struct {
 	header http.Header
@@ -310,12 +332,15 @@
 		Down       bool `json:"down"`
 		DelayMS    int  `json:"delay_ms"`
 		LoseAnswer int  `json:"lose_answer"`
+		FailAfter  int  `json:"fail_after"`
 		OldAnswer  int  `json:"old_answer"`
 	}
 	if err := json.NewDecoder(c.Request().Body).Decode(&body); err != nil {
 		return c.String(http.StatusBadRequest, err.Error())
 	}
-	if err := s.SetFaults(c.Request().Context(), NewFaults(body.Down, time.Duration(body.DelayMS)*time.Millisecond, body.LoseAnswer).WithOldAnswers(body.OldAnswer)); err != nil {
+	f := NewFaults(body.Down, time.Duration(body.DelayMS)*time.Millisecond, body.LoseAnswer)
+	f = f.WithFailuresAfter(body.FailAfter).WithOldAnswers(body.OldAnswer)
+	if err := s.SetFaults(c.Request().Context(), f); err != nil {
 		return err
 	}
 	return c.NoContent(http.StatusNoContent)
--- a/internal/process/standin/keyvalue/keyvalue.go
+++ b/internal/process/standin/keyvalue/keyvalue.go
@@ -4,7 +4,8 @@
 // uses: sessions with a time to live, check-and-set by modify index, acquiring a
 // key with a session, and blocking queries. One goroutine owns the data; each
 // HTTP request is a message to it. Faults can be switched on: no answer, slow
-// answers, answers lost after the change took effect, and old answers to reads.
+// answers, answers lost or replaced by status 500 after the change took effect,
+// and old answers to reads.
 package keyvalue
 
 import (
@@ -126,6 +127,7 @@
 	down       bool
 	delay      time.Duration
 	loseAnswer int
+	failAfter  int
 }
 
 // NewFaults returns a set of faults: down refuses every call, delay slows each,
@@ -138,6 +140,13 @@
 	}
 }
 
+// WithFailuresAfter has that many coming writes answered with status 500 after
+// they took effect, as by a server that loses its leader.
+func (f Faults) WithFailuresAfter(n int) Faults {
+	f.failAfter = n
+	return f
+}
+
 // WithOldAnswers has that many coming reads answered with what an earlier read of
 // the same keys was answered.
 func (f Faults) WithOldAnswers(n int) Faults {
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -1,7 +1,7 @@
 // Package store is the client of the platform's key-value service.
 //
 // The service is the only durable place, it has outages, and its answer can be
-// lost after a change took effect. The client therefore tells three ends of a
+// lost or an error after a change took effect. The client therefore tells three ends of a
 // write apart: done, refused, and unknown. Whoever writes puts a mark of its own
 // into the value and resolves an unknown end by reading it back.
 package store
@@ -24,7 +24,7 @@
 var (
 	ErrNotFound    = errors.New("key is not in the store")
 	ErrUnavailable = errors.New("store is not available; nothing was changed")
-	ErrUnknown     = errors.New("store did not answer; the change may have taken effect")
+	ErrUnknown     = errors.New("store did not confirm the change; it may have taken effect")
 	ErrSession     = errors.New("session has ended")
 )
 
@@ -241,8 +241,9 @@
 	return pairs, nil
 }
 
-// write sends a change. A status other than success means that nothing was
-// changed; no answer means that nobody knows.
+// write sends a change. A status of the 4xx class means that nothing was changed.
+// No answer or a status of the 5xx class means that nobody knows: a server that
+// loses its leader answers 500 for a change that the next leader may carry out.
 func (c *client) write(ctx context.Context, method, path string, value []byte) ([]byte, error) {
 	r, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(value))
 	if err != nil {
@@ -266,6 +267,9 @@
 	case http.StatusNotFound:
 		return nil, ErrSession
 	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return nil, errors.Wrapf(ErrUnknown, "status %d", resp.StatusCode)
+	}
 	return nil, errors.Wrapf(ErrUnavailable, "status %d", resp.StatusCode)
 }
 
