Refuse jobs of a service that no agent offers

Cause: a job whose only target was drained waited for its deadline, since an unknown capacity counted as no wait.

--- a/internal/process/role/owner/owner.go
+++ b/internal/process/role/owner/owner.go
@@ -115,6 +115,7 @@
 	timers   *heap.Heap[timer]
 	skipped  []*room
 	parked   []parked
+	changed  []*service
 	effects  []message.Send
 }
 
@@ -170,6 +171,7 @@
 			o.cfg = e
 		}
 	}
+	o.watch(now)
 	o.dispatch(now)
 	o.flushRevokes(now)
 	return o.effects
