Move shards between live owners in the promise walk

Cause: with a paused owner its own agent is a gap, so the gap rule alone hid whether epoch and credit matter. Change: the walk hands shards over between live owners and holds starts back; TestFence has the hand-over as a case.

--- a/internal/process/role/promise/fence_test.go
+++ b/internal/process/role/promise/fence_test.go
@@ -7,14 +7,10 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/membership"
 	"greengagedoor.example/greengagedoor/internal/request/message"
 )
 
-// ownerOf is the index of the node that owns a submission's shard.
-func (w *world) ownerOf(a attempt) int {
-	return w.owners[identity.ShardOf(a.submission, 0, 1, shards)]
-}
-
 // holdsStart tells whether a start waits to be sent.
 func (n *node) holdsStart() bool {
 	for _, p := range n.out {
@@ -25,25 +21,45 @@
 	return false
 }
 
-// TestFence guards against a start that its owner decided before a pause and that
-// leaves after the shard has moved and the submission was sent again.
+// TestFence guards against a start that its owner sent before its shard moved and
+// that arrives after the submission was sent again to the new owner.
 func TestFence(t *testing.T) {
 	tests := map[string]struct {
-		between func(w *world, old *node)
-		after   func(w *world, old *node)
+		move   func(w *world, shard, old int)
+		resume func(w *world, old *node)
+		// complete is the number of complete answers that are expected at least.
+		complete int
 	}{
-		"all agents sealed": {},
-		"one agent was cut off from the new owner": {
-			between: func(w *world, _ *node) {
+		"handed over by a live owner": {
+			move: func(w *world, shard, old int) {
+				w.nodes[old].in = append(w.nodes[old].in, membership.NewReleased(identity.Shard(shard)))
+				w.grant(shard, (old+1)%agents, w.roster())
+				w.run(2 * time.Second)
+			},
+			complete: 1,
+		},
+		"taken from a paused owner": {
+			move: func(w *world, _, old int) {
+				w.nodes[old].paused = true
+				w.run(4 * time.Second)
+			},
+		},
+		"taken from an owner that lost its directory": {
+			move: func(w *world, _, old int) {
+				w.nodes[old].cut = true
+				w.run(4 * time.Second)
+			},
+		},
+		"taken while an agent is cut off from the new owner": {
+			move: func(w *world, _, old int) {
 				for i := range agents {
-					w.linkCut[[2]int{i, 0}] = true
-					w.linkCut[[2]int{0, i}] = true
+					w.linkCut[[2]int{i, (old + 1) % agents}] = true
+					w.linkCut[[2]int{(old + 1) % agents, i}] = true
 				}
+				w.nodes[old].paused = true
+				w.run(4 * time.Second)
 			},
-			after: func(w *world, _ *node) { clear(w.linkCut) },
-		},
-		"former owner stays cut off from the directory": {
-			between: func(_ *world, old *node) { old.cut = true },
+			resume: func(w *world, _ *node) { clear(w.linkCut) },
 		},
 	}
 	for name, tt := range tests {
@@ -52,7 +68,8 @@
 				w := newWorld(agents, entries, 1)
 				w.run(time.Second)
 				a := w.newJob(12, 0)
-				old := w.nodes[w.ownerOf(a)]
+				shard := int(identity.ShardOf(a.submission, 0, 1, shards))
+				old := w.nodes[w.owners[shard]]
 				old.holding = true
 				w.submit(agents, a)
 				for range 100 {
@@ -61,22 +78,19 @@
 					}
 				}
 				So(old.holdsStart(), ShouldBeTrue)
-				old.paused = true
-				old.holding = false
-				if tt.between != nil {
-					tt.between(w, old)
-				}
-				w.run(4 * time.Second)
+				tt.move(w, shard, w.index[old.id])
 				w.submit(agents+1, a)
 				w.run(time.Second)
+				old.holding = false
 				old.paused = false
 				w.run(time.Second)
-				if tt.after != nil {
-					tt.after(w, old)
+				if tt.resume != nil {
+					tt.resume(w, old)
 				}
 				w.run(5 * time.Second)
 				So(w.oracle.broken, ShouldBeEmpty)
 				So(w.open, ShouldBeEmpty)
+				So(w.complete, ShouldBeGreaterThanOrEqualTo, tt.complete)
 			})
 		})
 	}
--- a/internal/process/role/promise/promise_test.go
+++ b/internal/process/role/promise/promise_test.go
@@ -6,6 +6,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
+
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/membership"
 )
 
 const (
@@ -63,6 +66,18 @@
 			}
 			w.replace(anyAgent(t))
 		},
+		"hand_over": func(t *rapid.T) {
+			shard := rapid.IntRange(0, shards-1).Draw(t, "shard")
+			if to, ok := w.anyLive(); ok && to != w.owners[shard] {
+				old := w.nodes[w.owners[shard]]
+				old.in = append(old.in, membership.NewReleased(identity.Shard(shard)))
+				w.grant(shard, to, w.roster())
+			}
+		},
+		"hold_starts": func(t *rapid.T) {
+			n := w.nodes[anyAgent(t)]
+			n.holding = !n.holding
+		},
 		"wait": func(*rapid.T) { w.run(time.Second) },
 	}
 }
--- a/internal/process/role/promise/world_test.go
+++ b/internal/process/role/promise/world_test.go
@@ -38,7 +38,7 @@
 	entry   *entry.Entry
 	dead    bool
 	paused  bool
-	holding bool      // Sends nothing, while it goes on deciding.
+	holding bool      // Its starts stay on the way, other messages pass.
 	pausing bool      // Pauses between the next decisions and the sending of their messages.
 	cut     bool      // Cut off from the directory.
 	beat    time.Time // Last heartbeat that the directory received.
@@ -207,14 +207,17 @@
 		n.paused = true
 		return
 	}
-	if !n.holding {
-		w.flush(i, n)
-	}
+	w.flush(i, n)
 }
 
 // flush puts what a node has sent onto the network.
 func (w *world) flush(i int, n *node) {
+	var held []parcel
 	for _, p := range n.out {
+		if _, ok := p.body.(message.Start); ok && n.holding {
+			held = append(held, p)
+			continue
+		}
 		if n.credit != nil {
 			p.credit = n.credit(w.now)
 			p.room = n.room
@@ -222,7 +225,7 @@
 		p.due = w.now.Add(time.Duration(w.rnd.IntN(40)) * time.Millisecond)
 		w.transit = append(w.transit, p)
 	}
-	n.out = nil
+	n.out = held
 }
 
 // role is a decision of a process.
