--- a/cmd/greengagedoor/roles.go
+++ b/cmd/greengagedoor/roles.go
@@ -95,7 +95,7 @@
 		cleanup()
 		return host.Common{}, nil, err
 	}
-	c, err = secured(c, v, l)
+	c, err = secured(c.WithCell(v.Text("process", "cell"), int(v.Number("process", "cell_size"))), v, l)
 	if err != nil {
 		cleanup()
 		return host.Common{}, nil, err
--- a/internal/process/role/directory/capacity_test.go
+++ b/internal/process/role/directory/capacity_test.go
@@ -15,8 +15,8 @@
 	"greengagedoor.example/greengagedoor/internal/process/store"
 )
 
-// capacity measures up to 2,000 members, which takes about a minute.
-var capacity = flag.Bool("capacity", false, "measure at 10, 50, 200 and 2,000 members")
+// capacity measures up to 2,000 members, which takes some minutes.
+var capacity = flag.Bool("capacity", false, "measure at 10, 50, 200, 900 and 2,000 members")
 
 const (
 	cellSize = 36
@@ -169,7 +169,8 @@
 func TestCapacity(t *testing.T) {
 	sizes := []int{10, 50, 200}
 	if *capacity {
-		sizes = append(sizes, 2000)
+		// One of two regions at the two-year size, and all of it in one region.
+		sizes = append(sizes, 900, 2000)
 	}
 	loads := map[int]load{}
 	for _, n := range sizes {
--- a/internal/process/role/host/membership.go
+++ b/internal/process/role/host/membership.go
@@ -73,6 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.member.snapshot = func() any { return m.Snapshot(c.now()) }
 	if agent {
 		if err := s.addDirectory(self); err != nil {
 			return nil, err
@@ -93,7 +94,11 @@
 	}
 	d := directory.New(set)
 	s.directory, err = newRole("directory", s.common.now, message.Wake{}, func(now time.Time, e any) { s.applyDirectory(now, d, e) })
-	return err
+	if err != nil {
+		return err
+	}
+	s.directory.snapshot = func() any { return d.Snapshot(s.common.now()) }
+	return nil
 }
 
 // duties lists the station's goroutines.
--- a/internal/process/setting/table.go
+++ b/internal/process/setting/table.go
@@ -13,6 +13,8 @@
 		row("process", "region", "region", "The region that the process stands in, counted from 0.").number(0, 0, 15, ""),
 		row("process", "region_count", "regions", "The number of regions of the installation.").number(1, 1, 16, "regions"),
 		row("process", "shard_count", "shards", "The number of shards. Fixed for an installation and the same in every process.").number(1024, 1, 65_536, "shards"),
+		row("process", "cell", "cell", "The cell of agents that the process belongs to; empty for the first of the availability zone with room.").word().orEmpty(),
+		row("process", "cell_size", "cell-size", "The number of agents that a cell takes.").number(36, 1, 200, "agents"),
 		row("listen", "link", "link", "Where other processes reach this one. The address must be the one that they use; port 0 lets the system choose.").address(),
 		row("listen", "http", "http", "Where callers, operators and targets reach this process by HTTP.").address(),
 		row("store", "url", "store", "The key-value service.").url(),
