Tell operators how many processes have a version in force

Cause: the status of the configuration did not say how far a version had come. Result: go test ./internal/process/role/host -run TestSpread: an agent and an entry report the first version within the bound of 10 s. Conclusion: the count costs a few bytes on each confirmation to an entry.

--- a/internal/process/membership/message.go
+++ b/internal/process/membership/message.go
@@ -126,6 +126,39 @@
 	term     uint64
 	standing Standing
 	versions Versions
+	spread   Spread
+}
+
+// Spread tells how far a configuration version has come in a region.
+type Spread struct {
+	version uint64
+	inForce uint32
+	members uint32
+}
+
+// NewSpread returns the counts: of members, inForce have the version or a newer
+// one in force.
+func NewSpread(version uint64, inForce, members uint32) Spread {
+	return Spread{
+		version: version,
+		inForce: inForce,
+		members: members,
+	}
+}
+
+// Version is the number of the configuration version.
+func (s Spread) Version() uint64 {
+	return s.version
+}
+
+// InForce is the number of members that have the version in force.
+func (s Spread) InForce() uint32 {
+	return s.inForce
+}
+
+// Members is the number of members that the directories hear from.
+func (s Spread) Members() uint32 {
+	return s.members
 }
 
 // NewConfirm returns the message.
@@ -138,6 +171,17 @@
 	}
 }
 
+// WithSpread adds the counts. Only entries get them, since they serve operators.
+func (c Confirm) WithSpread(s Spread) Confirm {
+	c.spread = s
+	return c
+}
+
+// Spread is how far the newest version has come; zero if it is not told.
+func (c Confirm) Spread() Spread {
+	return c.spread
+}
+
 // Number is the number of the confirmed beat.
 func (c Confirm) Number() uint64 {
 	return c.number
--- a/internal/process/role/directory/digest.go
+++ b/internal/process/role/directory/digest.go
@@ -287,3 +287,26 @@
 		d.send(from, membership.NewFetch(membership.ConfigurationPart, g.Versions().Configuration()))
 	}
 }
+
+// spread counts the members of the region that have this directory's
+// configuration version in force. A cell whose directory has another version has
+// none of them counted.
+func (d *Directory) spread(now time.Time) membership.Spread {
+	var inForce, members uint32
+	for _, h := range d.ordered() {
+		g := d.digest(now, h)
+		inForce += g.InForce()
+		members += g.Members()
+	}
+	for _, c := range d.voters {
+		p, ok := d.peers[c.Name()]
+		if !ok || d.claimed(c.Name()) {
+			continue
+		}
+		members += p.digest.Members()
+		if p.digest.Versions().Configuration() >= d.version {
+			inForce += p.digest.InForce()
+		}
+	}
+	return membership.NewSpread(d.version, inForce, members)
+}
--- a/internal/process/role/directory/directory.go
+++ b/internal/process/role/directory/directory.go
@@ -314,7 +314,11 @@
 	if v == b.Versions() {
 		v = membership.Versions{}
 	}
-	d.send(from, membership.NewConfirm(b.Number(), h.term, d.standing(h, from, b), v))
+	c := membership.NewConfirm(b.Number(), h.term, d.standing(h, from, b), v)
+	if !b.Agent() {
+		c = c.WithSpread(d.spread(now))
+	}
+	d.send(from, c)
 }
 
 func (d *Directory) standing(h *held, from identity.Process, b membership.Beat) membership.Standing {
--- a/internal/process/role/host/admin.go
+++ b/internal/process/role/host/admin.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"greengagedoor.example/greengagedoor/internal/process/duty"
+	"greengagedoor.example/greengagedoor/internal/process/membership"
 	"greengagedoor.example/greengagedoor/internal/process/role/publisher/service"
 	"greengagedoor.example/greengagedoor/internal/process/store"
 	"greengagedoor.example/greengagedoor/internal/version/configuration"
@@ -23,9 +24,9 @@
 type admin struct {
 	guard   guard
 	service *service.Service
-	// inForce counts the processes by the version that they report, nil if that
-	// is not known here.
-	inForce func() map[uint64]int
+	// spread is how far the newest version has come, as the directory counts; nil
+	// if it has not told yet.
+	spread func() *membership.Spread
 }
 
 // admin adds the pages of operators and returns the duty that makes their
@@ -38,6 +39,7 @@
 	a := &admin{
 		guard:   g,
 		service: s,
+		spread:  e.spread.Load,
 	}
 	a.register(router)
 	return duty.New("publisher", "Brings configuration versions into force.", s.Gauge, s.Run)
@@ -179,10 +181,11 @@
 		d.Here = cfg.Version()
 		d.Drained = cfg.Drained()
 	}
-	if a.inForce != nil {
-		d.Processes = map[string]int{}
-		for v, n := range a.inForce() {
-			d.Processes[strconv.FormatUint(v, 10)] = n
+	if s := a.spread(); s != nil {
+		d.Spread = &spreadView{
+			Version: s.Version(),
+			InForce: s.InForce(),
+			Members: s.Members(),
 		}
 	}
 	return c.JSON(http.StatusOK, d)
--- a/internal/process/role/host/admin_test.go
+++ b/internal/process/role/host/admin_test.go
@@ -158,6 +158,29 @@
 	return fmt.Sprintf(`{"key":%q,"base":%d,"configuration":%s}`, key, base, must(configuration.Encode(c)))
 }
 
+// TestSpread guards against a status that does not tell how many processes have a
+// version in force.
+func TestSpread(t *testing.T) {
+	Convey("agent and entry report the version within the bound", t, func() {
+		s := newSite(t, host.AccessOff)
+		status, _ := s.call("POST", "/v1/admin/apply", "", applyBody("k1", 0, answers(10, "boss")))
+		So(status, ShouldEqual, 200)
+		var spread map[string]any
+		for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+			_, d := s.call("GET", "/v1/admin/status", "", "")
+			spread, _ = d["spread"].(map[string]any)
+			if spread["version"] == 1.0 && spread["processes_in_force"] == 2.0 {
+				break
+			}
+		}
+		So(spread, ShouldResemble, map[string]any{
+			"version":            1.0,
+			"processes_in_force": 2.0,
+			"processes":          2.0,
+		})
+	})
+}
+
 // TestAccess guards against a token that opens more than it should, and against
 // tokens that need a restart to be replaced.
 func TestAccess(t *testing.T) {
--- a/internal/process/role/host/adminview.go
+++ b/internal/process/role/host/adminview.go
@@ -54,10 +54,16 @@
 }
 
 type statusView struct {
-	Stored    uint64         `json:"version_stored"`
-	Here      uint64         `json:"version_here"`
-	Drained   []string       `json:"drained,omitempty"`
-	Processes map[string]int `json:"processes_by_version,omitempty"`
+	Stored  uint64      `json:"version_stored"`
+	Here    uint64      `json:"version_here"`
+	Drained []string    `json:"drained,omitempty"`
+	Spread  *spreadView `json:"spread,omitempty"`
+}
+
+type spreadView struct {
+	Version uint64 `json:"version"`
+	InForce uint32 `json:"processes_in_force"`
+	Members uint32 `json:"processes"`
 }
 
 type versionView struct {
--- a/internal/process/role/host/entry.go
+++ b/internal/process/role/host/entry.go
@@ -34,6 +34,7 @@
 	station  *station
 	ready    atomic.Bool
 	current  atomic.Pointer[configuration.Configuration]
+	spread   atomic.Pointer[membership.Spread]
 	drained  chan struct{}
 	requests atomic.Uint64
 	links    net.Listener
@@ -196,8 +197,12 @@
 }
 
 func (e *Entry) publish(ctx context.Context, v any) {
-	if cfg, ok := v.(*configuration.Configuration); ok {
-		e.current.Store(cfg)
+	switch v := v.(type) {
+	case *configuration.Configuration:
+		e.current.Store(v)
+	case membership.Spread:
+		e.spread.Store(&v)
+		return
 	}
 	switch v.(type) {
 	case *configuration.Configuration, membership.Routes:
--- a/internal/process/role/member/member.go
+++ b/internal/process/role/member/member.go
@@ -176,6 +176,7 @@
 
 // Member is the decision.
 type Member struct {
+	spread    membership.Spread
 	set       Settings
 	cell      string
 	rank      int
@@ -309,6 +310,10 @@
 		// The roster has just changed and may list this process now.
 		m.lastBeat = time.Time{}
 	}
+	if s := c.Spread(); s != (membership.Spread{}) && s != m.spread {
+		m.spread = s
+		m.emit(s)
+	}
 	m.known = c.Standing() != membership.Waiting && (m.known || c.Number() > 0)
 	m.want = membership.NewVersions(
 		max(m.want.Configuration(), c.Versions().Configuration()),
--- a/internal/process/role/wire/membership.go
+++ b/internal/process/role/wire/membership.go
@@ -30,6 +30,7 @@
 					Term:     m.Term(),
 					Standing: uint32(m.Standing()),
 					Versions: encodeVersions(m.Versions()),
+					Spread:   encodeSpread(m.Spread()),
 				},
 			},
 		}, nil
@@ -77,7 +78,8 @@
 		if c.GetStanding() > uint32(membership.Departed) {
 			return nil, errors.Errorf("standing %d is not known", c.GetStanding())
 		}
-		return membership.NewConfirm(c.GetNumber(), c.GetTerm(), membership.Standing(c.GetStanding()), decodeVersions(c.GetVersions())), nil
+		return membership.NewConfirm(c.GetNumber(), c.GetTerm(), membership.Standing(c.GetStanding()), decodeVersions(c.GetVersions())).
+			WithSpread(membership.NewSpread(c.GetSpread().GetVersion(), c.GetSpread().GetInForce(), c.GetSpread().GetMembers())), nil
 	case *wirepb.Body_Fetch:
 		if k.Fetch.GetPart() > uint32(membership.RostersPart) {
 			return nil, errors.Errorf("part %d is not known", k.Fetch.GetPart())
@@ -329,3 +331,15 @@
 	}
 	return membership.NewDigest(p.GetCell(), decodeVersions(p.GetVersions()), reports, p.GetMembers(), p.GetInForce(), p.GetFree()), nil
 }
+
+// encodeSpread leaves the counts out where there are none.
+func encodeSpread(s membership.Spread) *wirepb.Spread {
+	if s == (membership.Spread{}) {
+		return nil
+	}
+	return &wirepb.Spread{
+		Version: s.Version(),
+		InForce: s.InForce(),
+		Members: s.Members(),
+	}
+}
--- a/internal/process/role/wire/membership_test.go
+++ b/internal/process/role/wire/membership_test.go
@@ -45,6 +45,7 @@
 		"beat":                membership.NewBeat(5, "0.a.0", members[0], true, true, true, 8, v),
 		"beat to who knows":   membership.NewBeat(5, "0.a.0", membership.Member{}, true, false, false, 8, v),
 		"confirm":             membership.NewConfirm(5, 6, membership.Confirmed, v),
+		"confirm, entry":      membership.NewConfirm(5, 6, membership.Confirmed, v).WithSpread(membership.NewSpread(7, 8, 9)),
 		"confirm, same":       membership.NewConfirm(5, 6, membership.Confirmed, membership.Versions{}),
 		"fetch":               membership.NewFetch(membership.RostersPart, 77),
 		"body, configuration": membership.NewBody(membership.ConfigurationPart, 4, []byte("{}"), nil, []membership.Member{}),
