--- a/cmd/greengagedoor-standin/main.go
+++ b/cmd/greengagedoor-standin/main.go
@@ -35,6 +35,7 @@
 			workersCommand(),
 			targetCommand(),
 			sizingCommand(),
+			fitCommand(),
 			loadCommand(),
 		},
 	}
--- a/cmd/greengagedoor-standin/sizing.go
+++ b/cmd/greengagedoor-standin/sizing.go
@@ -19,3 +19,17 @@
 		},
 	}
 }
+
+func fitCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "fit",
+		Usage: "fit lines to points read from standard input as name|unit|size|value",
+		Action: func(c *cli.Context) error {
+			rows, err := sizing.ReadPoints(c.App.Reader)
+			if err != nil {
+				return err
+			}
+			return sizing.Print(c.App.Writer, rows)
+		},
+	}
+}
