Let the load wait until the shards have settled

Cause: the longest waits of a run stood within the first 1.2 s, while shards were handed over to the agents that had just joined.

--- a/cmd/greengagedoor-standin/load.go
+++ b/cmd/greengagedoor-standin/load.go
@@ -72,6 +72,15 @@
 				Name:  "plot",
 				Usage: "`PREFIX` of two SVG files with goodput and wait over time",
 			},
+			&cli.DurationFlag{
+				Name:  "warm-up",
+				Value: 5 * time.Second,
+				Usage: "wait before the trace, until the shards of the agents that joined have settled",
+			},
+			&cli.IntFlag{
+				Name:  "slowest",
+				Usage: "print the `N` jobs that waited longest in the product",
+			},
 			&cli.BoolFlag{
 				Name:  "no-baseline",
 				Usage: "compare the product with itself, to save time",
@@ -103,6 +112,11 @@
 		return err
 	}
 	defer stop()
+	select {
+	case <-time.After(c.Duration("warm-up")):
+	case <-c.Context.Done():
+		return c.Context.Err()
+	}
 	jobs := load.Trace(kinds, shape, size.Capacity(), c.Uint64("seed"))
 	fmt.Fprintf(c.App.Writer, "%d jobs of %s, capacity %.1f task seconds a second, seed %d\n", len(jobs), c.String("user"), size.Capacity(), c.Uint64("seed"))
 	product, err := measureProduct(c.Context, sys, jobs, shape, size.Capacity())
@@ -119,6 +133,7 @@
 	if err := load.Print(c.App.Writer, product, baseline); err != nil {
 		return err
 	}
+	product.Slowest(c.App.Writer, c.Int("slowest"))
 	n, err := sys.Record().Counts(c.Context)
 	if err != nil {
 		return err
