Count only a part of the free slots for a rising demand

Cause: at the start of a crest every owner counted all free slots as its own and accepted eleven times what fits; accepted check_slot jobs waited 4.9 s against a commitment of 1 s. Change: without an observed rate an owner counts its own running work and an equal part of the free slots. Conclusion: the estimate is not the main cause; late work still takes the slots.

--- a/internal/process/role/owner/admission.go
+++ b/internal/process/role/owner/admission.go
@@ -161,12 +161,14 @@
 }
 
 // slots is the capacity that this owner has for work of an urgency beside the
-// more urgent work, in slots: as observed while work waited, otherwise as hinted.
-// Ageing leaves a part to every urgency. It is zero if nothing is known.
-func (svc *service) slots(now time.Time, u configuration.Urgency) float64 {
+// more urgent work, in slots: as observed while work waited, otherwise its own and
+// an equal part of the free ones, since the other owners see the same free slots
+// when demand rises everywhere. Ageing leaves a part to every urgency. It is zero
+// if nothing is known.
+func (o *Owner) slots(now time.Time, svc *service, u configuration.Urgency) float64 {
 	all, ok := svc.drains[configuration.Critical].Rate(now)
 	if !ok || all <= 0 {
-		return float64(svc.free + svc.open)
+		return float64(svc.open) + float64(svc.free)/float64(max(len(o.set), 1))
 	}
 	rate, _ := svc.drains[u].Rate(now)
 	return max(rate, all/queue.AgedEvery)
@@ -177,7 +179,7 @@
 func (o *Owner) wait(now time.Time, s *submission) time.Duration {
 	kind := s.job.Kind()
 	class := queue.NewClass(kind.Urgency(), kind.Long())
-	slots := s.svc.slots(now, kind.Urgency())
+	slots := o.slots(now, s.svc, kind.Urgency())
 	_, room := s.svc.pools[poolOf(class)].Top()
 	width := max(s.job.WaitingTasks(), 1)
 	ahead := s.svc.queue.Ahead(class, width)
@@ -186,7 +188,7 @@
 	}
 	running := 0.5 * float64(s.svc.open) * s.learned.typical.Value().Seconds()
 	within := s.svc.queue.Within(class, width)
-	urgent := (ahead - within) / max(s.svc.slots(now, configuration.Critical), slots)
+	urgent := (ahead - within) / max(o.slots(now, s.svc, configuration.Critical), slots)
 	wait := urgent + (within+running)/slots
 	team, ok := o.cfg.Team(kind.Team())
 	if ok && team.Share() > 0 && !o.usage.Over(now, team.Name(), team.Share()) {
