Run faults against real processes

The simulations share one address space and one clock, so nothing showed what SIGKILL, SIGSTOP and SIGTERM do to real processes, sockets and peers.

The target stand-in lists its starts at GET /standin/starts. On SIGTERM it announces that it is leaving and finishes its calls; before, it cut them off, which would look like a fault of the product.

--- a/cmd/greengagedoor-standin/main.go
+++ b/cmd/greengagedoor-standin/main.go
@@ -56,6 +56,12 @@
 
 // serve runs the duties and an HTTP server until ctx ends.
 func serve(ctx context.Context, address string, e *echo.Echo, duties ...duty.Duty) error {
+	return serveAndDrain(ctx, address, e, func(*http.Server) {}, duties...)
+}
+
+// serveAndDrain runs the duties and an HTTP server until ctx ends and the drain
+// has returned.
+func serveAndDrain(ctx context.Context, address string, e *echo.Echo, drain func(*http.Server), duties ...duty.Duty) error {
 	e.HideBanner = true
 	e.HidePort = true
 	l, err := net.Listen("tcp", address)
@@ -86,6 +92,7 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
+		drain(server)
 		return nil
 	}
 }
@@ -220,7 +227,7 @@
 			}
 			e := echo.New()
 			t.Register(e)
-			return serve(c.Context, c.String("listen"), e, starts, announce)
+			return serveAndDrain(c.Context, c.String("listen"), e, t.Drain, starts, announce)
 		},
 	}
 }
--- /dev/null
+++ b/internal/process/role/promise/fleet/process_test.go
@@ -0,0 +1,146 @@
+package fleet
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// firstPort to lastPort lie below the range from which the system gives ports
+	// to outgoing connections.
+	firstPort = 20_000
+	lastPort  = 32_000
+	// logTail is how much of a process's log a failing test prints.
+	logTail = 1000
+)
+
+// programs is the folder of the built programs.
+var programs string
+
+// nextPort counts the ports that were handed out. It begins at the process id,
+// so that two runs at a time seldom try the same ports.
+var nextPort atomic.Int64
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	nextPort.Store(int64(os.Getpid()) * 101)
+	dir, err := os.MkdirTemp("", "fleet")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	programs = dir
+	build := exec.Command("go", "build", "-o", dir, "./cmd/greengagedoor", "./cmd/greengagedoor-standin")
+	build.Dir = "../../../../.."
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// freeAddress returns a loopback address on which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	for range lastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
+}
+
+// process is a started program.
+type process struct {
+	name  string
+	url   string
+	cmd   *exec.Cmd
+	log   string
+	ended chan struct{}
+}
+
+// start runs a program until the end of the test at the latest.
+func start(t *testing.T, name, url, program string, args ...string) *process {
+	t.Helper()
+	p := &process{
+		name:  name,
+		url:   url,
+		cmd:   exec.Command(filepath.Join(programs, program), args...),
+		log:   filepath.Join(t.TempDir(), name+".log"),
+		ended: make(chan struct{}),
+	}
+	out, err := os.Create(p.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	// The processes must not outlive a test binary that panics or times out.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{
+		Pdeathsig: syscall.SIGKILL,
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	_ = out.Close()
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.ended)
+	}()
+	t.Cleanup(func() { p.stop(t) })
+	return p
+}
+
+func (p *process) stop(t *testing.T) {
+	_ = p.cmd.Process.Kill()
+	<-p.ended
+	if !t.Failed() {
+		return
+	}
+	data, _ := os.ReadFile(p.log)
+	if n := len(data); n > logTail {
+		data = data[n-logTail:]
+	}
+	if s := strings.TrimSpace(string(data)); s != "" {
+		t.Logf("end of the log of %s:\n%s", p.name, s)
+	}
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		t.Errorf("signal %v to %s: %v", s, p.name, err)
+	}
+}
+
+// terminate ends the process with SIGTERM, which must exit with 0 in time.
+func (p *process) terminate(t *testing.T, limit time.Duration) {
+	t.Helper()
+	began := time.Now()
+	p.signal(t, syscall.SIGTERM)
+	select {
+	case <-p.ended:
+		if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+			t.Errorf("%s exited with %d after SIGTERM, want 0", p.name, code)
+		}
+		t.Logf("%s ended %v after SIGTERM", p.name, time.Since(began).Round(time.Millisecond))
+	case <-time.After(limit):
+		t.Errorf("%s still runs %v after SIGTERM", p.name, limit)
+	}
+}
--- a/internal/process/standin/target/target.go
+++ b/internal/process/standin/target/target.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sort"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,10 @@
 	defaultRunTime  = 20 * time.Millisecond
 	maxPayloadBytes = 1 << 20
 	announceTimeout = time.Second
+	// leaveDelay is the time for calls that the agent began before it learned that
+	// the target is leaving.
+	leaveDelay = 500 * time.Millisecond
+	drainLimit = 8 * time.Second
 )
 
 // Work is what a payload asks a stand-in to do.
@@ -89,6 +94,7 @@
 	announced announcement.Announcement
 	agent     string
 	faults    atomic.Pointer[faults]
+	leaving   atomic.Bool
 	record    *record.Record
 	client    *http.Client
 	log       *logrus.Entry
@@ -127,6 +133,7 @@
 func (t *Target) Register(e *echo.Echo) {
 	e.POST("/task", t.run)
 	e.GET("/standin/counts", t.counts)
+	e.GET("/standin/starts", t.starts)
 	e.POST("/standin/faults", t.fault)
 }
 
@@ -210,6 +217,29 @@
 	})
 }
 
+type startDocument struct {
+	Task  string `json:"task"`
+	Count int    `json:"count"`
+}
+
+// starts lists the started tasks with the number of their starts. The task is
+// the Idempotency-Key of its calls.
+func (t *Target) starts(c echo.Context) error {
+	tasks, err := t.record.Tasks(c.Request().Context())
+	if err != nil {
+		return err
+	}
+	list := make([]startDocument, 0, len(tasks))
+	for name, n := range tasks {
+		list = append(list, startDocument{
+			Task:  name,
+			Count: n,
+		})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Task < list[j].Task })
+	return c.JSON(http.StatusOK, list)
+}
+
 // Run announces the target until ctx ends, and then that it is leaving.
 func (t *Target) Run(ctx context.Context) error {
 	ticker := time.NewTicker(announcement.Interval)
@@ -219,7 +249,7 @@
 		select {
 		case <-ticker.C:
 			if !t.faults.Load().silent {
-				t.announce(ctx, false)
+				t.announce(ctx, t.leaving.Load())
 			}
 		case <-ctx.Done():
 			t.announce(context.WithoutCancel(ctx), true)
@@ -228,6 +258,21 @@
 	}
 }
 
+// Drain announces that the target is leaving and waits until the server's calls
+// have ended, so that a target that is told to stop loses no task.
+func (t *Target) Drain(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
+	defer cancel()
+	t.leaving.Store(true)
+	t.announce(ctx, true)
+	timer := time.NewTimer(leaveDelay)
+	defer timer.Stop()
+	<-timer.C
+	if err := server.Shutdown(ctx); err != nil {
+		t.log.WithError(err).Warn("tasks still ran when the time for leaving was over")
+	}
+}
+
 func (t *Target) announce(ctx context.Context, leaving bool) {
 	a := t.announced
 	if leaving {
