Queue a task again whose start never reached its target

Cause: a start that ends as revoked, because the target took no connection, left its task waiting without a place in the queue, and the job ran for ever. The gap of a dead agent reached 5 s past its loss, so that new jobs of its shards failed for up to 9 s. Change: such a task is queued as after a refusal; max_caller_skew is 1 s.

--- a/internal/process/role/agent/agent.go
+++ b/internal/process/role/agent/agent.go
@@ -28,7 +28,7 @@
 	// CreditAge is how long a credit is valid after it was issued.
 	CreditAge = 500 * time.Millisecond
 	// MaxCallerSkew is how far a caller's clock may be ahead.
-	MaxCallerSkew = 5 * time.Second
+	MaxCallerSkew = time.Second
 	// tick is the longest time between two wakes.
 	tick = 50 * time.Millisecond
 )
--- a/internal/process/role/entry/entry.go
+++ b/internal/process/role/entry/entry.go
@@ -29,7 +29,7 @@
 	// send them again to a new owner. 256 MB is a quarter of a small host.
 	MaxHeldBytes = 256 << 20
 	// MaxCallerSkew is how far ahead a caller's clock may be.
-	MaxCallerSkew = 5 * time.Second
+	MaxCallerSkew = time.Second
 	// ownerLimit is how long an entry waits for an owner to say anything: a shard
 	// whose owner died serves again within 5 s.
 	ownerLimit = 6 * time.Second
--- a/internal/process/role/owner/result.go
+++ b/internal/process/role/owner/result.go
@@ -142,9 +142,25 @@
 		o.ended(s)
 	case job.Retry:
 		o.again(now, s, index)
+	case job.Progress:
+		// A start that never reached its back end ends as revoked.
+		o.requeue(now, s, index)
 	}
 }
 
+// requeue queues a task that waits again because its start took no effect.
+func (o *Owner) requeue(now time.Time, s *submission, index uint32) {
+	if !s.job.Waiting(index) {
+		return
+	}
+	if s.job.Starts(index) > 0 {
+		o.again(now, s, index)
+		return
+	}
+	s.job.Return(index)
+	o.add(s.svc, s.item, 1)
+}
+
 // finished updates the record of a task that still ran when its shard was sealed.
 func (r *remnant) finished(index uint32, from identity.Process, result outcome.Result) {
 	f, ok := r.tasks[index]
@@ -230,15 +246,7 @@
 	case cause == message.NeverFits && o.fitsNowhere(s, from):
 		o.stop(now, s, answer.FitsNowhere, "a task is larger than every worker known to the owner", 0)
 	}
-	if !s.job.Waiting(task.Index()) {
-		return
-	}
-	if s.job.Starts(task.Index()) > 0 {
-		o.again(now, s, task.Index())
-		return
-	}
-	s.job.Return(task.Index())
-	o.add(s.svc, s.item, 1)
+	o.requeue(now, s, task.Index())
 }
 
 // fitsNowhere notes that an agent can never run the job, and tells whether this
--- a/internal/process/role/owner/timer.go
+++ b/internal/process/role/owner/timer.go
@@ -17,7 +17,7 @@
 	// A dead agent is known after 3 s, so a later answer would say no more.
 	confirmLimit = 3 * time.Second
 	// maxCallerSkew is the largest accepted lead of a caller's clock.
-	maxCallerSkew = 5 * time.Second
+	maxCallerSkew = time.Second
 	// keepMargin is how long a submission is kept beyond the retention. Agents keep
 	// their records as long, so that a record outlives its key.
 	keepMargin = 2 * maxCallerSkew
