Let entries leave a cell without directory and end gaps with the lease

Cause: after its availability zone was lost, an entry stayed with the lost cell and kept an old shard map, so some requests were never answered; a lost agent's gap ended only when the loss was declared, 0.5 s after its lease. Ruled out: links and sealing; the dumps showed an entry with shard map 124 beside directories with 127, and no shard sealing.

--- a/internal/process/role/directory/directory.go
+++ b/internal/process/role/directory/directory.go
@@ -32,9 +32,11 @@
 	SessionTime = 1600 * time.Millisecond
 	// RenewInterval leaves room for one lost renewal within SessionTime.
 	RenewInterval = 600 * time.Millisecond
+	// leaseTime is a member's lease, counted from its last heartbeat here.
+	leaseTime = 1500 * time.Millisecond
 	// LostAfter is a member's lease and the credit after it: from then on no start
 	// of the member can take effect.
-	LostAfter = 2 * time.Second
+	LostAfter = leaseTime + 500*time.Millisecond
 	// retryInterval separates attempts at a store that does not answer.
 	retryInterval = 200 * time.Millisecond
 	// handleGap is a pause after which waiting heartbeats may not have been read yet.
--- a/internal/process/role/directory/roster.go
+++ b/internal/process/role/directory/roster.go
@@ -193,8 +193,10 @@
 	return members
 }
 
-// lost tells whether a member is certainly gone, and since when. Once it is, it
-// stays so, even if a heartbeat arrives before the roster is written.
+// lost tells whether a member is certainly gone, and since when: its lease, under
+// which it takes starts, ended the lease time after its last heartbeat at the
+// latest. Once a member is lost it stays so, even if a heartbeat arrives before the
+// roster is written.
 func (d *Directory) lost(now time.Time, h *held, p identity.Process) (time.Time, bool) {
 	if at, ok := h.gone[p]; ok {
 		return at, true
@@ -206,7 +208,7 @@
 	if now.Sub(last) < LostAfter || !h.written || !d.maySeize(now) {
 		return time.Time{}, false
 	}
-	return now, true
+	return last.Add(leaseTime), true
 }
 
 // maySeize tells whether the directory may act against processes that it does
--- a/internal/process/role/member/find.go
+++ b/internal/process/role/member/find.go
@@ -34,8 +34,13 @@
 		m.nextLook = now.Add(repeatInterval)
 		return
 	}
-	if m.cell == "" {
-		m.cell = m.choose(l.fleet)
+	// An entry belongs to no cell and moves on when its cell is left without
+	// directory. Terms count within a cell.
+	if m.cell == "" || !m.set.agent {
+		if chosen := m.choose(l.fleet); chosen != m.cell {
+			m.cell = chosen
+			m.term = 0
+		}
 	}
 	cell, ok := l.fleet.Cell(m.cell)
 	if !ok {
