Refuse late work and tell fewer agents of it

Cause: at a crest, accepted check_slot jobs ran up to 4 s after their commitment of 1 s had passed and took the slots of work that could still be in time; each waiting task was told to all eleven agents, of which ten offered in vain. Change: work of which nothing started and that can no longer keep its commitment is refused when its turn comes while other work waits, except for the most urgent kinds; two agents are told for each waiting task, all of the most urgent ones.

--- a/internal/process/role/owner/admission.go
+++ b/internal/process/role/owner/admission.go
@@ -111,6 +111,34 @@
 	return o.overloaded(now, s), false
 }
 
+// next is the work that is started next. Work that can no longer keep its
+// commitment is refused if other work waits that still can: run late, it would take
+// the slot and be of little use to its caller. The most urgent kinds are answered
+// late rather than not at all.
+func (o *Owner) next(now time.Time, svc *service, m queue.Mask) (*queue.Item[work], bool) {
+	for {
+		i, ok := svc.queue.Next(now, m)
+		if !ok || !late(now, svc, i) {
+			return i, ok
+		}
+		s := i.Value().submission
+		wait := o.wait(now, s)
+		o.stop(now, s, answer.Overloaded, "the commitment passed while the job waited", o.retryAfter(wait))
+		o.drop(s)
+	}
+}
+
+// late tells whether a job of which nothing has started would miss its commitment
+// while other work waits.
+func late(now time.Time, svc *service, i *queue.Item[work]) bool {
+	s := i.Value().submission
+	k := s.job.Kind()
+	if k.Urgency() == configuration.Critical || s.job.Started() || svc.queue.Tasks() <= i.Tasks() {
+		return false
+	}
+	return now.Add(s.learned.typical.Value()).After(s.job.Accepted().Add(k.Commitment()))
+}
+
 // full tells whether the queues have no place for a job.
 func (o *Owner) full(s *submission) bool {
 	order := s.job.Order()
--- a/internal/process/role/owner/dispatch.go
+++ b/internal/process/role/owner/dispatch.go
@@ -139,7 +139,7 @@
 func (o *Owner) drain(now time.Time, svc *service) {
 	for svc.queue.Tasks() > 0 {
 		m := o.usable(now, svc)
-		i, ok := svc.queue.Next(now, m)
+		i, ok := o.next(now, svc, m)
 		if m == 0 || !ok {
 			break
 		}
@@ -252,7 +252,7 @@
 	left := m.Slots()
 	r := a.room(svc)
 	for r != nil && left > 0 && !r.ejected && (!r.probing || r.open == 0) {
-		i, ok := svc.queue.Next(now, mask)
+		i, ok := o.next(now, svc, mask)
 		if !ok || !o.takes(i.Value(), a) {
 			break
 		}
--- a/internal/process/role/owner/interest.go
+++ b/internal/process/role/owner/interest.go
@@ -9,6 +9,11 @@
 	"greengagedoor.example/greengagedoor/internal/request/queue"
 )
 
+// toldPerTask is how many agents are told of a waiting task. A few are enough to
+// find a slot soon; each one more is an offer in vain. Of the most urgent work all
+// are told.
+const toldPerTask = 2
+
 func (o *Owner) names() []string {
 	return slices.Sorted(maps.Keys(o.services))
 }
@@ -54,7 +59,14 @@
 		return
 	}
 	demands := o.demands(now)
-	for _, a := range o.set {
+	left := toldPerTask * svc.queue.Tasks()
+	if counts[0]+counts[1] > 0 {
+		left = len(o.set)
+	}
+	// Starting anywhere spreads the demands of all owners over the agents.
+	from := o.rnd.IntN(max(len(o.set), 1))
+	for n := 0; n < len(o.set) && left > 0; n++ {
+		a := o.set[(from+n)%len(o.set)]
 		r := a.room(svc)
 		if r == nil || !r.heard || r.ejected {
 			continue
@@ -62,6 +74,7 @@
 		for c, n := range counts {
 			if differs(r.told[c], n) {
 				o.tell(now, a, demands)
+				left--
 				break
 			}
 		}
