--- a/internal/process/role/host/agent.go
+++ b/internal/process/role/host/agent.go
@@ -87,47 +87,63 @@
 	issue := func(now time.Time) uint64 {
 		return uint64(now.Sub(began).Milliseconds()) + 1
 	}
+	if err := a.buildAdmission(began, issue, worker); err != nil {
+		return err
+	}
+	if err := a.buildOwner(seed); err != nil {
+		return err
+	}
+	return a.connect(pool, worker.Name(), func() uint64 { return issue(a.common.now()) })
+}
+
+// buildAdmission gives the agent's decision its duty.
+func (a *Agent) buildAdmission(began time.Time, issue func(time.Time) uint64, worker agent.Worker) error {
 	l, err := ledger.New(began, ledger.Keep(retention, agent.MaxCallerSkew), ledgerLimit, ledgerBytes)
 	if err != nil {
 		return err
 	}
-	admission, err := agent.New(a.common.process, l, issue)
+	d, err := agent.New(a.common.process, l, issue)
 	if err != nil {
 		return err
 	}
 	if worker != (agent.Worker{}) {
-		admission.Handle(began, worker)
+		d.Handle(began, worker)
 	}
-	topology, err := owner.NewTopology(a.common.regions, a.common.shards)
+	a.agent, err = newRole("agent", a.common.now, message.Wake{}, func(now time.Time, e any) {
+		a.applyAgent(now, d, e)
+	})
 	if err != nil {
 		return err
 	}
-	dispatch, err := owner.New(a.common.process, topology, rand.New(rand.NewPCG(seed, a.common.process.Incarnation())))
+	a.agent.next = d.Next
+	a.agent.snapshot = func() any { return d.Snapshot() }
+	return nil
+}
+
+// buildOwner gives the owner's decision its duty.
+func (a *Agent) buildOwner(seed uint64) error {
+	topology, err := owner.NewTopology(a.common.regions, a.common.shards)
 	if err != nil {
 		return err
 	}
-	a.agent, err = newRole("agent", a.common.now, message.Wake{}, func(now time.Time, e any) {
-		a.applyAgent(now, admission, e)
-	})
+	d, err := owner.New(a.common.process, topology, rand.New(rand.NewPCG(seed, a.common.process.Incarnation())))
 	if err != nil {
 		return err
 	}
-	a.agent.next = admission.Next
-	a.agent.snapshot = func() any { return admission.Snapshot() }
 	a.owner, err = newRole("owner", a.common.now, message.Wake{}, func(now time.Time, e any) {
-		a.applyOwner(now, dispatch, e)
+		a.applyOwner(now, d, e)
 	})
 	if err != nil {
 		return err
 	}
 	a.owner.next = func(now time.Time) time.Time {
-		if n := dispatch.Next(); !n.IsZero() {
+		if n := d.Next(); !n.IsZero() {
 			return n
 		}
 		return now.Add(wakeInterval)
 	}
-	a.owner.snapshot = func() any { return dispatch.Snapshot(a.common.now()) }
-	return a.connect(pool, worker.Name(), func() uint64 { return issue(a.common.now()) })
+	a.owner.snapshot = func() any { return d.Snapshot(a.common.now()) }
+	return nil
 }
 
 func (a *Agent) connect(pool, worker string, credit func() uint64) error {
