Revert the refusal of jobs that no agent offers

The refused submission is forgotten, and an attempt that was already on its way under the same key can then be accepted as new; this is the likely cause and was not traced. Conclusion: such a refusal has to be remembered until retry_after has passed.

--- a/internal/process/role/owner/admission.go
+++ b/internal/process/role/owner/admission.go
@@ -91,9 +91,6 @@
 		}
 		limit = min(limit, d.Sub(now)-s.learned.tail.Value())
 	}
-	if s.svc.unoffered(now) {
-		return answer.NotRun(answer.Overloaded, s.svc.noOffer(), o.retryAfter(offerGrace)), false
-	}
 	limit = max(time.Duration(admitPart*float64(limit)), 0)
 	classes := queue.UpTo(kind.Urgency())
 	for range maxShed {
--- a/internal/process/role/owner/dispatch.go
+++ b/internal/process/role/owner/dispatch.go
@@ -24,8 +24,6 @@
 	drains    [configuration.Urgencies]estimate.Drain
 	published [queue.Classes]int
 	dirty     bool
-	offers    int       // Agents of the working set that offer the service.
-	missing   time.Time // Since when no agent offers it; zero if one does.
 }
 
 // parked is an item that no room in the choice can take.
@@ -51,7 +49,6 @@
 			svc.pools[n] = heap.New(before, func(r *room, i int) { r.at[n] = i })
 		}
 		o.services[name] = svc
-		o.changed = append(o.changed, svc)
 	}
 	return svc
 }
--- a/internal/process/role/owner/owner.go
+++ b/internal/process/role/owner/owner.go
@@ -115,7 +115,6 @@
 	timers   *heap.Heap[timer]
 	skipped  []*room
 	parked   []parked
-	changed  []*service
 	effects  []message.Send
 }
 
@@ -171,7 +170,6 @@
 			o.cfg = e
 		}
 	}
-	o.watch(now)
 	o.dispatch(now)
 	o.flushRevokes(now)
 	return o.effects
--- a/internal/process/role/owner/room.go
+++ b/internal/process/role/owner/room.go
@@ -85,7 +85,6 @@
 	sent     uint32
 	sentAt   time.Time
 	heard    bool
-	offers   bool
 	resting  bool
 	open     int
 	fails    int
@@ -267,7 +266,6 @@
 // refresh puts the room into the pools whose work it can take, and out of the
 // others.
 func (o *Owner) refresh(r *room) {
-	o.count(r)
 	usable := r.agent.member && r.agent.awake && !r.ejected && !r.resting && (!r.probing || r.open == 0)
 	fits := [pools]bool{
 		short:    usable && r.free > 0,
--- a/internal/process/role/owner/timer.go
+++ b/internal/process/role/owner/timer.go
@@ -36,7 +36,6 @@
 	limitSeal                // Agents that have not answered count as gaps.
 	readmit                  // A room's pause or ejection ends.
 	bury                     // A departed process is no longer named by any record.
-	unoffered                // No agent has offered a service for the grace.
 	resend                   // A message that did not leave is sent again.
 )
 
@@ -108,8 +107,6 @@
 		}
 	case *room:
 		o.readmit(v)
-	case *service:
-		o.refuseWaiting(now, v)
 	case *identity.Process:
 		delete(o.departed, *v)
 	case *message.Send:
--- a/internal/process/role/owner/world_test.go
+++ b/internal/process/role/owner/world_test.go
@@ -40,7 +40,6 @@
 	slots   int
 	dead    bool
 	mute    bool
-	drained bool
 	epochs  map[identity.Shard]identity.Epoch
 	records map[identity.Task]ledger.Record
 	running []identity.Task
@@ -274,11 +273,8 @@
 		return true
 	}
 	free := uint32(a.slots - len(a.running))
-	rooms := []message.Room{}
-	if !a.drained {
-		rooms = append(rooms, message.NewRoom("service", free, 0, free, 1))
-	}
-	w.apply(l.to, o.Handle(w.now, message.NewReceived(a.process, 1, rooms, l.body)))
+	room := message.NewRoom("service", free, 0, free, 1)
+	w.apply(l.to, o.Handle(w.now, message.NewReceived(a.process, 1, []message.Room{room}, l.body)))
 	return true
 }
 
