Run a thin path of the system on the platform

Ruled out: keeping the owners of shards on the path of a job. All jobs of the two sites live no longer than their request, so a hop and a ledger more buy nothing.

--- /dev/null
+++ b/internal/connection/frame/frame.go
@@ -0,0 +1,440 @@
+// Package frame defines what an entry and an agent say to each other.
+//
+// A connection carries one kind of message, the frame. All that a process has to
+// say to a peer at one moment goes into one frame, which keeps the number of
+// writes and wake-ups low. The package has the types; codec.go maps them to
+// bytes by hand with field numbers, so that versions of the program that know
+// more or fewer fields understand each other.
+package frame
+
+import (
+	"fmt"
+	"time"
+)
+
+// Hello introduces a process; it is in the first frame of each connection.
+type Hello struct {
+	name    string
+	boot    uint64
+	zone    string
+	address string
+	role    Role
+}
+
+// Role tells what a process is for.
+type Role int
+
+// The roles.
+const (
+	RoleEntry Role = iota + 1
+	RoleAgent
+)
+
+// NewHello introduces a process: its name, the random number of its start, its
+// availability zone, and where it takes connections (empty if it takes none).
+func NewHello(name string, boot uint64, zone, address string, role Role) Hello {
+	return Hello{
+		name:    name,
+		boot:    boot,
+		zone:    zone,
+		address: address,
+		role:    role,
+	}
+}
+
+// Name is the process's name.
+func (h Hello) Name() string {
+	return h.name
+}
+
+// Boot is a random number of the process's start.
+func (h Hello) Boot() uint64 {
+	return h.boot
+}
+
+// Zone is the availability zone of the process.
+func (h Hello) Zone() string {
+	return h.zone
+}
+
+// Address is where the process takes connections; empty for none.
+func (h Hello) Address() string {
+	return h.address
+}
+
+// Role is what the process is for.
+func (h Hello) Role() Role {
+	return h.role
+}
+
+// Target is what an agent knows about its target.
+type Target struct {
+	boot       string
+	service    string
+	zone       string
+	labels     []string
+	milliCores int64
+	memoryMB   int64
+	accels     int64
+	usable     bool
+	cold       time.Duration
+}
+
+// NewTarget describes a target that takes new work if usable is set.
+func NewTarget(boot, service, zone string, labels []string, usable bool) Target {
+	return Target{
+		boot:    boot,
+		service: service,
+		zone:    zone,
+		labels:  labels,
+		usable:  usable,
+	}
+}
+
+// WithCapacity returns the target with its whole capacity.
+func (t Target) WithCapacity(milliCores, memoryMB, accels int64) Target {
+	t.milliCores = milliCores
+	t.memoryMB = memoryMB
+	t.accels = accels
+	return t
+}
+
+// WithCold returns the target with the time for which it is still slow after its
+// start.
+func (t Target) WithCold(d time.Duration) Target {
+	t.cold = d
+	return t
+}
+
+// Boot names one life of the target.
+func (t Target) Boot() string {
+	return t.boot
+}
+
+// Service names what the target runs.
+func (t Target) Service() string {
+	return t.service
+}
+
+// Zone is the availability zone of the target.
+func (t Target) Zone() string {
+	return t.zone
+}
+
+// Labels lists the labels of the target.
+func (t Target) Labels() []string {
+	return t.labels
+}
+
+// Capacity is the whole capacity: thousandths of a core, megabytes, accelerators.
+func (t Target) Capacity() (milliCores, memoryMB, accels int64) {
+	return t.milliCores, t.memoryMB, t.accels
+}
+
+// Usable tells whether the target takes new work.
+func (t Target) Usable() bool {
+	return t.usable
+}
+
+// Cold is how long the target is still slow after its start.
+func (t Target) Cold() time.Duration {
+	return t.cold
+}
+
+// Room is what an agent has left on its target after all it has accepted. The
+// amounts are negative while accepted starts wait.
+type Room struct {
+	milliCores int64
+	memoryMB   int64
+	accels     int64
+	waiting    int
+	// seen is the number of the last start that the amounts include.
+	seen uint64
+}
+
+// NewRoom returns the amounts left, the number of waiting starts, and the number
+// of the last start of the receiver that they include.
+func NewRoom(milliCores, memoryMB, accels int64, waiting int, seen uint64) Room {
+	return Room{
+		milliCores: milliCores,
+		memoryMB:   memoryMB,
+		accels:     accels,
+		waiting:    waiting,
+		seen:       seen,
+	}
+}
+
+// Free is what is left: thousandths of a core, megabytes, accelerators.
+func (r Room) Free() (milliCores, memoryMB, accels int64) {
+	return r.milliCores, r.memoryMB, r.accels
+}
+
+// Waiting is the number of accepted starts that wait for capacity.
+func (r Room) Waiting() int {
+	return r.waiting
+}
+
+// Seen is the number of the receiver's last start that the amounts include.
+func (r Room) Seen() uint64 {
+	return r.seen
+}
+
+// Start asks an agent to run tasks of one step.
+type Start struct {
+	number   uint64
+	job      string
+	step     int
+	indexes  []int
+	runs     []int64
+	spec     string
+	cores    int64
+	memoryMB int64
+	accels   int64
+	// notAfter is a time of the agent's clock; see the station's package comment.
+	notAfter time.Duration
+	limit    time.Duration
+	rank     int64
+}
+
+// NewStart asks for the tasks with the given indexes and run numbers. The number
+// counts the starts of a connection.
+func NewStart(number uint64, job string, step int, indexes []int, runs []int64, spec string) Start {
+	return Start{
+		number:  number,
+		job:     job,
+		step:    step,
+		indexes: indexes,
+		runs:    runs,
+		spec:    spec,
+	}
+}
+
+// WithNeed returns the start with what each task needs.
+func (s Start) WithNeed(milliCores, memoryMB, accels int64) Start {
+	s.cores = milliCores
+	s.memoryMB = memoryMB
+	s.accels = accels
+	return s
+}
+
+// WithTimes returns the start with the time on the agent's clock after which it
+// is void, the time that its tasks may take from its arrival, and its rank
+// among starts that wait; a lower rank goes first.
+func (s Start) WithTimes(notAfter, limit time.Duration, rank int64) Start {
+	s.notAfter = notAfter
+	s.limit = limit
+	s.rank = rank
+	return s
+}
+
+// Number counts the starts of a connection.
+func (s Start) Number() uint64 {
+	return s.number
+}
+
+// Job is the id of the job.
+func (s Start) Job() string {
+	return s.job
+}
+
+// Step is the number of the step.
+func (s Start) Step() int {
+	return s.step
+}
+
+// Indexes lists the numbers of the tasks in the step.
+func (s Start) Indexes() []int {
+	return s.indexes
+}
+
+// Runs lists the run number of each task.
+func (s Start) Runs() []int64 {
+	return s.runs
+}
+
+// Spec is the payload of the job.
+func (s Start) Spec() string {
+	return s.spec
+}
+
+// Need is what each task needs: thousandths of a core, megabytes, accelerators.
+func (s Start) Need() (milliCores, memoryMB, accels int64) {
+	return s.cores, s.memoryMB, s.accels
+}
+
+// NotAfter is the time on the agent's clock after which the start is void.
+func (s Start) NotAfter() time.Duration {
+	return s.notAfter
+}
+
+// Limit is how long the tasks may take from the arrival of the start.
+func (s Start) Limit() time.Duration {
+	return s.limit
+}
+
+// Rank orders starts that wait; a lower rank goes first.
+func (s Start) Rank() int64 {
+	return s.rank
+}
+
+// RunID names a run within a connection.
+type RunID struct {
+	job   string
+	step  int
+	index int
+	run   int64
+}
+
+// NewRunID names a run.
+func NewRunID(job string, step, index int, run int64) RunID {
+	return RunID{
+		job:   job,
+		step:  step,
+		index: index,
+		run:   run,
+	}
+}
+
+// Job is the id of the job.
+func (r RunID) Job() string {
+	return r.job
+}
+
+// Step is the number of the step.
+func (r RunID) Step() int {
+	return r.step
+}
+
+// Index is the number of the task in the step.
+func (r RunID) Index() int {
+	return r.index
+}
+
+// Run is the number of the run.
+func (r RunID) Run() int64 {
+	return r.run
+}
+
+// Ended reports the end of a run.
+type Ended struct {
+	id  RunID
+	end int
+	ran time.Duration
+}
+
+// NewEnded reports how a run ended and how long it ran.
+func NewEnded(id RunID, end int, ran time.Duration) Ended {
+	return Ended{
+		id:  id,
+		end: end,
+		ran: ran,
+	}
+}
+
+// ID is the run.
+func (e Ended) ID() RunID {
+	return e.id
+}
+
+// End is a task.End.
+func (e Ended) End() int {
+	return e.end
+}
+
+// Ran is how long the run took.
+func (e Ended) Ran() time.Duration {
+	return e.ran
+}
+
+// Peer is a process that takes connections.
+type Peer struct {
+	name    string
+	address string
+}
+
+// NewPeer names a process and where it takes connections.
+func NewPeer(name, address string) Peer {
+	return Peer{
+		name:    name,
+		address: address,
+	}
+}
+
+// Name is the process's name.
+func (p Peer) Name() string {
+	return p.name
+}
+
+// Address is where the process takes connections.
+func (p Peer) Address() string {
+	return p.address
+}
+
+// Config is an operators' configuration as it was stored.
+type Config struct {
+	number int64
+	body   []byte
+}
+
+// NewConfig is a version with the bytes that it was stored as.
+func NewConfig(number int64, body []byte) Config {
+	return Config{
+		number: number,
+		body:   body,
+	}
+}
+
+// Number is the version.
+func (c Config) Number() int64 {
+	return c.number
+}
+
+// Body is the version as it was stored.
+func (c Config) Body() []byte {
+	return c.body
+}
+
+// Frame is all that one process says to another at one moment. Zero values mean
+// that nothing is said.
+type Frame struct {
+	Hello  *Hello
+	Target *Target
+	Room   *Room
+	Config *Config
+	// Clock is the sender's clock, which counts while the host is suspended.
+	Clock time.Duration
+	// Echo is the receiver's clock as the sender last saw it.
+	Echo time.Duration
+	// Known is the number of the sender's configuration.
+	Known int64
+	// Cleared tells that no run of earlier connections of the two is left.
+	Cleared bool
+	// Leaving tells that the sender takes no new work and will end.
+	Leaving bool
+	Starts  []Start
+	Stops   []RunID
+	Began   []RunID
+	Ended   []Ended
+	Peers   []Peer
+	Cancels []string
+}
+
+// Joins tells whether o asks for more tasks of the same step, so that both can be
+// one start.
+func (s Start) Joins(o Start) bool {
+	return s.job == o.job && s.step == o.step
+}
+
+// Join is the start that asks for the tasks of both.
+func (s Start) Join(o Start) Start {
+	s.number = o.number
+	s.notAfter = o.notAfter
+	s.indexes = append(s.indexes, o.indexes...)
+	s.runs = append(s.runs, o.runs...)
+	return s
+}
+
+// String is the run for logs, in the form of a task's name and the run's number.
+func (r RunID) String() string {
+	return fmt.Sprintf("%s.0.%d.%d#%d", r.job, r.step, r.index, r.run)
+}
--- /dev/null
+++ b/internal/process/role/dispatch/job.go
@@ -0,0 +1,440 @@
+package dispatch
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"greengagedoor.example/greengagedoor/internal/connection/frame"
+	"greengagedoor.example/greengagedoor/internal/process/event"
+	"greengagedoor.example/greengagedoor/internal/request/task"
+	"greengagedoor.example/greengagedoor/internal/version/route"
+)
+
+// The times of a request.
+const (
+	// defaultLimit is how long a job may take whose caller and route say nothing.
+	defaultLimit = 30 * time.Second
+	// retryPause is the time to come back that a refused caller is told where
+	// nothing better is known, such as without configuration.
+	retryPause = time.Second
+	// maxJobs bounds the jobs that an entry holds; each has a few KB.
+	maxJobs = 4096
+)
+
+// job is a job from its request to its answer.
+type job struct {
+	work     task.Job
+	trace    string
+	route    route.Route
+	callers  []uint64
+	accepted time.Duration
+	deadline time.Duration
+	// due is when the commitment ends.
+	due   time.Duration
+	rank  int64
+	steps []*step
+	ready []*item
+	// ran tells that a task may have started.
+	ran   bool
+	ended bool
+}
+
+// step is the progress of one step.
+type step struct {
+	number   int
+	left     int
+	released bool
+	chain    time.Duration
+}
+
+// item is one task of a job.
+type item struct {
+	job      *job
+	step     int
+	index    int
+	run      int64
+	failures int
+	avoid    map[string]bool
+	attempt  *attempt
+	done     bool
+}
+
+func (t *item) name() string {
+	return task.NewRun(t.job.work.ID(), t.step, t.index, 0).Task()
+}
+
+type attemptState int
+
+const (
+	attemptSent attemptState = iota + 1
+	attemptStopping
+	// attemptLost is a run behind a connection that ended.
+	attemptLost
+)
+
+// attempt is one run of a task on an agent.
+type attempt struct {
+	id       frame.RunID
+	task     *item
+	need     task.Resources
+	state    attemptState
+	sent     time.Duration
+	began    time.Duration
+	expected time.Duration
+	goneAt   time.Duration
+	target   string
+}
+
+// sorted lists the attempts in a fixed order.
+func (a *agent) sorted() []*attempt {
+	list := make([]*attempt, 0, len(a.runs))
+	for _, x := range a.runs {
+		list = append(list, x)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		x, y := list[i].id, list[j].id
+		switch {
+		case x.Job() != y.Job():
+			return x.Job() < y.Job()
+		case x.Step() != y.Step():
+			return x.Step() < y.Step()
+		case x.Index() != y.Index():
+			return x.Index() < y.Index()
+		}
+		return x.Run() < y.Run()
+	})
+	return list
+}
+
+func (d *Dispatch) answer(request uint64, s State, reason string, retryAfter time.Duration) {
+	d.out.answers = append(d.out.answers, Answer{
+		request:    request,
+		state:      s,
+		reason:     reason,
+		retryAfter: retryAfter,
+	})
+}
+
+// locate returns the route of a path and the id of the job in it.
+func (d *Dispatch) locate(host, path string) (route.Route, string, bool) {
+	r, ok := d.version.Find(host, path)
+	if !ok {
+		return route.Route{}, "", false
+	}
+	return r, strings.TrimPrefix(path, r.Prefix()), true
+}
+
+func (d *Dispatch) refuse(s Submit, id string, st State, reason string, retryAfter time.Duration) {
+	d.note(event.JobRefused, event.F("job", id), event.F("trace", s.trace), event.F("reason", reason),
+		event.F("retry_after_ms", retryAfter.Milliseconds()), event.F("jobs_held", len(d.jobs)))
+	d.answer(s.request, st, reason, retryAfter)
+}
+
+// submit takes a job, or refuses it at once.
+func (d *Dispatch) submit(now time.Duration, s Submit) {
+	if d.version == nil {
+		d.refuse(s, s.path, StateRefused, "no_configuration", retryPause)
+		return
+	}
+	r, id, ok := d.locate(s.host, s.path)
+	if !ok {
+		d.refuse(s, s.path, StateUnknown, "no_route", 0)
+		return
+	}
+	if j, ok := d.jobs[id]; ok {
+		j.callers = append(j.callers, s.request)
+		d.requests[s.request] = j
+		return
+	}
+	if p, ok := d.ended[id]; ok && now-p.at < pastLife {
+		d.answer(s.request, p.state, "answered_before", 0)
+		return
+	}
+	work, err := task.NewJob(id, s.spec, s.steps)
+	if err != nil {
+		d.refuse(s, id, StateInvalid, err.Error(), 0)
+		return
+	}
+	if reason := d.refusal(r, work); reason != "" {
+		d.refuse(s, id, StateRefused, reason, retryPause)
+		return
+	}
+	d.accept(now, s, r, work)
+}
+
+// refusal names the cause for which a job can't be taken, empty for none.
+func (d *Dispatch) refusal(r route.Route, work task.Job) string {
+	if len(d.jobs) >= maxJobs {
+		return "too_many_jobs"
+	}
+	usable := false
+	for _, a := range d.agents {
+		usable = usable || a.usable() && a.target.Service() == r.Service()
+	}
+	if !usable {
+		return "no_target"
+	}
+	return ""
+}
+
+func (d *Dispatch) accept(now time.Duration, s Submit, r route.Route, work task.Job) {
+	limit := s.limit
+	if limit <= 0 {
+		limit = defaultLimit
+	}
+	if r.Timeout() > 0 {
+		limit = min(limit, r.Timeout())
+	}
+	j := &job{
+		work:     work,
+		trace:    s.trace,
+		route:    r,
+		callers:  []uint64{s.request},
+		accepted: now,
+		deadline: now + limit,
+	}
+	chain := d.plan(j)
+	j.due = now + min(r.Commitment(chain), limit)
+	j.rank = d.rank(j, chain)
+	d.jobs[work.ID()] = j
+	d.requests[s.request] = j
+	d.enqueue(j)
+	d.note(event.JobAccepted, event.F("job", work.ID()), event.F("trace", s.trace), event.F("route", r.Name()),
+		event.F("version", d.version.Number()), event.F("tasks", len(j.ready)), event.F("chain_ms", chain.Milliseconds()),
+		event.F("due_ms", (j.due-now).Milliseconds()), event.F("limit_ms", limit.Milliseconds()), event.F("rank", j.rank))
+}
+
+// plan sets up the steps and returns the length of the longest chain of work.
+func (d *Dispatch) plan(j *job) time.Duration {
+	longest := time.Duration(0)
+	for i, s := range j.work.Steps() {
+		before := time.Duration(0)
+		for _, p := range s.Prerequisites() {
+			before = max(before, j.steps[p].chain)
+		}
+		st := &step{
+			number: i,
+			left:   s.Count(),
+			chain:  before + d.learned.base(j.route.Name(), s.Estimate()),
+		}
+		j.steps = append(j.steps, st)
+		longest = max(longest, st.chain)
+	}
+	d.releaseSteps(j)
+	return longest
+}
+
+// releaseSteps makes the tasks of steps ready whose prerequisites are done.
+func (d *Dispatch) releaseSteps(j *job) {
+	for i, st := range j.steps {
+		if st.released || !j.reached(i) {
+			continue
+		}
+		st.released = true
+		for n := range j.work.Steps()[i].Count() {
+			j.ready = append(j.ready, &item{
+				job:   j,
+				step:  i,
+				index: n,
+				avoid: map[string]bool{},
+			})
+		}
+	}
+}
+
+func (j *job) reached(i int) bool {
+	for _, p := range j.work.Steps()[i].Prerequisites() {
+		if j.steps[p].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// finish answers all callers of a job and stops what still runs.
+func (d *Dispatch) finish(now time.Duration, j *job, s State, reason string) {
+	if j.ended {
+		return
+	}
+	j.ended = true
+	for _, r := range j.callers {
+		retry := time.Duration(0)
+		if s == StateRefused {
+			retry = d.retryAfter()
+		}
+		d.answer(r, s, reason, retry)
+		delete(d.requests, r)
+	}
+	delete(d.jobs, j.work.ID())
+	d.dequeue(j)
+	stopped := d.stopAll(j)
+	if s == StateComplete || s == StateFailed || s == StateCancelled {
+		d.ended[j.work.ID()] = past{
+			state: s,
+			at:    now,
+		}
+	}
+	name := event.JobEnded
+	if s == StateRefused {
+		name = event.JobRefused
+	}
+	d.note(name, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("route", j.route.Name()), event.F("state", s.String()),
+		event.F("reason", reason), event.F("took_ms", (now-j.accepted).Milliseconds()), event.F("late_ms", (now-j.due).Milliseconds()),
+		event.F("runs_stopped", stopped))
+}
+
+// stopAll stops the runs of a job and returns their number.
+func (d *Dispatch) stopAll(j *job) int {
+	stopped := 0
+	for _, n := range sortedKeys(d.sessions) {
+		a := d.sessions[n]
+		for _, x := range a.sorted() {
+			if x.task.job == j && x.state == attemptSent {
+				x.state = attemptStopping
+				a.stops = append(a.stops, x.id)
+				stopped++
+			}
+		}
+	}
+	return stopped
+}
+
+func (d *Dispatch) callerLeft(now time.Duration, request uint64) {
+	j, ok := d.requests[request]
+	if !ok {
+		return
+	}
+	delete(d.requests, request)
+	for i, r := range j.callers {
+		if r == request {
+			j.callers = append(j.callers[:i], j.callers[i+1:]...)
+			break
+		}
+	}
+	if len(j.callers) > 0 {
+		return
+	}
+	d.note(event.JobLeft, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("held_ms", (now-j.accepted).Milliseconds()))
+	d.finish(now, j, StateExpired, "callers_left")
+}
+
+// cancel ends a job on request. A job of another entry is cancelled through it
+// and through the agents.
+func (d *Dispatch) cancel(now time.Duration, c Cancel) {
+	if d.version == nil {
+		d.answer(c.request, StateRefused, "no_configuration", retryPause)
+		return
+	}
+	_, id, ok := d.locate(c.host, c.path)
+	if !ok {
+		d.answer(c.request, StateUnknown, "no_route", 0)
+		return
+	}
+	if d.cancelJob(now, id) {
+		d.answer(c.request, StateCancelled, "cancelled", 0)
+		return
+	}
+	for _, p := range d.entries {
+		p.cancels = append(p.cancels, id)
+	}
+	for _, a := range d.sessions {
+		a.cancels = append(a.cancels, id)
+	}
+	d.answer(c.request, StateGone, "no_job", 0)
+}
+
+func (d *Dispatch) cancelJob(now time.Duration, id string) bool {
+	j, ok := d.jobs[id]
+	if !ok {
+		return false
+	}
+	d.note(event.JobCancelled, event.F("job", id), event.F("trace", j.trace))
+	d.finish(now, j, StateCancelled, "cancelled")
+	return true
+}
+
+// expireJobs ends jobs whose time is over and forgets old answers.
+func (d *Dispatch) expireJobs(now time.Duration) {
+	for _, id := range d.overdueJobs(now) {
+		j := d.jobs[id]
+		if j.ran {
+			d.finish(now, j, StateExpired, "deadline")
+		} else {
+			d.finish(now, j, StateRefused, "deadline")
+		}
+	}
+	for id, p := range d.ended {
+		if now-p.at >= pastLife {
+			delete(d.ended, id)
+		}
+	}
+}
+
+func (d *Dispatch) overdueJobs(now time.Duration) []string {
+	var ids []string
+	for id, j := range d.jobs {
+		if now >= j.deadline {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// endAttempt takes the end of a run: the task is done, or is placed again as
+// long as its route allows.
+func (d *Dispatch) endAttempt(now time.Duration, a *agent, x *attempt, end task.End, ran time.Duration) {
+	delete(a.runs, x.id)
+	t := x.task
+	if d.busy[t.name()] == x {
+		delete(d.busy, t.name())
+	}
+	t.attempt = nil
+	j := t.job
+	d.observe(now, a, x, end, ran)
+	if j.ended {
+		return
+	}
+	switch end {
+	case task.EndDone:
+		d.taskDone(now, t)
+		return
+	case task.EndFailed:
+		t.failures++
+		if t.failures >= j.route.Attempts() {
+			d.finish(now, j, StateFailed, "attempts_used")
+			return
+		}
+		t.avoid[a.name] = true
+	case task.EndLost, task.EndStopped:
+		t.avoid[a.name] = true
+	case task.EndRefused:
+		a.backoff = now + refusalPause
+	case task.EndNoRoom:
+		a.backoff = now + roomPause
+	}
+	d.note(event.TaskRetried, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("run", t.name()), event.F("number", t.run),
+		event.F("agent", a.name), event.F("end", end.String()), event.F("failures", t.failures), event.F("ran_ms", ran.Milliseconds()))
+	j.ready = append(j.ready, t)
+	d.enqueue(j)
+}
+
+func (d *Dispatch) taskDone(now time.Duration, t *item) {
+	t.done = true
+	j := t.job
+	j.steps[t.step].left--
+	if j.steps[t.step].left > 0 {
+		return
+	}
+	d.releaseSteps(j)
+	if len(j.ready) > 0 {
+		d.enqueue(j)
+	}
+	for _, s := range j.steps {
+		if s.left > 0 {
+			return
+		}
+	}
+	d.finish(now, j, StateComplete, "done")
+}
--- /dev/null
+++ b/internal/process/role/dispatch/place.go
@@ -0,0 +1,198 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	"greengagedoor.example/greengagedoor/internal/connection/frame"
+	"greengagedoor.example/greengagedoor/internal/process/event"
+	"greengagedoor.example/greengagedoor/internal/request/task"
+)
+
+// The parameters of placing.
+const (
+	// refusalPause keeps an agent that refused a start from getting the same again
+	// at once.
+	refusalPause = 50 * time.Millisecond
+	// roomPause is the like for an agent whose room was taken by others.
+	roomPause = 5 * time.Millisecond
+	// priorityStep is how much earlier a job has to be to go before one of the next
+	// more urgent priority.
+	priorityStep = 50 * time.Millisecond
+	// zoneCost stands for the way to another availability zone and its price.
+	zoneCost = 4 * time.Millisecond
+	// maxBlocked bounds the jobs without room that are looked at in one pass.
+	maxBlocked = 8
+	// maxClockAge is the age of an agent's last sign of life from which it gets no
+	// new work; a start would be void before it arrives.
+	maxClockAge = 300 * time.Millisecond
+)
+
+// rank orders jobs: by the latest start that meets the commitment, with a step
+// for each priority, so that waiting work of lower priority moves up.
+func (d *Dispatch) rank(j *job, chain time.Duration) int64 {
+	latest := j.due - chain + time.Duration(j.route.Priority())*priorityStep
+	return latest.Microseconds()
+}
+
+// enqueue puts a job with ready tasks into the queue.
+func (d *Dispatch) enqueue(j *job) {
+	at := sort.Search(len(d.queue), func(i int) bool { return d.queue[i].rank > j.rank })
+	for i := at - 1; i >= 0 && d.queue[i].rank == j.rank; i-- {
+		if d.queue[i] == j {
+			return
+		}
+	}
+	d.queue = append(d.queue, nil)
+	copy(d.queue[at+1:], d.queue[at:])
+	d.queue[at] = j
+}
+
+func (d *Dispatch) dequeue(j *job) {
+	for i, x := range d.queue {
+		if x == j {
+			d.queue = append(d.queue[:i], d.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// place sends ready tasks to agents with room, the lowest rank first.
+func (d *Dispatch) place(now time.Duration) {
+	blocked := 0
+	for _, j := range append([]*job(nil), d.queue...) {
+		if !d.placeJob(now, j) {
+			blocked++
+		}
+		if len(j.ready) == 0 {
+			d.dequeue(j)
+		}
+		if blocked >= maxBlocked {
+			return
+		}
+	}
+}
+
+// placeJob places ready tasks of a job; it returns false if some found no room.
+func (d *Dispatch) placeJob(now time.Duration, j *job) bool {
+	var rest []*item
+	whole := true
+	for i, t := range j.ready {
+		if d.busy[t.name()] != nil {
+			rest = append(rest, t)
+			continue
+		}
+		a := d.choose(now, t)
+		if a == nil {
+			rest = append(rest, j.ready[i:]...)
+			whole = false
+			break
+		}
+		d.start(now, a, t)
+	}
+	j.ready = rest
+	return whole
+}
+
+// choose returns the agent on which a task ends first, nil if none has room.
+func (d *Dispatch) choose(now time.Duration, t *item) *agent {
+	s := t.job.work.Steps()[t.step]
+	base := d.learned.base(t.job.route.Name(), s.Estimate())
+	var best *agent
+	var bestCost time.Duration
+	for _, n := range sortedKeys(d.sessions) {
+		a := d.sessions[n]
+		if !d.fits(now, a, t, s) {
+			continue
+		}
+		cost := d.cost(a, s, base)
+		if t.avoid[a.name] {
+			cost += base
+		}
+		if best == nil || cost < bestCost || cost == bestCost && a.open().Quotient(s.Need()) > best.open().Quotient(s.Need()) {
+			best = a
+			bestCost = cost
+		}
+	}
+	return best
+}
+
+func (d *Dispatch) fits(now time.Duration, a *agent, t *item, s task.Step) bool {
+	switch {
+	case !a.usable() || a.target.Service() != t.job.route.Service():
+		return false
+	case now < a.backoff || now-a.heard > maxClockAge || a.clock == 0:
+		return false
+	case !a.hasLabel(s.Label()) || !a.health.admits(now, len(a.runs)):
+		return false
+	case s.PerTarget() > 0 && a.count(t.job, t.step) >= s.PerTarget():
+		return false
+	}
+	return a.open().Covers(s.Need())
+}
+
+// cost is the time at which a task ends on an agent, from now, with the price of
+// another availability zone.
+func (d *Dispatch) cost(a *agent, s task.Step, base time.Duration) time.Duration {
+	cost := time.Duration(float64(base) * d.learned.factor(a.label(), a.name))
+	if a.zone != d.hello.Zone() {
+		cost += zoneCost
+	}
+	if s.Rack() != "" && a.rack() != s.Rack() {
+		cost += base / 2
+	}
+	return cost + a.target.Cold()
+}
+
+// count is the number of runs of a job's step on an agent.
+func (a *agent) count(j *job, step int) int {
+	n := 0
+	for _, x := range a.runs {
+		if x.task.job == j && x.task.step == step {
+			n++
+		}
+	}
+	return n
+}
+
+// start sends a task to an agent; tasks of one step that go to the same agent
+// share one start.
+func (d *Dispatch) start(now time.Duration, a *agent, t *item) {
+	j := t.job
+	s := j.work.Steps()[t.step]
+	t.run++
+	x := &attempt{
+		id:       frame.NewRunID(j.work.ID(), t.step, t.index, t.run),
+		task:     t,
+		need:     s.Need(),
+		state:    attemptSent,
+		sent:     now,
+		expected: time.Duration(float64(d.learned.base(j.route.Name(), s.Estimate())) * d.learned.factor(a.label(), a.name)),
+	}
+	t.attempt = x
+	j.ran = true
+	a.runs[x.id] = x
+	d.busy[t.name()] = x
+	a.number++
+	a.unseen = append(a.unseen, unseenStart{
+		number: a.number,
+		need:   s.Need(),
+	})
+	n := s.Need()
+	st := frame.NewStart(a.number, j.work.ID(), t.step, []int{t.index}, []int64{t.run}, j.work.Spec()).
+		WithNeed(n.MilliCores(), n.MemoryMB(), n.Accelerators()).
+		WithTimes(a.clock+d.timing.silence, j.deadline-now, j.rank)
+	if k := len(a.starts); k > 0 && a.starts[k-1].Joins(st) {
+		*a.starts[k-1] = a.starts[k-1].Join(st)
+	} else {
+		a.starts = append(a.starts, &st)
+	}
+	d.note(event.TaskPlaced, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("run", x.id.String()), event.F("agent", a.name),
+		event.F("expected_ms", x.expected.Milliseconds()), event.F("heard_ms", (now-a.heard).Milliseconds()), event.F("waited_ms", (now-j.accepted).Milliseconds()))
+}
+
+// retryAfter is the time to come back for a refused caller: the time in which
+// the work that is held now will be done.
+func (d *Dispatch) retryAfter() time.Duration {
+	return retryPause
+}
--- /dev/null
+++ b/internal/process/role/dispatch/query.go
@@ -0,0 +1,48 @@
+package dispatch
+
+// query answers a caller that asks for the state of a job or of a queue.
+func (d *Dispatch) query(q Query) {
+	if d.version == nil {
+		d.answer(q.request, StateRefused, "no_configuration", retryPause)
+		return
+	}
+	r, id, ok := d.locate(q.host, q.path)
+	if !ok {
+		d.answer(q.request, StateUnknown, "no_route", 0)
+		return
+	}
+	if id == "" {
+		d.out.answers = append(d.out.answers, Answer{
+			request: q.request,
+			state:   StateCounted,
+			pending: d.pending(r.Name()),
+		})
+		return
+	}
+	d.answer(q.request, d.jobState(id), "", 0)
+}
+
+// pending is the number of jobs of a route of which nothing has started.
+func (d *Dispatch) pending(name string) int {
+	n := 0
+	for _, j := range d.jobs {
+		if j.route.Name() == name && !j.ran {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *Dispatch) jobState(id string) State {
+	j, ok := d.jobs[id]
+	if ok && j.ran {
+		return StateRunning
+	}
+	if ok {
+		return StateQueued
+	}
+	if p, ok := d.ended[id]; ok {
+		return p.state
+	}
+	return StateGone
+}
--- /dev/null
+++ b/internal/process/role/station/target.go
@@ -0,0 +1,348 @@
+package station
+
+import (
+	"time"
+
+	"greengagedoor.example/greengagedoor/internal/connection/frame"
+	"greengagedoor.example/greengagedoor/internal/process/event"
+	"greengagedoor.example/greengagedoor/internal/request/task"
+)
+
+// The pauses of calls to a target that does not answer.
+const (
+	// holdRetry is the pause before a list is asked for again.
+	holdRetry = 50 * time.Millisecond
+	// maxUnanswered is the number of calls in a row without answer from which the
+	// target gets no new work until it answers.
+	maxUnanswered = 2
+	// reportLife is how long a target that runs nothing is taken as alive without a
+	// report; targets report every 1.5 s.
+	reportLife = 4 * time.Second
+)
+
+// target is what the station knows about the target.
+type target struct {
+	boot     Boot
+	fence    int64
+	known    bool
+	synced   bool
+	replaced bool
+	left     bool
+	stale    bool
+	sequence int64
+	reported time.Duration
+
+	service  string
+	address  string
+	zone     string
+	labels   []string
+	capacity task.Resources
+	draining bool
+	cold     time.Duration
+
+	// clock is the target's clock at the moment clockAt of the agent's clock. It is
+	// behind rather than ahead, since answers take time.
+	clock     time.Duration
+	clockSeen time.Duration
+	// leaseEnd is when everything that runs has lapsed unless it is extended.
+	leaseEnd time.Duration
+
+	lastSeen   int64
+	acked      int64
+	holds      uint64
+	listed     uint64
+	holding    bool
+	lookDue    bool
+	looking    bool
+	holdAfter  time.Duration
+	unanswered int
+	unclaimed  map[task.Run]time.Duration
+}
+
+// usable tells whether the target may be given new work.
+func (t *target) usable() bool {
+	return t.known && t.synced && !t.draining && !t.left && !t.replaced && !t.stale && t.unanswered < maxUnanswered
+}
+
+func (t *target) describe(leaving bool) frame.Target {
+	return frame.NewTarget(t.boot.String(), t.service, t.zone, t.labels, t.usable() && !leaving).
+		WithCapacity(t.capacity.MilliCores(), t.capacity.MemoryMB(), t.capacity.Accelerators()).
+		WithCold(t.cold)
+}
+
+func (t *target) clockAt(now time.Duration) time.Duration {
+	return t.clock + (now - t.clockSeen)
+}
+
+// extended notes that a call with a new end of the lease is sent.
+func (t *target) extended(now time.Duration, timing Timing) {
+	t.leaseEnd = now + timing.lapse()
+}
+
+// answered takes whether a call was answered, and the target's clock in it.
+func (t *target) answered(now time.Duration, ok bool, clock time.Duration) {
+	if !ok {
+		t.unanswered++
+		return
+	}
+	t.unanswered = 0
+	if clock > 0 && clock >= t.clockAt(now) {
+		t.clock = clock
+		t.clockSeen = now
+	}
+}
+
+// raiseFence raises the fence above one that was refused.
+func (t *target) raiseFence(refused int64) {
+	if t.fence <= refused {
+		t.fence = refused + fenceStep
+	}
+}
+
+// report takes what the target says about itself. Reports of earlier lives, and
+// those that others have overtaken, are passed over.
+func (s *Station) report(now time.Duration, r Report) {
+	t := &s.target
+	switch {
+	case t.known && r.boot != t.boot && r.boot.started < t.boot.started:
+		return
+	case t.known && r.boot == t.boot && r.sequence <= t.sequence:
+		return
+	case r.boot != t.boot:
+		s.renew(now, r)
+	}
+	was := t.usable()
+	t.known = true
+	t.sequence = r.sequence
+	t.reported = now
+	t.service = r.service
+	t.address = r.address
+	t.zone = r.zone
+	t.labels = r.labels
+	t.capacity = r.capacity
+	t.cold = r.cold
+	t.replaced = false
+	t.stale = false
+	if r.draining != t.draining {
+		t.draining = r.draining
+		s.note(event.TargetChanged, event.F("target", r.boot.id), event.F("draining", r.draining), event.F("remaining_ms", r.remaining.Milliseconds()))
+	}
+	if was != t.usable() {
+		s.targetChanged()
+	}
+	if !t.usable() {
+		s.refuseWaiting("target_not_usable")
+	}
+}
+
+// renew starts anew with another life of the target, which runs nothing.
+func (s *Station) renew(now time.Duration, r Report) {
+	for _, x := range s.ordered() {
+		if x.state == runWaiting {
+			s.refuse(x, task.EndRefused, "target_restarted")
+			continue
+		}
+		s.end(now, x, task.EndLost, "target_restarted")
+	}
+	fence := s.target.fence
+	s.target = target{
+		boot:      r.boot,
+		fence:     fence,
+		sequence:  r.sequence - 1,
+		clock:     r.clock,
+		clockSeen: now,
+		unclaimed: map[task.Run]time.Duration{},
+	}
+	s.targetChanged()
+	s.note(event.TargetSeen, event.F("target", r.boot.id), event.F("started_ms", r.boot.started), event.F("address", r.address),
+		event.F("service", r.service), event.F("labels", r.labels), event.F("milli_cores", r.capacity.MilliCores()), event.F("fence", fence))
+}
+
+func (s *Station) left(id string) {
+	if !s.target.known || s.target.boot.id != id {
+		return
+	}
+	s.target.left = true
+	s.note(event.TargetLost, event.F("target", id), event.F("cause", "left"))
+	s.targetChanged()
+	s.refuseWaiting("target_left")
+}
+
+func (s *Station) refuseWaiting(cause string) {
+	for _, r := range append([]*run(nil), s.waiting...) {
+		s.refuse(r, task.EndRefused, cause)
+	}
+}
+
+func (s *Station) targetChanged() {
+	for _, x := range s.sessions {
+		x.target = false
+	}
+}
+
+// hold asks the target for its lists where something waits for them.
+func (s *Station) hold(now time.Duration) {
+	t := &s.target
+	if !t.known || t.replaced {
+		return
+	}
+	active := len(s.runs) > len(s.waiting)
+	if t.synced && active && t.lookDue && !t.looking {
+		t.looking = true
+		t.lookDue = false
+		s.sendHold(now, 0, true)
+	}
+	wanted := active || !t.synced || t.acked < t.lastSeen || t.unanswered > 0
+	if t.holding || !wanted || now < t.holdAfter {
+		return
+	}
+	wait := time.Duration(holdWait)
+	if !t.synced || !active {
+		wait = 0
+	}
+	t.holding = true
+	s.sendHold(now, wait, false)
+}
+
+func (s *Station) sendHold(now, wait time.Duration, look bool) {
+	t := &s.target
+	t.holds++
+	h := Hold{
+		number:   t.holds,
+		look:     look,
+		address:  t.address,
+		boot:     t.boot,
+		fence:    t.fence,
+		lastSeen: t.lastSeen,
+		wait:     wait,
+		sent:     now,
+	}
+	// A call to a target that does not answer extends nothing, so that the end of
+	// the lease stays known.
+	if t.synced && t.unanswered == 0 {
+		h.expires = t.clockAt(now) + s.timing.lease
+		t.extended(now, s.timing)
+	}
+	s.out.holds = append(s.out.holds, h)
+}
+
+// holdReply takes the lists of the target.
+func (s *Station) holdReply(now time.Duration, in HoldReply) {
+	t := &s.target
+	h := in.hold
+	if h.boot != t.boot {
+		return
+	}
+	if h.look {
+		t.looking = false
+	} else {
+		t.holding = false
+	}
+	was := t.usable()
+	defer func() {
+		if was != t.usable() {
+			s.targetChanged()
+		}
+	}()
+	t.answered(now, in.verdict != VerdictUnknown && in.verdict != VerdictUnsent, in.clock)
+	switch {
+	case in.verdict == VerdictFence:
+		t.raiseFence(h.fence)
+		return
+	case in.verdict == VerdictBoot, in.verdict == VerdictDone && in.started != 0 && in.started != t.boot.started:
+		t.replaced = true
+		return
+	case in.verdict != VerdictDone:
+		t.holdAfter = now + holdRetry
+		return
+	}
+	t.acked = max(t.acked, h.lastSeen)
+	s.takeFinished(now, in)
+	if h.number > t.listed {
+		t.listed = h.number
+		s.takeRunning(now, in)
+	}
+}
+
+func (s *Station) takeFinished(now time.Duration, in HoldReply) {
+	for _, f := range in.finished {
+		s.target.lastSeen = max(s.target.lastSeen, f.number)
+		r, ok := s.runs[f.run]
+		if !ok || r.state == runWaiting {
+			continue
+		}
+		s.end(now, r, f.end, r.cause)
+	}
+}
+
+// takeRunning compares the target's list with the station's: runs that nobody
+// asked for are stopped, and runs that are certainly gone end.
+func (s *Station) takeRunning(now time.Duration, in HoldReply) {
+	t := &s.target
+	listed := map[task.Run]bool{}
+	for _, l := range in.running {
+		listed[l.run] = true
+		if _, ok := s.runs[l.run]; !ok {
+			s.stopUnclaimed(now, l.run)
+		}
+	}
+	if len(in.finished) >= maxListed {
+		return
+	}
+	for _, r := range s.ordered() {
+		if r.state != runWaiting && !listed[r.id] && r.resolvedBefore(in.hold.sent, s.timing) {
+			s.end(now, r, task.EndLost, r.cause)
+		}
+	}
+	if !t.synced && len(in.running) == 0 {
+		t.synced = true
+		s.roomChanged()
+	}
+}
+
+// resolvedBefore tells whether a list that was asked for at the given time would
+// have the run if it still ran or could still start.
+func (r *run) resolvedBefore(sent time.Duration, timing Timing) bool {
+	switch {
+	case r.stopped > 0 && r.stopped < sent:
+		return true
+	case r.confirmed && r.confirmedAt < sent:
+		return true
+	}
+	return r.state == runStopping && sent > r.ordered+timing.lapse()
+}
+
+func (s *Station) stopUnclaimed(now time.Duration, id task.Run) {
+	t := &s.target
+	if last, ok := t.unclaimed[id]; ok && now-last < stopRetry {
+		return
+	}
+	t.unclaimed[id] = now
+	s.out.orders = append(s.out.orders, s.stopOrder(id))
+	s.note(event.RunUnclaimed, event.F("run", id.String()), event.F("target", t.boot.id))
+}
+
+// age takes a target that runs nothing and has not reported for long as gone.
+func (s *Station) age(now time.Duration) {
+	t := &s.target
+	if !t.known || t.stale || now-t.reported <= reportLife || len(s.runs) > 0 {
+		return
+	}
+	t.stale = true
+	s.note(event.TargetLost, event.F("target", t.boot.id), event.F("cause", "no_report"), event.F("age_ms", (now-t.reported).Milliseconds()))
+	s.targetChanged()
+}
+
+// lapse ends what runs when the lease has certainly run out.
+func (s *Station) lapse(now time.Duration) {
+	t := &s.target
+	if !t.known || now <= t.leaseEnd || len(s.runs) == len(s.waiting) {
+		return
+	}
+	s.note(event.TargetLost, event.F("target", t.boot.id), event.F("cause", "lease_over"), event.F("unanswered", t.unanswered))
+	for _, r := range s.ordered() {
+		if r.state != runWaiting {
+			s.end(now, r, task.EndLost, "lease_over")
+		}
+	}
+}
--- a/internal/process/setting/load.go
+++ b/internal/process/setting/load.go
@@ -13,9 +13,13 @@
 
 const environmentPrefix = "GREENGAGEDOOR_"
 
+// FileVariable names the settings file where no flag does.
+const FileVariable = environmentPrefix + "CONFIG"
+
 // commandVariables are read by commands that are no roles; a role that runs in the
 // same environment passes over them.
 var commandVariables = map[string]bool{
+	FileVariable:               true,
 	"GREENGAGEDOOR_ENTRIES":    true,
 	"GREENGAGEDOOR_STORE":      true,
 	"GREENGAGEDOOR_TOKEN_FILE": true,
@@ -53,6 +57,17 @@
 	return n
 }
 
+// List returns the parts of a setting that are joined by commas.
+func (v *Values) List(section, key string) []string {
+	var list []string
+	for _, part := range strings.Split(v.Text(section, key), ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			list = append(list, part)
+		}
+	}
+	return list
+}
+
 // Milliseconds returns a time that is set in ms.
 func (v *Values) Milliseconds(section, key string) time.Duration {
 	return time.Duration(v.Number(section, key)) * time.Millisecond
--- a/internal/process/setting/setting.go
+++ b/internal/process/setting/setting.go
@@ -131,6 +131,22 @@
 	return s
 }
 
+// addresses makes the value a list of hosts and ports.
+func (s Setting) addresses() Setting {
+	one := s.address()
+	s.required = true
+	s.allowed = "ip:port, joined by commas"
+	s.check = func(v string) bool {
+		for _, a := range strings.Split(v, ",") {
+			if !one.check(strings.TrimSpace(a)) {
+				return false
+			}
+		}
+		return true
+	}
+	return s
+}
+
 // url makes the value an HTTP address. A password in it is never shown.
 func (s Setting) url() Setting {
 	s.required = true
--- /dev/null
+++ b/internal/request/task/resources.go
@@ -0,0 +1,71 @@
+package task
+
+import "github.com/pkg/errors"
+
+// Resources is what a task needs or a target has.
+type Resources struct {
+	milliCores   int64
+	memoryMB     int64
+	accelerators int64
+}
+
+// NewResources returns the amounts; none may be negative.
+func NewResources(milliCores, memoryMB, accelerators int64) (Resources, error) {
+	if milliCores < 0 || memoryMB < 0 || accelerators < 0 {
+		return Resources{}, errors.Errorf("resources %d, %d, %d: want no negative amount", milliCores, memoryMB, accelerators)
+	}
+	return Resources{
+		milliCores:   milliCores,
+		memoryMB:     memoryMB,
+		accelerators: accelerators,
+	}, nil
+}
+
+// MilliCores is the processor share in thousandths of a core.
+func (r Resources) MilliCores() int64 {
+	return r.milliCores
+}
+
+// MemoryMB is the memory in megabytes.
+func (r Resources) MemoryMB() int64 {
+	return r.memoryMB
+}
+
+// Accelerators is the number of accelerators.
+func (r Resources) Accelerators() int64 {
+	return r.accelerators
+}
+
+// Plus is the sum of both.
+func (r Resources) Plus(o Resources) Resources {
+	return Resources{
+		milliCores:   r.milliCores + o.milliCores,
+		memoryMB:     r.memoryMB + o.memoryMB,
+		accelerators: r.accelerators + o.accelerators,
+	}
+}
+
+// Minus is what remains of r without o; amounts may become negative.
+func (r Resources) Minus(o Resources) Resources {
+	return Resources{
+		milliCores:   r.milliCores - o.milliCores,
+		memoryMB:     r.memoryMB - o.memoryMB,
+		accelerators: r.accelerators - o.accelerators,
+	}
+}
+
+// Covers tells whether o fits into r.
+func (r Resources) Covers(o Resources) bool {
+	return r.milliCores >= o.milliCores && r.memoryMB >= o.memoryMB && r.accelerators >= o.accelerators
+}
+
+// Quotient is how many times o fits into r.
+func (r Resources) Quotient(o Resources) int64 {
+	n := int64(1 << 20)
+	for _, p := range [][2]int64{{r.milliCores, o.milliCores}, {r.memoryMB, o.memoryMB}, {r.accelerators, o.accelerators}} {
+		if p[1] > 0 {
+			n = min(n, max(p[0], 0)/p[1])
+		}
+	}
+	return n
+}
