Order jobs by their latest start and refuse what can't be served in time

Cause: jobs whose work exceeds the caller's time were held to their deadline, and at the crest late jobs took room from those still in time; SIGHUP ended processes. Ruled out: a queue at the agents, since entries refill freed room within 2 ms.

--- a/cmd/greengagedoor/roles.go
+++ b/cmd/greengagedoor/roles.go
@@ -67,6 +67,14 @@
 	}
 }
 
+// settingsFile is the file that a flag or the environment names.
+func settingsFile(c *cli.Context) string {
+	if file := c.String(settingsFlag); file != "" {
+		return file
+	}
+	return os.Getenv(setting.FileVariable)
+}
+
 func load(c *cli.Context, t setting.Table) (*setting.Values, error) {
 	given := map[string]string{}
 	for _, s := range t.Settings() {
@@ -74,11 +82,7 @@
 			given[s.Flag()] = c.String(s.Flag())
 		}
 	}
-	file := c.String(settingsFlag)
-	if file == "" {
-		file = os.Getenv(setting.FileVariable)
-	}
-	return setting.Load(t, setting.NewSources(file, os.Environ(), given))
+	return setting.Load(t, setting.NewSources(settingsFile(c), os.Environ(), given))
 }
 
 // settings are what both roles take from their table.
@@ -99,13 +103,23 @@
 	debug.SetMemoryLimit(megabytes << 20 * memoryShare / 100)
 }
 
-func seams(v *setting.Values) (node.Seams, func()) {
+func seams(c *cli.Context, t setting.Table, v *setting.Values) (node.Seams, func()) {
 	s, cleanup := platform.NewStore(v.Text("store", "address"), v.Milliseconds("store", "timeout_ms"))
 	return node.Seams{
 		Store:            s,
 		ConfigurationKey: platform.ConfigurationKey,
 		Decode:           platform.DecodeConfiguration,
 		Out:              os.Stdout,
+		Reload: node.Reload{
+			Path: settingsFile(c),
+			Load: func() (node.Settings, error) {
+				v, err := load(c, t)
+				if err != nil {
+					return node.Settings{}, err
+				}
+				return settings(v)
+			},
+		},
 	}, cleanup
 }
 
@@ -115,7 +129,7 @@
 		if err != nil {
 			return err
 		}
-		outside, cleanup := seams(v)
+		outside, cleanup := seams(c, setting.Agent(), v)
 		defer cleanup()
 		target, cleanup := platform.NewTarget()
 		defer cleanup()
@@ -140,7 +154,7 @@
 		if err != nil {
 			return err
 		}
-		outside, cleanup := seams(v)
+		outside, cleanup := seams(c, setting.Entry(), v)
 		defer cleanup()
 		e, cleanup, err := node.NewEntry(s, outside)
 		if err != nil {
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -111,6 +111,7 @@
 	d.expireJobs(now)
 	d.release(now)
 	d.place(now)
+	d.review(now)
 	d.flush(now)
 	return d.out
 }
--- a/internal/process/role/dispatch/health.go
+++ b/internal/process/role/dispatch/health.go
@@ -45,6 +45,7 @@
 	switch end {
 	case task.EndDone:
 		s := j.work.Steps()[x.task.step]
+		d.show(a, j, s, ran)
 		d.learned.observe(j.route.Name(), a.label(), a.name, s.Estimate(), ran)
 		a.health.failures *= 1 - failureWeight
 		if a.health.probation > 0 {
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -30,9 +30,19 @@
 	callers  []uint64
 	accepted time.Duration
 	deadline time.Duration
-	// due is when the commitment ends.
-	due   time.Duration
-	rank  int64
+	// due is when the commitment ends, and useful when an answer is of no use any
+	// more.
+	due    time.Duration
+	useful time.Duration
+	// fast is the expected time on the fastest target, and latest the latest start
+	// there that meets the commitment.
+	fast    time.Duration
+	latest  time.Duration
+	rank    int64
+	demoted bool
+	// shown is by how much ended tasks of the job took longer than expected, in
+	// logarithms.
+	shown average
 	steps []*step
 	ready []*item
 	// ran tells that a task may have started.
@@ -194,39 +204,26 @@
 		accepted: now,
 		deadline: now + limit,
 	}
-	chain := d.plan(j)
-	j.due = now + min(r.Commitment(chain), limit)
-	j.rank = d.rank(j, chain)
+	for i, x := range work.Steps() {
+		j.steps = append(j.steps, &step{
+			number: i,
+			left:   x.Count(),
+		})
+	}
+	d.judge(j)
+	if d.hopeless(now, j) {
+		d.refuse(s, work.ID(), StateRefused, "too_long_for_caller", retryPause)
+		return
+	}
+	j.releaseSteps()
 	d.jobs[work.ID()] = j
 	d.requests[s.request] = j
 	d.enqueue(j)
-	d.note(event.JobAccepted, event.F("job", work.ID()), event.F("trace", s.trace), event.F("route", r.Name()),
-		event.F("version", d.version.Number()), event.F("tasks", len(j.ready)), event.F("chain_ms", chain.Milliseconds()),
-		event.F("due_ms", (j.due-now).Milliseconds()), event.F("limit_ms", limit.Milliseconds()), event.F("rank", j.rank))
-}
-
-// plan sets up the steps and returns the length of the longest chain of work.
-func (d *Dispatch) plan(j *job) time.Duration {
-	longest := time.Duration(0)
-	for i, s := range j.work.Steps() {
-		before := time.Duration(0)
-		for _, p := range s.Prerequisites() {
-			before = max(before, j.steps[p].chain)
-		}
-		st := &step{
-			number: i,
-			left:   s.Count(),
-			chain:  before + d.learned.base(j.route.Name(), s.Estimate()),
-		}
-		j.steps = append(j.steps, st)
-		longest = max(longest, st.chain)
-	}
-	d.releaseSteps(j)
-	return longest
+	d.noteAccepted(now, j)
 }
 
 // releaseSteps makes the tasks of steps ready whose prerequisites are done.
-func (d *Dispatch) releaseSteps(j *job) {
+func (j *job) releaseSteps() {
 	for i, st := range j.steps {
 		if st.released || !j.reached(i) {
 			continue
@@ -371,17 +368,6 @@
 	}
 }
 
-func (d *Dispatch) overdueJobs(now time.Duration) []string {
-	var ids []string
-	for id, j := range d.jobs {
-		if now >= j.deadline {
-			ids = append(ids, id)
-		}
-	}
-	sort.Strings(ids)
-	return ids
-}
-
 // endAttempt takes the end of a run: the task is done, or is placed again as
 // long as its route allows.
 func (d *Dispatch) endAttempt(now time.Duration, a *agent, x *attempt, end task.End, ran time.Duration) {
@@ -427,7 +413,7 @@
 	if j.steps[t.step].left > 0 {
 		return
 	}
-	d.releaseSteps(j)
+	j.releaseSteps()
 	if len(j.ready) > 0 {
 		d.enqueue(j)
 	}
--- a/internal/process/role/dispatch/learn.go
+++ b/internal/process/role/dispatch/learn.go
@@ -9,48 +9,100 @@
 const (
 	// firstEstimate stands for the run time of a kind that declares none.
 	firstEstimate = 100 * time.Millisecond
-	// minKindStep and minTargetStep bound how much one run changes an estimate, so
-	// that it follows a change within some tens of runs.
-	minKindStep   = 0.02
-	minLabelStep  = 0.03
-	minTargetStep = 0.08
-	// maxResidual bounds the weight of a straggler: 3% of the tasks run several
-	// times as long as the others of their kind.
+	// kindStep, labelStep and targetStep are the least weights of one run, so that
+	// estimates follow a change within some tens of runs.
+	kindStep   = 0.01
+	labelStep  = 0.02
+	targetStep = 0.08
+	// maxResidual bounds what one run changes the factor of a target by.
 	maxResidual = 0.7
+	// firstTrust is how far a declared run time is believed against the mean of its
+	// kind before enough runs were seen, and enoughRuns is when they were.
+	firstTrust = 0.6
+	enoughRuns = 40
+	// firstSpread is the spread of run times, in logarithms, before runs were seen.
+	firstSpread = 0.5
+	// minSpread keeps estimates from being taken as exact.
+	minSpread = 0.15
 )
 
-// average is a mean in logarithms that follows its samples.
+// average is a mean that follows its samples, with at least the given weight for
+// the newest.
 type average struct {
 	value float64
 	count int
 }
 
-func (a *average) add(residual, minStep float64) {
+func (a *average) add(x, step float64) {
 	a.count++
-	a.value += residual * math.Max(1/float64(a.count+1), minStep)
+	a.value += (x - a.value) * math.Max(1/float64(a.count), step)
 }
 
-// learner estimates run times from ended runs: a factor for each kind of
-// request against what it declares, one for each hardware label, and one for
-// each target against its label.
+// kindTimes relates the run times of a kind of request to what its jobs declare.
+// Declarations are far off, so an estimate lies between the declared time and the
+// mean of the kind, by the share that past runs show. All values are logarithms
+// of seconds.
+type kindTimes struct {
+	declared   average
+	ran        average
+	variance   average
+	covariance average
+	residual   average
+}
+
+func (k *kindTimes) trust() float64 {
+	if k.ran.count < enoughRuns || k.variance.value < 1e-6 {
+		return firstTrust
+	}
+	return math.Max(0, math.Min(1, k.covariance.value/k.variance.value))
+}
+
+func (k *kindTimes) predict(declared float64) float64 {
+	if k.ran.count == 0 {
+		return declared
+	}
+	return k.ran.value + k.trust()*(declared-k.declared.value)
+}
+
+func (k *kindTimes) spread() float64 {
+	if k.residual.count < enoughRuns {
+		return firstSpread
+	}
+	return math.Max(minSpread, math.Sqrt(k.residual.value))
+}
+
+func (k *kindTimes) add(declared, ran float64) {
+	if k.ran.count > 0 {
+		r := ran - k.predict(declared)
+		k.residual.add(r*r, kindStep)
+	}
+	k.declared.add(declared, kindStep)
+	k.ran.add(ran, kindStep)
+	d := declared - k.declared.value
+	k.variance.add(d*d, kindStep)
+	k.covariance.add(d*(ran-k.ran.value), kindStep)
+}
+
+// learner estimates run times from ended runs: for each kind of request, a
+// factor for each hardware label, and one for each target against its label.
 type learner struct {
-	kinds   map[string]*average
+	kinds   map[string]*kindTimes
 	labels  map[string]*average
 	targets map[string]*average
 }
 
 func newLearner() *learner {
 	return &learner{
-		kinds:   map[string]*average{},
+		kinds:   map[string]*kindTimes{},
 		labels:  map[string]*average{},
 		targets: map[string]*average{},
 	}
 }
 
-func lookUp(m map[string]*average, key string) *average {
+func lookUp[T any](m map[string]*T, key string) *T {
 	a, ok := m[key]
 	if !ok {
-		a = &average{}
+		a = new(T)
 		m[key] = a
 	}
 	return a
@@ -63,12 +115,17 @@
 	return math.Log(estimate.Seconds())
 }
 
-// base is the run time of a task of a kind on an average target.
+// base is the run time of a task of a kind on a target of factor 1.
 func (l *learner) base(kind string, estimate time.Duration) time.Duration {
-	return seconds(declared(estimate) + lookUp(l.kinds, kind).value)
+	return seconds(lookUp(l.kinds, kind).predict(declared(estimate)))
+}
+
+// spread is how far run times of a kind lie from their estimates, in logarithms.
+func (l *learner) spread(kind string) float64 {
+	return lookUp(l.kinds, kind).spread()
 }
 
-// factor is how many times as long runs take on a target as on an average one.
+// factor is how many times as long runs take on a target as on one of factor 1.
 func (l *learner) factor(label, target string) float64 {
 	return math.Exp(lookUp(l.labels, label).value + lookUp(l.targets, target).value)
 }
@@ -81,11 +138,15 @@
 	k := lookUp(l.kinds, kind)
 	b := lookUp(l.labels, label)
 	t := lookUp(l.targets, target)
-	residual := math.Log(ran.Seconds()) - declared(estimate) - k.value - b.value - t.value
-	residual = math.Max(-maxResidual, math.Min(maxResidual, residual))
-	k.add(residual, minKindStep)
-	b.add(residual, minLabelStep)
-	t.add(residual, minTargetStep)
+	x := declared(estimate)
+	y := math.Log(ran.Seconds())
+	own := y - b.value - t.value
+	if k.ran.count > 0 {
+		residual := math.Max(-maxResidual, math.Min(maxResidual, own-k.predict(x)))
+		b.add(b.value+residual, labelStep)
+		t.add(t.value+residual, targetStep)
+	}
+	k.add(x, own)
 }
 
 // forget drops what was learned about a target that is gone.
@@ -96,3 +157,13 @@
 func seconds(log float64) time.Duration {
 	return time.Duration(math.Exp(log) * float64(time.Second))
 }
+
+// chance is the probability that work whose estimate is expected takes no longer
+// than limit, for the given spread in logarithms.
+func chance(limit, expected time.Duration, spread float64) float64 {
+	if limit <= 0 {
+		return 0
+	}
+	z := math.Log(limit.Seconds()/math.Max(expected.Seconds(), 1e-6)) / spread
+	return 0.5 * math.Erfc(-z/math.Sqrt2)
+}
--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -23,18 +23,18 @@
 	zoneCost = 4 * time.Millisecond
 	// maxBlocked bounds the jobs without room that are looked at in one pass.
 	maxBlocked = 8
+	// lateWeight and failWeight are what a late and a lost answer cost: a late one is
+	// still worth a fifth. loadWeight is what a place on a busy kind of hardware
+	// costs, and speedWeight what a second of run time does.
+	lateWeight  = 0.8
+	failWeight  = 0.6
+	loadWeight  = 0.5
+	speedWeight = 0.05
 	// maxClockAge is the age of an agent's last sign of life from which it gets no
 	// new work; a start would be void before it arrives.
 	maxClockAge = 300 * time.Millisecond
 )
 
-// rank orders jobs: by the latest start that meets the commitment, with a step
-// for each priority, so that waiting work of lower priority moves up.
-func (d *Dispatch) rank(j *job, chain time.Duration) int64 {
-	latest := j.due - chain + time.Duration(j.route.Priority())*priorityStep
-	return latest.Microseconds()
-}
-
 // enqueue puts a job with ready tasks into the queue.
 func (d *Dispatch) enqueue(j *job) {
 	at := sort.Search(len(d.queue), func(i int) bool { return d.queue[i].rank > j.rank })
@@ -59,9 +59,13 @@
 
 // place sends ready tasks to agents with room, the lowest rank first.
 func (d *Dispatch) place(now time.Duration) {
+	if len(d.queue) == 0 {
+		return
+	}
+	load := d.load()
 	blocked := 0
 	for _, j := range append([]*job(nil), d.queue...) {
-		if !d.placeJob(now, j) {
+		if !d.placeJob(now, j, load) {
 			blocked++
 		}
 		if len(j.ready) == 0 {
@@ -73,8 +77,30 @@
 	}
 }
 
+// load is the share of its capacity that is in use, by hardware label.
+type load map[string]float64
+
+func (d *Dispatch) load() load {
+	used := map[string]int64{}
+	size := map[string]int64{}
+	for _, a := range d.sessions {
+		if !a.usable() {
+			continue
+		}
+		size[a.label()] += a.size.MilliCores()
+		used[a.label()] += a.size.MilliCores() - max(a.open().MilliCores(), 0)
+	}
+	l := load{}
+	for label, n := range size {
+		if n > 0 {
+			l[label] = float64(used[label]) / float64(n)
+		}
+	}
+	return l
+}
+
 // placeJob places ready tasks of a job; it returns false if some found no room.
-func (d *Dispatch) placeJob(now time.Duration, j *job) bool {
+func (d *Dispatch) placeJob(now time.Duration, j *job, l load) bool {
 	var rest []*item
 	whole := true
 	for i, t := range j.ready {
@@ -82,7 +108,7 @@
 			rest = append(rest, t)
 			continue
 		}
-		a := d.choose(now, t)
+		a := d.choose(now, t, l)
 		if a == nil {
 			rest = append(rest, j.ready[i:]...)
 			whole = false
@@ -94,21 +120,18 @@
 	return whole
 }
 
-// choose returns the agent on which a task ends first, nil if none has room.
-func (d *Dispatch) choose(now time.Duration, t *item) *agent {
+// choose returns the agent that suits a task best, nil if none has room.
+func (d *Dispatch) choose(now time.Duration, t *item, l load) *agent {
 	s := t.job.work.Steps()[t.step]
-	base := d.learned.base(t.job.route.Name(), s.Estimate())
+	base := t.job.expect(d.learned.base(t.job.route.Name(), s.Estimate()))
 	var best *agent
-	var bestCost time.Duration
+	var bestCost float64
 	for _, n := range sortedKeys(d.sessions) {
 		a := d.sessions[n]
 		if !d.fits(now, a, t, s) {
 			continue
 		}
-		cost := d.cost(a, s, base)
-		if t.avoid[a.name] {
-			cost += base
-		}
+		cost := d.cost(now, a, t, s, base, l)
 		if best == nil || cost < bestCost || cost == bestCost && a.open().Quotient(s.Need()) > best.open().Quotient(s.Need()) {
 			best = a
 			bestCost = cost
@@ -131,17 +154,30 @@
 	return a.open().Covers(s.Need())
 }
 
-// cost is the time at which a task ends on an agent, from now, with the price of
-// another availability zone.
-func (d *Dispatch) cost(a *agent, s task.Step, base time.Duration) time.Duration {
-	cost := time.Duration(float64(base) * d.learned.factor(a.label(), a.name))
+// expected is how long a task takes on an agent, with the way there.
+func (d *Dispatch) expected(a *agent, s task.Step, base time.Duration) time.Duration {
+	x := time.Duration(float64(base)*d.learned.factor(a.label(), a.name)) + a.target.Cold()
+	if s.Rack() != "" && a.rack() != s.Rack() {
+		x += base / 2
+	}
 	if a.zone != d.hello.Zone() {
-		cost += zoneCost
+		x += zoneCost
 	}
-	if s.Rack() != "" && a.rack() != s.Rack() {
-		cost += base / 2
+	return x
+}
+
+// cost weighs the chance that a task ends late on an agent against the room it
+// takes there from others. Under load the fast targets are kept for work that is
+// late elsewhere; without load each task goes where it ends first.
+func (d *Dispatch) cost(now time.Duration, a *agent, t *item, s task.Step, base time.Duration, l load) float64 {
+	x := d.expected(a, s, base)
+	if t.avoid[a.name] {
+		x += base
 	}
-	return cost + a.target.Cold()
+	late := 1 - chance(t.job.due-now, x, d.learned.spread(t.job.route.Name()))
+	failed := 1 - chance(t.job.deadline-now, x, d.learned.spread(t.job.route.Name()))
+	u := l[a.label()]
+	return lateWeight*late + failWeight*failed + loadWeight*u*u + x.Seconds()*speedWeight
 }
 
 // count is the number of runs of a job's step on an agent.
@@ -167,7 +203,7 @@
 		need:     s.Need(),
 		state:    attemptSent,
 		sent:     now,
-		expected: time.Duration(float64(d.learned.base(j.route.Name(), s.Estimate())) * d.learned.factor(a.label(), a.name)),
+		expected: d.expected(a, s, j.expect(d.learned.base(j.route.Name(), s.Estimate()))),
 	}
 	t.attempt = x
 	j.ran = true
@@ -190,9 +226,3 @@
 	d.note(event.TaskPlaced, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("run", x.id.String()), event.F("agent", a.name),
 		event.F("expected_ms", x.expected.Milliseconds()), event.F("heard_ms", (now-a.heard).Milliseconds()), event.F("waited_ms", (now-j.accepted).Milliseconds()))
 }
-
-// retryAfter is the time to come back for a refused caller: the time in which
-// the work that is held now will be done.
-func (d *Dispatch) retryAfter() time.Duration {
-	return retryPause
-}
--- a/internal/process/role/node/agent.go
+++ b/internal/process/role/node/agent.go
@@ -95,6 +95,9 @@
 	if a.links, err = newLinks(b, handlers(a.ring), func(string) bool { return true }); err != nil {
 		return err
 	}
+	if err := b.follow(b.seams.Reload, a.links); err != nil {
+		return err
+	}
 	return b.add("entries", "Reads where entries are while none is connected.", nil, func(ctx context.Context) error {
 		return watchEntries(ctx, b.seams.Store, func() bool { return a.count.Load() == 0 }, b.note, a.links.know)
 	})
--- a/internal/process/role/node/entry.go
+++ b/internal/process/role/node/entry.go
@@ -108,6 +108,9 @@
 	if e.links, err = newLinks(b, h, func(address string) bool { return address > b.settings.link }); err != nil {
 		return err
 	}
+	if err := b.follow(b.seams.Reload, e.links); err != nil {
+		return err
+	}
 	if err := b.add("configuration", "Follows the operators' configuration.", nil, func(ctx context.Context) error {
 		return watchConfiguration(ctx, b.seams, b.note, e.found)
 	}); err != nil {
--- a/internal/process/role/node/links.go
+++ b/internal/process/role/node/links.go
@@ -72,20 +72,30 @@
 		places:   map[string]*place{},
 		wants:    wants,
 	}
-	_, port, err := net.SplitHostPort(b.settings.link)
+	for _, a := range seedAddresses(b.settings.seeds, b.settings.link) {
+		l.learn(a, true)
+	}
+	return l, b.add("links", "Opens connections to entries.", func() (int, int, int64) {
+		return r.Depth(), r.Size(), r.Rejected()
+	}, l.run)
+}
+
+// seedAddresses are the seeds with the port of the process's own address, which
+// is the same on all hosts.
+func seedAddresses(seeds []string, own string) []string {
+	_, port, err := net.SplitHostPort(own)
 	if err != nil {
-		return nil, err
+		return nil
 	}
-	for _, s := range b.settings.seeds {
+	var list []string
+	for _, s := range seeds {
 		host, _, err := net.SplitHostPort(s)
 		if err != nil {
 			host = s
 		}
-		l.learn(net.JoinHostPort(host, port), true)
+		list = append(list, net.JoinHostPort(host, port))
 	}
-	return l, b.add("links", "Opens connections to entries.", func() (int, int, int64) {
-		return r.Depth(), r.Size(), r.Rejected()
-	}, l.run)
+	return list
 }
 
 // know names entries to the duty without waiting.
--- a/internal/process/role/node/node.go
+++ b/internal/process/role/node/node.go
@@ -110,6 +110,8 @@
 	Decode Decode
 	// Out takes the log.
 	Out *os.File
+	// Reload reads the settings again; without it a process keeps them.
+	Reload Reload
 }
 
 // base is what both kinds of process have.
--- a/internal/process/role/station/event.go
+++ b/internal/process/role/station/event.go
@@ -184,6 +184,7 @@
 	boot    Boot
 	fence   int64
 	expires time.Duration
+	sent    time.Duration
 }
 
 // Kind tells what is asked.
--- a/internal/process/role/station/run.go
+++ b/internal/process/role/station/run.go
@@ -120,6 +120,7 @@
 		boot:    s.target.boot,
 		fence:   s.target.fence,
 		expires: s.target.clockAt(now) + s.timing.lease,
+		sent:    now,
 	})
 }
 
@@ -141,16 +142,17 @@
 
 func (s *Station) sendStop(now time.Duration, r *run) {
 	r.stopSent = now
-	s.out.orders = append(s.out.orders, s.stopOrder(r.id))
+	s.out.orders = append(s.out.orders, s.stopOrder(now, r.id))
 }
 
-func (s *Station) stopOrder(id task.Run) Order {
+func (s *Station) stopOrder(now time.Duration, id task.Run) Order {
 	return Order{
 		kind:    OrderStop,
 		run:     id,
 		address: s.target.address,
 		boot:    s.target.boot,
 		fence:   s.target.fence,
+		sent:    now,
 	}
 }
 
@@ -196,7 +198,7 @@
 	if o.boot != s.target.boot {
 		return
 	}
-	s.target.answered(now, in.verdict != VerdictUnknown && in.verdict != VerdictUnsent, in.clock)
+	s.target.answered(now, o.sent, in.verdict != VerdictUnknown && in.verdict != VerdictUnsent, in.clock)
 	if in.verdict == VerdictFence {
 		s.target.raiseFence(o.fence)
 	}
--- a/internal/process/role/station/station.go
+++ b/internal/process/role/station/station.go
@@ -91,6 +91,9 @@
 	holdWait = 200 * time.Millisecond
 	// stopRetry is the pause before an unanswered stop is repeated.
 	stopRetry = 100 * time.Millisecond
+	// freezeGap is the time without any event from which the agent counts as having
+	// been frozen; it is told of time many times in it.
+	freezeGap = 250 * time.Millisecond
 	// roomInterval is the least time between two frames that only report room.
 	roomInterval = 25 * time.Millisecond
 	// maxWaiting bounds the accepted starts that wait for capacity.
@@ -160,6 +163,7 @@
 	used     task.Resources
 	queued   task.Resources
 	leaving  bool
+	last     time.Duration
 	config   frame.Config
 	out      Output
 }
@@ -183,6 +187,10 @@
 // that fell silent while the agent itself was frozen.
 func (s *Station) Handle(now time.Duration, ev Event) Output {
 	s.out = Output{}
+	if gap := now - s.last; s.last > 0 && gap > freezeGap {
+		s.target.frozen(gap)
+	}
+	s.last = now
 	s.expire(now)
 	s.dispatch(now, ev)
 	s.advance(now)
--- a/internal/process/role/station/target.go
+++ b/internal/process/role/station/target.go
@@ -70,8 +70,16 @@
 		WithCold(t.cold)
 }
 
+// clockAt is the target's clock now. It is never ahead of the true one, whose
+// rate may be lower than the agent's, so that no lease gets longer than intended.
 func (t *target) clockAt(now time.Duration) time.Duration {
-	return t.clock + (now - t.clockSeen)
+	return t.clock + time.Duration(float64(now-t.clockSeen)/clockDrift)
+}
+
+// frozen takes that the agent did nothing for a time. The target may have been
+// suspended with its host, so its clock counts as not having moved.
+func (t *target) frozen(gap time.Duration) {
+	t.clockSeen += gap
 }
 
 // extended notes that a call with a new end of the lease is sent.
@@ -79,17 +87,20 @@
 	t.leaseEnd = now + timing.lapse()
 }
 
-// answered takes whether a call was answered, and the target's clock in it.
-func (t *target) answered(now time.Duration, ok bool, clock time.Duration) {
+// answered takes whether a call that was sent at a time was answered, and the
+// target's clock in the answer, which it read between then and now.
+func (t *target) answered(now, sent time.Duration, ok bool, clock time.Duration) {
 	if !ok {
 		t.unanswered++
 		return
 	}
 	t.unanswered = 0
-	if clock > 0 && clock >= t.clockAt(now) {
-		t.clock = clock
-		t.clockSeen = now
+	if clock <= 0 {
+		return
 	}
+	estimate := min(max(t.clockAt(now), clock), clock+now-sent)
+	t.clock = estimate
+	t.clockSeen = now
 }
 
 // raiseFence raises the fence above one that was refused.
@@ -244,7 +255,7 @@
 			s.targetChanged()
 		}
 	}()
-	t.answered(now, in.verdict != VerdictUnknown && in.verdict != VerdictUnsent, in.clock)
+	t.answered(now, h.sent, in.verdict != VerdictUnknown && in.verdict != VerdictUnsent, in.clock)
 	switch {
 	case in.verdict == VerdictFence:
 		t.raiseFence(h.fence)
@@ -318,7 +329,7 @@
 		return
 	}
 	t.unclaimed[id] = now
-	s.out.orders = append(s.out.orders, s.stopOrder(id))
+	s.out.orders = append(s.out.orders, s.stopOrder(now, id))
 	s.note(event.RunUnclaimed, event.F("run", id.String()), event.F("target", t.boot.id))
 }
 
