Weigh the worth of jobs in placing and treat kinds and sizes alike

Cause: the largest jobs of the longest kind were served a third as often as the kind. Change: groups by kind and size whose jobs go earlier the worse the group is served; long jobs wait for a fast target; late and lost answers weigh by the job's worth.

--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -62,6 +62,7 @@
 	busy     map[string]*attempt
 	ended    map[string]past
 	learned  *learner
+	fair     *fairness
 	leaving  bool
 	out      Output
 }
@@ -100,6 +101,7 @@
 		busy:     map[string]*attempt{},
 		ended:    map[string]past{},
 		learned:  newLearner(),
+		fair:     newFairness(),
 	}
 }
 
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -22,6 +22,9 @@
 	maxJobs = 4096
 )
 
+// callersLeft is the reason of a job whose callers all left.
+const callersLeft = "callers_left"
+
 // job is a job from its request to its answer.
 type job struct {
 	work     task.Job
@@ -40,6 +43,9 @@
 	latest  time.Duration
 	rank    int64
 	demoted bool
+	// size is the work of the job against the mean of its kind.
+	size  float64
+	group group
 	// shown is by how much ended tasks of the job took longer than expected, in
 	// logarithms.
 	shown average
@@ -265,6 +271,9 @@
 	}
 	delete(d.jobs, j.work.ID())
 	d.dequeue(j)
+	if reason != callersLeft {
+		d.fair.observe(j.group, s == StateComplete && now <= j.due)
+	}
 	stopped := d.stopAll(j)
 	if s == StateComplete || s == StateFailed || s == StateCancelled {
 		d.ended[j.work.ID()] = past{
@@ -313,7 +322,7 @@
 		return
 	}
 	d.note(event.JobLeft, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("held_ms", (now-j.accepted).Milliseconds()))
-	d.finish(now, j, StateExpired, "callers_left")
+	d.finish(now, j, StateExpired, callersLeft)
 }
 
 // cancel ends a job on request. A job of another entry is cancelled through it
--- a/internal/process/role/dispatch/learn.go
+++ b/internal/process/role/dispatch/learn.go
@@ -99,7 +99,7 @@
 	}
 }
 
-func lookUp[T any](m map[string]*T, key string) *T {
+func lookUp[K comparable, T any](m map[K]*T, key K) *T {
 	a, ok := m[key]
 	if !ok {
 		a = new(T)
--- a/internal/process/role/dispatch/order.go
+++ b/internal/process/role/dispatch/order.go
@@ -22,6 +22,8 @@
 	holdShare = 0.4
 	// demotion moves a job behind all that can still be served in time.
 	demotion = int64(time.Hour / time.Microsecond)
+	// acceleratorCores is the number of cores that an accelerator counts as.
+	acceleratorCores = 8
 	// withinSpread is how far the tasks of one job differ, in logarithms; they differ
 	// less than jobs do.
 	withinSpread = 0.2
@@ -93,8 +95,21 @@
 	j.due = j.accepted + min(commitment, limit)
 	j.useful = j.accepted + min(lateFactor*commitment, limit)
 	j.fast = fast
-	j.latest = j.due - fast
-	j.rank = (j.latest + time.Duration(j.route.Priority())*priorityStep).Microseconds()
+	// The margin is for estimates that are too low.
+	j.latest = j.due - time.Duration(float64(fast)*(1+d.learned.spread(j.route.Name())))
+	j.size = d.fair.measure(j.route.Name(), d.work(j))
+	j.group = groupOf(j.route.Name(), j.size)
+	j.rank = (j.latest + time.Duration(j.route.Priority())*priorityStep - d.fair.lead(j.group)).Microseconds()
+}
+
+// work is what a job needs of the targets, in core seconds on a target of factor 1.
+func (d *Dispatch) work(j *job) float64 {
+	sum := 0.0
+	for _, s := range j.work.Steps() {
+		cores := float64(s.Need().MilliCores())/1000 + acceleratorCores*float64(s.Need().Accelerators())
+		sum += cores * float64(s.Count()) * d.learned.base(j.route.Name(), s.Estimate()).Seconds()
+	}
+	return sum
 }
 
 // hopeless tells whether a job that starts now will most likely not be answered
--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -131,7 +131,10 @@
 		if !d.fits(now, a, t, s) {
 			continue
 		}
-		cost := d.cost(now, a, t, s, base, l)
+		cost, ok := d.cost(now, a, t, s, base, l)
+		if !ok {
+			continue
+		}
 		if best == nil || cost < bestCost || cost == bestCost && a.open().Quotient(s.Need()) > best.open().Quotient(s.Need()) {
 			best = a
 			bestCost = cost
@@ -168,16 +171,23 @@
 
 // cost weighs the chance that a task ends late on an agent against the room it
 // takes there from others. Under load the fast targets are kept for work that is
-// late elsewhere; without load each task goes where it ends first.
-func (d *Dispatch) cost(now time.Duration, a *agent, t *item, s task.Step, base time.Duration, l load) float64 {
+// late elsewhere; without load each task goes where it ends first. It returns
+// false where the task would most likely end too late to be of use; the job then
+// waits for a faster target.
+func (d *Dispatch) cost(now time.Duration, a *agent, t *item, s task.Step, base time.Duration, l load) (float64, bool) {
 	x := d.expected(a, s, base)
 	if t.avoid[a.name] {
 		x += base
 	}
-	late := 1 - chance(t.job.due-now, x, d.learned.spread(t.job.route.Name()))
-	failed := 1 - chance(t.job.deadline-now, x, d.learned.spread(t.job.route.Name()))
+	j := t.job
+	spread := d.learned.spread(j.route.Name())
+	useful := chance(j.useful-now, x, spread)
+	if useful < hopelessChance && t.run == 0 && !j.ran {
+		return 0, false
+	}
+	late := 1 - chance(j.due-now, x, spread)
 	u := l[a.label()]
-	return lateWeight*late + failWeight*failed + loadWeight*u*u + x.Seconds()*speedWeight
+	return worth(j.size)*(lateWeight*late+failWeight*(1-useful)) + loadWeight*u*u + x.Seconds()*speedWeight, true
 }
 
 // count is the number of runs of a job's step on an agent.
