--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -24,11 +24,13 @@
 	// maxBlocked bounds the jobs without room that are looked at in one pass.
 	maxBlocked = 8
 	// lateWeight and failWeight are what a late and a lost answer cost: a late one is
-	// still worth a fifth. loadWeight is what a place on a busy kind of hardware
-	// costs, and speedWeight what a second of run time does.
+	// still worth a fifth. loadWeight is what a place on a full kind of hardware
+	// costs; below the load freeLoad it costs nothing. speedWeight is what a second
+	// of run time costs.
 	lateWeight  = 0.8
 	failWeight  = 0.6
 	loadWeight  = 0.5
+	freeLoad    = 0.6
 	speedWeight = 0.05
 	// maxClockAge is the age of an agent's last sign of life from which it gets no
 	// new work; a start would be void before it arrives.
@@ -186,7 +188,7 @@
 		return 0, false
 	}
 	late := 1 - chance(j.due-now, x, spread)
-	u := l[a.label()]
+	u := max(0, l[a.label()]-freeLoad) / (1 - freeLoad)
 	return worth(j.size)*(lateWeight*late+failWeight*(1-useful)) + loadWeight*u*u + x.Seconds()*speedWeight, true
 }
 
