Judge runs by the progress that targets list

Cause: jobs that could not end in time held room to their deadline; runs on targets that stand still were noticed only at the deadline; after a loss of power agents waited a second for hosts that were not up yet. Ruled out: a limit on run times from estimates alone; they are off by half.

--- a/internal/connection/frame/codec.go
+++ b/internal/connection/frame/codec.go
@@ -97,9 +97,18 @@
 	for _, c := range f.Cancels {
 		e.bytes(15, []byte(c))
 	}
+	for _, p := range f.Progress {
+		e.part(16, p.encode)
+	}
 	return e.b
 }
 
+func (p Progress) encode(e *encoder) {
+	e.part(1, p.id.encode)
+	e.number(2, uint64(p.percent))
+	e.duration(3, p.ran)
+}
+
 func (h Hello) encode(e *encoder) {
 	e.text(1, h.name)
 	e.number(2, h.boot)
@@ -297,6 +306,23 @@
 		return err
 	case 15:
 		f.Cancels = append(f.Cancels, string(x.bytes))
+	case 16:
+		var p Progress
+		err := decode(x.bytes, p.take)
+		f.Progress = append(f.Progress, p)
+		return err
+	}
+	return nil
+}
+
+func (p *Progress) take(x field) error {
+	switch x.number {
+	case 1:
+		return decode(x.bytes, p.id.take)
+	case 2:
+		p.percent = int(x.value)
+	case 3:
+		p.ran = x.duration()
 	}
 	return nil
 }
--- a/internal/connection/frame/frame.go
+++ b/internal/connection/frame/frame.go
@@ -346,6 +346,38 @@
 	return e.ran
 }
 
+// Progress reports how far a run is.
+type Progress struct {
+	id      RunID
+	percent int
+	ran     time.Duration
+}
+
+// NewProgress reports the percent of its work that a run has done, and how long it
+// has run.
+func NewProgress(id RunID, percent int, ran time.Duration) Progress {
+	return Progress{
+		id:      id,
+		percent: percent,
+		ran:     ran,
+	}
+}
+
+// ID is the run.
+func (p Progress) ID() RunID {
+	return p.id
+}
+
+// Percent is the share of the work that is done.
+func (p Progress) Percent() int {
+	return p.percent
+}
+
+// Ran is how long the run has run.
+func (p Progress) Ran() time.Duration {
+	return p.ran
+}
+
 // Peer is a process that takes connections.
 type Peer struct {
 	name    string
@@ -415,8 +447,10 @@
 	Stops   []RunID
 	Began   []RunID
 	Ended   []Ended
-	Peers   []Peer
-	Cancels []string
+	// Progress lists runs whose progress says more than the last report of it.
+	Progress []Progress
+	Peers    []Peer
+	Cancels  []string
 }
 
 // Joins tells whether o asks for more tasks of the same step, so that both can be
--- a/internal/connection/stream/grpc.go
+++ b/internal/connection/stream/grpc.go
@@ -17,9 +17,9 @@
 const (
 	method      = "/greengagedoor.Stream/Exchange"
 	serviceName = "greengagedoor.Stream"
-	// dialLimit bounds the opening of a connection; inside a region it takes a few
-	// ms, and an unreachable host does not answer at all.
-	dialLimit = time.Second
+	// dialLimit bounds the opening of a connection. It takes a few ms, and a host
+	// without power answers nothing until the kernel asks again after a second.
+	dialLimit = 300 * time.Millisecond
 	// window bounds the bytes in flight; a fixed size spares gRPC's own probes.
 	window = 1 << 20
 	// bufferBytes is the size of the buffers of a connection; frames are small.
--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -250,6 +250,11 @@
 			x.began = now
 		}
 	}
+	for _, p := range f.Progress {
+		if x, ok := a.runs[p.ID()]; ok {
+			d.progress(now, a, x, p)
+		}
+	}
 	for _, e := range f.Ended {
 		if x, ok := a.runs[e.ID()]; ok && x.state != attemptLost {
 			d.endAttempt(now, a, x, task.End(e.End()), e.Ran())
--- a/internal/process/role/dispatch/health.go
+++ b/internal/process/role/dispatch/health.go
@@ -55,7 +55,7 @@
 				d.note(event.TargetTrusted, event.F("agent", a.name))
 			}
 		}
-	case task.EndFailed:
+	case task.EndFailed, task.EndStalled:
 		a.health.failures += failureWeight * (1 - a.health.failures)
 		d.suspect(now, a)
 	}
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -98,8 +98,10 @@
 	sent     time.Duration
 	began    time.Duration
 	expected time.Duration
-	goneAt   time.Duration
-	target   string
+	// total is how long the run will take by its progress; 0 for not known.
+	total  time.Duration
+	goneAt time.Duration
+	target string
 }
 
 // sorted lists the attempts in a fixed order.
@@ -402,7 +404,7 @@
 			return
 		}
 		t.avoid[a.name] = true
-	case task.EndLost, task.EndStopped:
+	case task.EndLost, task.EndStopped, task.EndStalled:
 		t.avoid[a.name] = true
 	case task.EndRefused:
 		a.backoff = now + refusalPause
--- a/internal/process/role/node/links.go
+++ b/internal/process/role/node/links.go
@@ -15,12 +15,12 @@
 // The times and bounds of opening connections.
 const (
 	// dialPause and maxDialPause bound the pause before an address is tried again.
-	dialPause    = 200 * time.Millisecond
-	maxDialPause = time.Second
+	dialPause    = 50 * time.Millisecond
+	maxDialPause = 500 * time.Millisecond
 	// addressLife is how long an address is tried that nobody names any more.
 	addressLife = 20 * time.Second
 	// dialTick is how often the table of addresses is looked at.
-	dialTick = 100 * time.Millisecond
+	dialTick = 50 * time.Millisecond
 )
 
 // place is an address of an entry.
--- a/internal/process/role/station/station.go
+++ b/internal/process/role/station/station.go
@@ -132,8 +132,9 @@
 	// stopSent is when the last stop was sent; 0 for none.
 	stopSent time.Duration
 	// stopped is when the target answered a stop; 0 for not yet.
-	stopped time.Duration
-	cause   string
+	stopped  time.Duration
+	cause    string
+	progress progress
 }
 
 // session is one connection to an entry.
@@ -145,8 +146,10 @@
 	roomDue bool
 	began   []frame.RunID
 	ended   []frame.Ended
-	seen    uint64
-	target  bool
+	// progress is what the next frame reports of runs.
+	progress []frame.Progress
+	seen     uint64
+	target   bool
 	// config is the number of the version that was sent to or had from the entry.
 	config int64
 	urgent bool
@@ -388,6 +391,8 @@
 		Room:    &room,
 		Began:   x.began,
 		Ended:   x.ended,
+
+		Progress: x.progress,
 	}
 	if !x.target {
 		t := s.target.describe(s.leaving)
@@ -401,6 +406,7 @@
 	x.target = true
 	x.began = nil
 	x.ended = nil
+	x.progress = nil
 	x.roomDue = false
 	x.urgent = false
 	x.sent = now
--- a/internal/process/role/station/target.go
+++ b/internal/process/role/station/target.go
@@ -56,7 +56,9 @@
 	looking    bool
 	holdAfter  time.Duration
 	unanswered int
-	unclaimed  map[task.Run]time.Duration
+	// silentHolds counts the calls for lists in a row that were not answered.
+	silentHolds int
+	unclaimed   map[task.Run]time.Duration
 }
 
 // usable tells whether the target may be given new work.
@@ -230,7 +232,7 @@
 	}
 	// A call to a target that does not answer extends nothing, so that the end of
 	// the lease stays known.
-	if t.synced && t.unanswered == 0 {
+	if t.synced && t.silentHolds == 0 {
 		h.expires = t.clockAt(now) + s.timing.lease
 		t.extended(now, s.timing)
 	}
@@ -255,6 +257,10 @@
 			s.targetChanged()
 		}
 	}()
+	t.silentHolds++
+	if in.verdict != VerdictUnknown && in.verdict != VerdictUnsent {
+		t.silentHolds = 0
+	}
 	t.answered(now, h.sent, in.verdict != VerdictUnknown && in.verdict != VerdictUnsent, in.clock)
 	switch {
 	case in.verdict == VerdictFence:
@@ -282,7 +288,11 @@
 		if !ok || r.state == runWaiting {
 			continue
 		}
-		s.end(now, r, f.end, r.cause)
+		end := f.end
+		if end == task.EndStopped && r.cause == stalledCause {
+			end = task.EndStalled
+		}
+		s.end(now, r, end, r.cause)
 	}
 }
 
@@ -293,9 +303,12 @@
 	listed := map[task.Run]bool{}
 	for _, l := range in.running {
 		listed[l.run] = true
-		if _, ok := s.runs[l.run]; !ok {
+		r, ok := s.runs[l.run]
+		if !ok {
 			s.stopUnclaimed(now, l.run)
+			continue
 		}
+		s.follow(now, r, l.percent)
 	}
 	if len(in.finished) >= maxListed {
 		return
--- a/internal/request/task/task.go
+++ b/internal/request/task/task.go
@@ -247,6 +247,8 @@
 	EndStopped
 	// EndLost is a run that its target no longer has, or that expired.
 	EndLost
+	// EndStalled is a run that was stopped since it made no progress.
+	EndStalled
 	// EndNoRoom is a start that did not fit its target; nothing ran.
 	EndNoRoom
 	// EndRefused is a start that was refused for another cause; nothing ran.
@@ -258,6 +260,7 @@
 	EndFailed:  "failed",
 	EndStopped: "stopped",
 	EndLost:    "lost",
+	EndStalled: "stalled",
 	EndNoRoom:  "no_room",
 	EndRefused: "refused",
 }
