Play entries, agents and targets on a virtual clock against an oracle

Change: a simulation in go test: connections that delay and hold back frames, kills, freezes, cuts, crashes, hangs, lost orders; the oracle sees runs and answers.

--- a/cmd/greengagedoor/main.go
+++ b/cmd/greengagedoor/main.go
@@ -107,6 +107,7 @@
 		agentCommand(),
 		entryCommand(),
 		localCommand(),
+		platformCommand(),
 		documented(configCommand()),
 		documented(questionnaireCommand()),
 		submitCommand(),
--- a/cmd/greengagedoor/roles.go
+++ b/cmd/greengagedoor/roles.go
@@ -2,25 +2,21 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
-	"runtime/debug"
-	"time"
+	"path"
+	"strings"
 
+	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v2"
 
-	"greengagedoor.example/greengagedoor/internal/process/role/node"
+	"greengagedoor.example/greengagedoor/internal/process/identity"
+	"greengagedoor.example/greengagedoor/internal/process/log"
+	"greengagedoor.example/greengagedoor/internal/process/role/agent"
+	"greengagedoor.example/greengagedoor/internal/process/role/host"
 	"greengagedoor.example/greengagedoor/internal/process/setting"
-	"greengagedoor.example/greengagedoor/platform"
-)
-
-// The parameters of the garbage collector.
-const (
-	// gcPercent lets the heap triple between collections; the live heap is small
-	// against the memory of the host.
-	gcPercent = 200
-	// memoryShare is the part of the memory that the Go runtime may use, in percent;
-	// the rest is for stacks of the C library and socket buffers.
-	memoryShare = 80
+	"greengagedoor.example/greengagedoor/internal/process/store"
+	"greengagedoor.example/greengagedoor/internal/version/configuration"
 )
 
 const (
@@ -49,7 +45,7 @@
 		})
 	}
 	return &cli.Command{
-		Name:        t.Role(),
+		Name:        path.Base(strings.ReplaceAll(t.Role(), " ", "/")),
 		Usage:       text,
 		Description: "Settings come from a file, the environment and flags; see docs/settings.md.\n" + exitCodes,
 		Flags:       flags,
@@ -67,7 +63,7 @@
 	}
 }
 
-// settingsFile is the file that a flag or the environment names.
+// settingsFile is the file that a flag or, for the platform, the environment names.
 func settingsFile(c *cli.Context) string {
 	if file := c.String(settingsFlag); file != "" {
 		return file
@@ -85,104 +81,78 @@
 	return setting.Load(t, setting.NewSources(settingsFile(c), os.Environ(), given))
 }
 
-// settings are what both roles take from their table.
-func settings(v *setting.Values) (node.Settings, error) {
-	s, err := node.NewSettings(v.Text("process", "name"), v.Text("process", "availability_zone"),
-		v.Text("listen", "link"), v.Text("listen", "metrics"), v.List("peers", "seeds"))
-	if err != nil {
-		return node.Settings{}, err
-	}
-	limitMemory(v.Number("limits", "memory_mb"))
-	return s.WithTimes(v.Milliseconds("times", "max_lease_ms"), time.Duration(v.Number("times", "grace_s"))*time.Second), nil
+func newLog(v *setting.Values) (*logrus.Entry, error) {
+	return log.New(os.Stderr, v.Text("log", "format"), v.Text("log", "level"), v.Text("process", "name"))
 }
 
-// limitMemory lets the garbage collector use the memory of small hosts well: it
-// runs less often while there is room, and more often close to the limit.
-func limitMemory(megabytes int64) {
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(megabytes << 20 * memoryShare / 100)
-}
-
-func seams(c *cli.Context, t setting.Table, v *setting.Values) (node.Seams, func()) {
-	s, cleanup := platform.NewStore(v.Text("store", "address"), v.Milliseconds("store", "timeout_ms"))
-	return node.Seams{
-		Store:            s,
-		ConfigurationKey: platform.ConfigurationKey,
-		Decode:           platform.DecodeConfiguration,
-		Out:              os.Stdout,
-		Reload: node.Reload{
-			Path: settingsFile(c),
-			Load: func() (node.Settings, error) {
-				v, err := load(c, t)
-				if err != nil {
-					return node.Settings{}, err
-				}
-				return settings(v)
-			},
-		},
-	}, cleanup
+func newCommon(v *setting.Values) (host.Common, func(), error) {
+	l, err := newLog(v)
+	if err != nil {
+		return host.Common{}, nil, err
+	}
+	p, err := identity.NewProcess(v.Text("process", "name"), rand.Uint64()|1)
+	if err != nil {
+		return host.Common{}, nil, err
+	}
+	s, cleanup, err := store.New(v.Text("store", "url"), v.Milliseconds("store", "timeout_ms"))
+	if err != nil {
+		return host.Common{}, nil, err
+	}
+	c, err := host.NewCommon(p, int(v.Number("process", "region")), int(v.Number("process", "region_count")),
+		int(v.Number("process", "shard_count")), v.Text("process", "availability_zone"),
+		v.Text("listen", "link"), v.Text("listen", "http"), s, l)
+	if err != nil {
+		cleanup()
+		return host.Common{}, nil, err
+	}
+	c, err = secured(c.WithCell(v.Text("process", "cell"), int(v.Number("process", "cell_size"))), v, l)
+	if err != nil {
+		cleanup()
+		return host.Common{}, nil, err
+	}
+	return c.WithSettings(v.Lines()), cleanup, nil
 }
 
 func agentCommand() *cli.Command {
-	return roleCommand(setting.Agent(), "run the process beside a target", func(c *cli.Context, v *setting.Values) error {
-		s, err := settings(v)
+	return roleCommand(setting.Agent(), "run the process beside targets and worker", func(c *cli.Context, v *setting.Values) error {
+		com, cleanup, err := newCommon(v)
 		if err != nil {
 			return err
 		}
-		outside, cleanup := seams(c, setting.Agent(), v)
 		defer cleanup()
-		target, cleanup := platform.NewTarget()
-		defer cleanup()
-		a, cleanup, err := node.NewAgent(s, outside, node.TargetCalls{
-			Order: target.Order,
-			Hold:  target.Hold,
-		})
+		var w agent.Worker
+		if v.Text("worker", "name") != "" {
+			r, err := configuration.NewResources(v.Number("worker", "milli_cores"), v.Number("worker", "memory_bytes"), v.Number("worker", "accelerators"))
+			if err != nil {
+				return err
+			}
+			w = agent.NewWorker(v.Text("worker", "name"), v.Text("worker", "rack"), r)
+		}
+		a, cleanup, err := host.NewAgent(com, v.Text("worker", "pool_url"), w, rand.Uint64())
 		if err != nil {
 			return err
 		}
 		defer cleanup()
-		if err := a.Serve(v.Text("listen", "reports"), "reports", "Takes the target's reports.", platform.Reports(a.Push, a.Note)); err != nil {
-			return err
-		}
 		return a.Run(c.Context)
 	})
 }
 
 func entryCommand() *cli.Command {
-	return roleCommand(setting.Entry(), "run the process that callers reach", func(c *cli.Context, v *setting.Values) error {
-		s, err := settings(v)
+	return roleCommand(setting.Entry(), "run the HTTP interface of callers and operators", func(c *cli.Context, v *setting.Values) error {
+		com, cleanup, err := newCommon(v)
 		if err != nil {
 			return err
 		}
-		outside, cleanup := seams(c, setting.Entry(), v)
 		defer cleanup()
-		e, cleanup, err := node.NewEntry(s, outside)
+		com, err = com.WithAccess(v.Text("access", "mode"))
 		if err != nil {
 			return err
 		}
-		defer cleanup()
-		if err := e.Serve(v.Text("listen", "callers"), "callers", "Serves callers.", platform.Front(desk(e))); err != nil {
-			return err
-		}
-		if err := e.Serve(v.Text("listen", "readiness"), "readiness", "Tells the load balancer whether callers are taken.", platform.Readiness(e.Ready)); err != nil {
+		e, cleanup, err := host.NewEntry(com)
+		if err != nil {
 			return err
 		}
+		defer cleanup()
 		return e.Run(c.Context)
 	})
 }
-
-// desk connects the callers' front end to an entry.
-func desk(e *node.Entry) platform.Desk {
-	return platform.Desk{
-		Submit: e.Submit,
-		Cancel: e.Cancel,
-		Query:  e.Query,
-		BodyBytes: func() int {
-			if v := e.Version(); v != nil {
-				return v.Limits().BodyBytes()
-			}
-			return 0
-		},
-		Leaving: e.Leaving,
-	}
-}
--- /dev/null
+++ b/internal/process/role/dispatch/simulation/target_test.go
@@ -0,0 +1,257 @@
+package simulation_test
+
+import (
+	"time"
+
+	"greengagedoor.example/greengagedoor/internal/process/role/station"
+	"greengagedoor.example/greengagedoor/internal/request/task"
+)
+
+// simTarget is a target on the virtual clock: it runs what it is told under a
+// lease, refuses lower fences and past runs, and lists ends until they are noted.
+type simTarget struct {
+	w        *world
+	name     string
+	boot     station.Boot
+	up       bool
+	size     task.Resources
+	used     task.Resources
+	fence    int64
+	sequence int64
+	running  map[task.Run]*simRun
+	past     map[string]int64
+	ends     []station.Finished
+	number   int64
+	holds    []*simHold
+	factor   float64
+	hang     bool
+	// loseUntil is until when orders may get no answer and be carried out later.
+	loseUntil time.Duration
+}
+
+type simRun struct {
+	began   time.Duration
+	length  time.Duration
+	expires time.Duration
+	need    task.Resources
+	hangs   bool
+}
+
+type simHold struct {
+	hold  station.Hold
+	reply func(station.Event)
+	due   time.Duration
+}
+
+func newSimTarget(w *world, name string, cores int64) *simTarget {
+	size, err := task.NewResources(cores*1000, 65536, 0)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	t := &simTarget{
+		w:      w,
+		name:   name,
+		size:   size,
+		factor: 1,
+	}
+	t.start()
+	return t
+}
+
+func (t *simTarget) start() {
+	t.up = true
+	t.boot = station.NewBoot("i-"+t.name, int64(t.w.now/time.Millisecond)+1)
+	t.fence = 0
+	t.sequence = 0
+	t.used = task.Resources{}
+	t.running = map[task.Run]*simRun{}
+	t.past = map[string]int64{}
+	t.ends = nil
+	t.number = 0
+	t.holds = nil
+}
+
+func (t *simTarget) crash() {
+	t.up = false
+	t.running = map[task.Run]*simRun{}
+	t.holds = nil
+}
+
+func (t *simTarget) report() station.Report {
+	t.sequence++
+	return station.NewReport(t.boot, t.sequence, "service", t.name, "zone").
+		WithCapacity([]string{"a", "r1"}, t.size).
+		WithState(false, 0, 0, t.w.now)
+}
+
+// order takes an order and answers it, unless the answer is lost.
+func (t *simTarget) order(o station.Order, reply func(station.Event)) {
+	lost := t.w.now < t.loseUntil && t.w.chance(10)
+	if lost && t.w.chance(2) {
+		t.w.after(2*time.Second+t.w.jitter(2000), func() { t.apply(o) })
+	} else if lost {
+		t.apply(o)
+	}
+	if lost || !t.up {
+		t.w.after(90*time.Millisecond, func() { reply(station.OrderReplied(o, station.VerdictUnknown, 0)) })
+		return
+	}
+	v := t.apply(o)
+	clock := t.w.now
+	t.w.after(500*time.Microsecond, func() { reply(station.OrderReplied(o, v, clock)) })
+}
+
+func (t *simTarget) apply(o station.Order) station.Verdict {
+	switch {
+	case !t.up || o.Boot() != t.boot:
+		return station.VerdictBoot
+	case o.Fence() < t.fence:
+		return station.VerdictFence
+	}
+	t.fence = o.Fence()
+	id := o.Run()
+	if o.Kind() == station.OrderStop {
+		t.past[id.Task()] = max(t.past[id.Task()], id.Number())
+		if _, ok := t.running[id]; ok {
+			t.w.after(20*time.Millisecond, func() { t.end(id, task.EndStopped) })
+		}
+		return station.VerdictDone
+	}
+	if _, ok := t.running[id]; ok {
+		return station.VerdictDone
+	}
+	need := t.w.need(id.Job())
+	switch {
+	case id.Number() <= t.past[id.Task()]:
+		return station.VerdictOld
+	case o.Expires() <= t.w.now:
+		return station.VerdictLate
+	case !t.size.Minus(t.used).Covers(need):
+		return station.VerdictRoom
+	}
+	t.begin(id, need, o.Expires())
+	return station.VerdictDone
+}
+
+func (t *simTarget) begin(id task.Run, need task.Resources, expires time.Duration) {
+	t.w.oracle.began(t, id)
+	t.used = t.used.Plus(need)
+	length := time.Duration(float64(t.w.length(id.Job())) * t.factor)
+	t.running[id] = &simRun{
+		began:   t.w.now,
+		length:  length,
+		expires: expires,
+		need:    need,
+		hangs:   t.hang,
+	}
+	t.extend(expires)
+	if t.hang {
+		return
+	}
+	boot := t.boot
+	t.w.after(length, func() {
+		if t.boot != boot {
+			return
+		}
+		end := task.EndDone
+		if t.w.chance(50) {
+			end = task.EndFailed
+		}
+		t.end(id, end)
+	})
+}
+
+func (t *simTarget) extend(expires time.Duration) {
+	expires = min(expires, t.w.now+time.Second)
+	for _, r := range t.running {
+		r.expires = max(r.expires, expires)
+	}
+}
+
+func (t *simTarget) end(id task.Run, end task.End) {
+	r, ok := t.running[id]
+	if !ok {
+		return
+	}
+	delete(t.running, id)
+	t.used = t.used.Minus(r.need)
+	t.past[id.Task()] = max(t.past[id.Task()], id.Number())
+	t.number++
+	t.ends = append(t.ends, station.NewFinished(t.number, id, end))
+	t.wake()
+}
+
+// lapse ends the runs whose lease is over.
+func (t *simTarget) lapse() {
+	for id, r := range t.running {
+		if t.w.now > r.expires {
+			t.end(id, task.EndLost)
+		}
+	}
+	var rest []*simHold
+	for _, h := range t.holds {
+		if t.w.now >= h.due {
+			t.answer(h)
+			continue
+		}
+		rest = append(rest, h)
+	}
+	t.holds = rest
+}
+
+func (t *simTarget) wake() {
+	holds := t.holds
+	t.holds = nil
+	for _, h := range holds {
+		t.answer(h)
+	}
+}
+
+func (t *simTarget) hold(h station.Hold, reply func(station.Event)) {
+	if !t.up {
+		t.w.after(h.Wait()+100*time.Millisecond, func() { reply(station.HoldReplied(h, station.VerdictUnknown, 0, 0, nil, nil)) })
+		return
+	}
+	if h.Boot() != t.boot || h.Fence() < t.fence {
+		reply(station.HoldReplied(h, station.VerdictFence, t.boot.Started(), t.w.now, nil, nil))
+		return
+	}
+	t.fence = h.Fence()
+	if h.Expires() > 0 {
+		t.extend(h.Expires())
+	}
+	var kept []station.Finished
+	for _, f := range t.ends {
+		if f.Number() > h.LastSeen() {
+			kept = append(kept, f)
+		}
+	}
+	t.ends = kept
+	x := &simHold{
+		hold:  h,
+		reply: reply,
+		due:   t.w.now + h.Wait(),
+	}
+	if len(t.ends) > 0 || h.Wait() == 0 {
+		t.answer(x)
+		return
+	}
+	t.holds = append(t.holds, x)
+}
+
+func (t *simTarget) answer(h *simHold) {
+	var running []station.Listed
+	for id, r := range t.running {
+		percent := int64(0)
+		if !r.hangs {
+			percent = int64(100 * (t.w.now - r.began) / r.length)
+		}
+		running = append(running, station.NewListed(id, percent))
+	}
+	ends := append([]station.Finished(nil), t.ends...)
+	clock := t.w.now
+	started := t.boot.Started()
+	t.w.after(500*time.Microsecond, func() {
+		h.reply(station.HoldReplied(h.hold, station.VerdictDone, started, clock, running, ends))
+	})
+}
--- a/internal/process/role/node/agent.go
+++ b/internal/process/role/node/agent.go
@@ -145,7 +145,7 @@
 
 // Note logs an event.
 func (a *Agent) Note(n event.Note) {
-	a.base.journal.Note(n)
+	a.base.log(n)
 }
 
 func (a *Agent) run(ctx context.Context) error {
@@ -185,7 +185,7 @@
 func (a *Agent) handle(ev station.Event) {
 	out := a.station.Handle(a.base.clock(), ev)
 	for _, n := range out.Notes() {
-		a.base.journal.Note(n)
+		a.base.log(n)
 	}
 	for _, o := range out.Orders() {
 		if a.orders.TryPush(o) != nil {
--- a/internal/process/role/node/entry.go
+++ b/internal/process/role/node/entry.go
@@ -188,7 +188,7 @@
 
 // Note logs an event.
 func (e *Entry) Note(n event.Note) {
-	e.base.journal.Note(n)
+	e.base.log(n)
 }
 
 // Submit hands in a job and waits for its answer or the end of ctx.
@@ -303,7 +303,7 @@
 func (e *Entry) handle(ev dispatch.Event) {
 	out := e.dispatch.Handle(e.base.clock(), ev)
 	for _, n := range out.Notes() {
-		e.base.journal.Note(n)
+		e.base.log(n)
 	}
 	for _, a := range out.Answers() {
 		if reply, ok := e.replies[a.Request()]; ok {
--- a/internal/process/role/node/node.go
+++ b/internal/process/role/node/node.go
@@ -121,6 +121,7 @@
 	hello    frame.Hello
 	clock    func() time.Duration
 	journal  *log.Journal
+	observer *observer
 	duties   []duty.Duty
 	cleanups []func()
 }
@@ -138,14 +139,43 @@
 	if err != nil {
 		return nil, err
 	}
+	o, err := newObserver()
+	if err != nil {
+		return nil, err
+	}
 	b := &base{
+		observer: o,
 		settings: s,
 		seams:    seams,
 		hello:    frame.NewHello(s.name, rand.Uint64()|1, s.zone, address, role),
 		clock:    clock,
 		journal:  j,
 	}
-	return b, b.add("journal", "Writes the log.", j.Ring, j.Run)
+	if err := b.add("journal", "Writes the log.", j.Ring, j.Run); err != nil {
+		return nil, err
+	}
+	return b, b.serveMetrics()
+}
+
+// serveMetrics adds the duties behind the metrics address, if there is one.
+func (b *base) serveMetrics() error {
+	if err := b.add("samples", "Keeps histograms of times.", gauge(b.observer.ring), func(ctx context.Context) error {
+		b.observer.run(ctx.Done())
+		return nil
+	}); err != nil || b.settings.metrics == "" {
+		return err
+	}
+	h, err := b.handler()
+	if err != nil {
+		return err
+	}
+	return b.serveHTTP(b.settings.metrics, "metrics", "Serves metrics and the state dump.", h)
+}
+
+// log writes and counts a note.
+func (b *base) log(n event.Note) {
+	b.journal.Note(n)
+	b.observer.observe(n)
 }
 
 func (b *base) add(name, purpose string, gauge duty.Gauge, run func(context.Context) error) error {
@@ -158,7 +188,7 @@
 }
 
 func (b *base) note(name event.Name, fields ...event.Field) {
-	b.journal.Note(event.New(name, fields...))
+	b.log(event.New(name, fields...))
 }
 
 func (b *base) cleanup() {
--- /dev/null
+++ b/internal/process/role/node/observe.go
@@ -0,0 +1,165 @@
+package node
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+	"runtime"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/labstack/echo/v4"
+
+	"greengagedoor.example/greengagedoor/internal/process/dump"
+	"greengagedoor.example/greengagedoor/internal/process/event"
+	"greengagedoor.example/greengagedoor/internal/process/ring"
+)
+
+// The bounds of a latency histogram.
+const (
+	maxLatencyMS     = 600_000
+	latencyPrecision = 2
+	sampleRingSize   = 4096
+)
+
+// latencies are the fields of notes whose values go into histograms, in ms.
+var latencies = map[event.Name]string{
+	event.JobEnded:   "took_ms",
+	event.TaskPlaced: "waited_ms",
+	event.RunStarted: "order_ms",
+	event.RunEnded:   "ran_ms",
+}
+
+// observer counts the notes of a process and keeps histograms of their times.
+// The counters are read by the metrics address while the decision goes on; the
+// histograms belong to a duty of their own.
+type observer struct {
+	vars   *expvar.Map
+	events *expvar.Map
+	ring   *ring.Ring[event.Note]
+}
+
+func newObserver() (*observer, error) {
+	r, err := ring.New[event.Note]("samples", sampleRingSize)
+	if err != nil {
+		return nil, err
+	}
+	o := &observer{
+		vars:   new(expvar.Map).Init(),
+		events: new(expvar.Map).Init(),
+		ring:   r,
+	}
+	o.vars.Set("events", o.events)
+	o.vars.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
+	o.vars.Set("heap_bytes", expvar.Func(func() any {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}))
+	return o, nil
+}
+
+// observe counts a note. A full ring loses only a sample of a histogram.
+func (o *observer) observe(n event.Note) {
+	o.events.Add(string(n.Name()), 1)
+	if latencies[n.Name()] != "" {
+		_ = o.ring.TryPush(n)
+	}
+}
+
+// quantiles is what is published of a histogram.
+type quantiles struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50_ms"`
+	P90   int64 `json:"p90_ms"`
+	P99   int64 `json:"p99_ms"`
+	Max   int64 `json:"max_ms"`
+}
+
+// run keeps the histograms and publishes their quantiles.
+func (o *observer) run(done <-chan struct{}) {
+	histograms := map[string]*hdrhistogram.Histogram{}
+	for {
+		select {
+		case n := <-o.ring.Out():
+			o.sample(histograms, n)
+		case <-done:
+			return
+		}
+	}
+}
+
+func (o *observer) sample(histograms map[string]*hdrhistogram.Histogram, n event.Note) {
+	field := latencies[n.Name()]
+	for _, f := range n.Fields() {
+		ms, ok := f.Value().(int64)
+		if f.Key() != field || !ok {
+			continue
+		}
+		name := string(n.Name()) + "_" + field
+		h, ok := histograms[name]
+		if !ok {
+			h = hdrhistogram.New(1, maxLatencyMS, latencyPrecision)
+			histograms[name] = h
+		}
+		// A value above the bound counts as the bound.
+		_ = h.RecordValue(min(max(ms, 0), maxLatencyMS))
+		q := quantiles{
+			Count: h.TotalCount(),
+			P50:   h.ValueAtQuantile(50),
+			P90:   h.ValueAtQuantile(90),
+			P99:   h.ValueAtQuantile(99),
+			Max:   h.Max(),
+		}
+		o.vars.Set(name, expvar.Func(func() any { return q }))
+	}
+}
+
+// handler serves metrics and the state dump.
+func (b *base) handler() (http.Handler, error) {
+	d, err := b.dump()
+	if err != nil {
+		return nil, err
+	}
+	e := echo.New()
+	e.GET("/debug/vars", func(c echo.Context) error {
+		return c.Blob(http.StatusOK, "application/json", []byte(b.observer.vars.String()))
+	})
+	e.GET("/debug/dump", func(c echo.Context) error {
+		c.Response().Header().Set("Content-Type", "text/plain; charset=utf-8")
+		return d.Write(c.Response())
+	})
+	return e, nil
+}
+
+func (b *base) dump() (*dump.Dump, error) {
+	process, err := dump.NewSection("process", "Name, availability zone and addresses.", func() []string {
+		s := b.settings
+		return []string{
+			"name = " + s.name, "zone = " + s.zone, "link = " + s.link,
+			fmt.Sprintf("boot = %d", b.hello.Boot()), fmt.Sprintf("seeds = %v", s.seeds),
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	duties, err := dump.NewSection("duties", "Each duty with depth, size and rejections of its ring.", func() []string {
+		var lines []string
+		for _, d := range b.duties {
+			depth, size, rejected := d.Gauge()
+			lines = append(lines, fmt.Sprintf("%s depth=%d size=%d rejected=%d: %s", d.Name(), depth, size, rejected, d.Purpose()))
+		}
+		return lines
+	})
+	if err != nil {
+		return nil, err
+	}
+	events, err := dump.NewSection("events", "How often each event was logged.", func() []string {
+		var lines []string
+		b.observer.events.Do(func(kv expvar.KeyValue) { lines = append(lines, kv.Key+" "+kv.Value.String()) })
+		return lines
+	})
+	if err != nil {
+		return nil, err
+	}
+	return dump.New(process, duties, events)
+}
--- a/internal/process/role/station/event.go
+++ b/internal/process/role/station/event.go
@@ -451,3 +451,8 @@
 func (o Output) Notes() []event.Note {
 	return o.notes
 }
+
+// Number counts the ends of a boot.
+func (f Finished) Number() int64 {
+	return f.number
+}
--- a/internal/process/setting/setting_test.go
+++ b/internal/process/setting/setting_test.go
@@ -139,7 +139,7 @@
 	for _, table := range setting.Tables() {
 		t.Run(table.Role(), func(t *testing.T) {
 			Convey("the sample sets every setting", t, func() {
-				v, err := setting.Load(table, setting.NewSources("../../../samples/"+table.Role()+".ini", nil, nil))
+				v, err := setting.Load(table, setting.NewSources("../../../samples/"+strings.ReplaceAll(table.Role(), " ", "_")+".ini", nil, nil))
 				So(err, ShouldBeNil)
 				So(strings.Join(v.Lines(), "\n"), ShouldNotContainSubstring, "(default)")
 			})
--- a/internal/process/setting/table.go
+++ b/internal/process/setting/table.go
@@ -8,16 +8,24 @@
 // common are the settings of every process.
 func common() []Setting {
 	return []Setting{
-		row("process", "name", "name", "The name of the process. Unique in the installation; a process that is started again keeps it.").word(),
+		row("process", "name", "name", "The process id. Unique in the installation; a process that is started again keeps it.").word(),
 		row("process", "availability_zone", "zone", "The availability zone that the process stands in.").word(),
-		row("listen", "link", "link", "Where other processes reach this one. The port is the same on all hosts, since agents find entries by it.").address(),
-		row("listen", "metrics", "metrics", "Where metrics and the state dump are served; empty for nowhere.").address().orEmpty(),
-		row("peers", "seeds", "seeds", "Addresses of hosts of entries, joined by commas, to start from; their ports are passed over. May be stale.").addresses().orEmpty(),
-		row("store", "address", "store", "The platform's key-value store.").address(),
-		row("store", "timeout_ms", "store-timeout-ms", "How long one call of the store may take.").number(1000, 10, 60_000, "ms"),
-		row("limits", "memory_mb", "memory-mb", "The memory that the process may use; the garbage collector works harder close to it.").number(128, 32, 1<<20, "MB"),
-		row("times", "max_lease_ms", "max-lease-ms", "The longest lease that targets grant to what they run.").number(1000, 200, 60_000, "ms"),
-		row("times", "grace_s", "grace-s", "The time that a process has to end after SIGTERM.").number(6, 1, 600, "s"),
+		row("process", "region", "region", "The region that the process stands in, counted from 0.").number(0, 0, 15, ""),
+		row("process", "region_count", "regions", "The number of regions of the installation.").number(1, 1, 16, "regions"),
+		row("process", "shard_count", "shards", "The number of shards. Fixed for an installation and the same in every process.").number(1024, 1, 65_536, "shards"),
+		row("process", "cell", "cell", "The cell of agents that the process belongs to; empty for the first of the availability zone with room.").word().orEmpty(),
+		row("process", "cell_size", "cell-size", "The number of agents that a cell takes.").number(36, 1, 200, "agents"),
+		row("listen", "link", "link", "Where other processes reach this one. The address must be the one that they use; port 0 lets the system choose.").address(),
+		row("listen", "http", "http", "Where callers, operators and targets reach this process by HTTP.").address(),
+		row("store", "url", "store", "The key-value service.").url(),
+		row("store", "timeout_ms", "store-timeout-ms", "How long one call of the key-value service may take.").number(2000, 10, 60_000, "ms"),
+		row("log", "format", "log-format", "The format of the log on standard error.").choice("text", "json"),
+		row("log", "level", "log-level", "The least severe lines that are logged; debug has a line for each task.").choice("info", "debug", "warn", "error"),
+		row("tls", "http_certificate", "http-certificate", "The certificate of the HTTP listener in PEM, read again when it changes; empty for plain HTTP.").path().orEmpty(),
+		row("tls", "http_key", "http-key", "The key of the certificate of the HTTP listener in PEM.").path().orEmpty(),
+		row("tls", "link_certificate", "link-certificate", "The certificate of the links between processes in PEM, for the IP number of listen.link, read again when it changes; empty for plain links.").path().orEmpty(),
+		row("tls", "link_key", "link-key", "The key of the certificate of the links in PEM.").path().orEmpty(),
+		row("tls", "link_authorities", "link-authorities", "The authorities in PEM that certify the processes at the other end of links.").path().orEmpty(),
 	}
 }
 
@@ -26,8 +34,7 @@
 	return Table{
 		role: "entry",
 		settings: append(common(),
-			row("listen", "callers", "callers", "Where callers reach this entry by HTTP.").address(),
-			row("listen", "readiness", "readiness", "Where the load balancer asks whether the entry takes callers.").address(),
+			row("access", "mode", "access", "Whether callers and operators need a bearer token; auto needs one unless listen.http is on loopback.").choice("auto", "on", "off"),
 		),
 		whole: wholeCommon,
 	}
@@ -38,15 +45,20 @@
 	return Table{
 		role: "agent",
 		settings: append(common(),
-			row("listen", "reports", "reports", "Where the target on this host reports its state.").address(),
+			row("worker", "pool_url", "pool", "The worker pool; empty on a node without worker.").url().orEmpty(),
+			row("worker", "name", "worker", "The worker of this node as the pool names it; empty on a node without worker.").word().orEmpty(),
+			row("worker", "rack", "rack", "The rack of the worker. The tasks of a job are spread over racks.").word().orEmpty(),
+			row("worker", "milli_cores", "milli-cores", "What the worker has for tasks.").number(0, 0, 1_024_000, "thousandths of a core"),
+			row("worker", "memory_bytes", "memory-bytes", "What the worker has for tasks.").number(0, 0, 1<<44, "bytes"),
+			row("worker", "accelerators", "accelerators", "What the worker has for tasks.").number(0, 0, 64, "accelerators"),
 		),
-		whole: wholeCommon,
+		whole: wholeAgent,
 	}
 }
 
 // Tables lists the tables of all roles.
 func Tables() []Table {
-	return []Table{Agent(), Entry()}
+	return []Table{Agent(), Entry(), PlatformAgent(), PlatformEntry()}
 }
 
 func (v *Values) wrong(section, key, allowed string) []Fault {
@@ -54,19 +66,43 @@
 	return []Fault{v.fault(s, allowed)}
 }
 
-// wholeCommon reports listeners that share an address.
 func wholeCommon(v *Values) []Fault {
 	var faults []Fault
-	seen := map[string]string{}
-	for _, s := range v.table.settings {
-		address := v.Text(s.section, s.key)
-		if s.section != "listen" || address == "" || strings.HasSuffix(address, ":0") {
-			continue
-		}
-		if other, ok := seen[address]; ok {
-			faults = append(faults, v.wrong(s.section, s.key, "an address other than "+other)...)
+	if v.Number("process", "region") >= v.Number("process", "region_count") {
+		faults = append(faults, v.wrong("process", "region", "less than process.region_count")...)
+	}
+	if v.Number("process", "shard_count") < v.Number("process", "region_count") {
+		faults = append(faults, v.wrong("process", "shard_count", "at least process.region_count")...)
+	}
+	link := v.Text("listen", "link")
+	if link == v.Text("listen", "http") && !strings.HasSuffix(link, ":0") {
+		faults = append(faults, v.wrong("listen", "http", "an address other than listen.link")...)
+	}
+	for _, pair := range [][2]string{{"http_certificate", "http_key"}, {"link_certificate", "link_key"}, {"link_certificate", "link_authorities"}} {
+		if (v.Text("tls", pair[0]) == "") != (v.Text("tls", pair[1]) == "") {
+			faults = append(faults, v.wrong("tls", pair[1], "set together with tls."+pair[0]+", or neither")...)
 		}
-		seen[address] = s.Name()
+	}
+	return faults
+}
+
+func wholeAgent(v *Values) []Fault {
+	faults := wholeCommon(v)
+	name := v.Text("worker", "name")
+	if (name == "") != (v.Text("worker", "pool_url") == "") {
+		faults = append(faults, v.wrong("worker", "name", "set together with worker.pool_url, or neither")...)
+	}
+	if name == "" {
+		return faults
+	}
+	if v.Text("worker", "rack") == "" {
+		faults = append(faults, v.wrong("worker", "rack", "a rack, since the node has a worker")...)
+	}
+	if v.Number("worker", "milli_cores") == 0 {
+		faults = append(faults, v.wrong("worker", "milli_cores", "at least 1, since the node has a worker")...)
+	}
+	if v.Number("worker", "memory_bytes") == 0 {
+		faults = append(faults, v.wrong("worker", "memory_bytes", "at least 1, since the node has a worker")...)
 	}
 	return faults
 }
@@ -81,7 +117,8 @@
 		"allowed, and an unknown key is a fault. `--check` only checks. Samples are in\n" +
 		"`samples/`. A password in a URL is neither logged nor dumped.\n\n" +
 		"The variable of a setting is `" + environmentPrefix + "SECTION_KEY`, for example\n" +
-		"`GREENGAGEDOOR_STORE_URL`.\n")
+		"`GREENGAGEDOOR_STORE_URL`. `GREENGAGEDOOR_CONFIG` names the settings file of the\n" +
+		"platform roles where no flag does.\n")
 	for _, t := range Tables() {
 		fmt.Fprintf(&b, "\n## %s\n\n| section | key | flag | default | allowed | meaning |\n|---|---|---|---|---|---|\n", t.role)
 		for _, s := range t.settings {
