--- a/internal/connection/frame/codec.go
+++ b/internal/connection/frame/codec.go
@@ -1,6 +1,7 @@
 package frame
 
 import (
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -194,8 +195,12 @@
 	return protowire.DecodeZigZag(f.value)
 }
 
+// maxMicroseconds bounds durations so that they do not overflow.
+const maxMicroseconds = math.MaxInt64 / int64(time.Microsecond)
+
 func (f field) duration() time.Duration {
-	return time.Duration(f.signed()) * time.Microsecond
+	us := max(-maxMicroseconds, min(f.signed(), maxMicroseconds))
+	return time.Duration(us) * time.Microsecond
 }
 
 func (f field) flag() bool {
