Give up only jobs that are too long for the fastest target

Cause: runs on slow targets made their jobs count as hopeless although a fast target could have ended them; long jobs went to slow targets while they could wait.

--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -32,6 +32,11 @@
 	loadWeight  = 0.5
 	freeLoad    = 0.6
 	speedWeight = 0.05
+	// patientChance is the chance to end in time below which a task does not go to a
+	// target that takes patientFactor times as long as the fastest, as long as the
+	// job can wait for a faster one.
+	patientChance = 0.7
+	patientFactor = 1.5
 	// maxClockAge is the age of an agent's last sign of life from which it gets no
 	// new work; a start would be void before it arrives.
 	maxClockAge = 300 * time.Millisecond
@@ -174,8 +179,7 @@
 // cost weighs the chance that a task ends late on an agent against the room it
 // takes there from others. Under load the fast targets are kept for work that is
 // late elsewhere; without load each task goes where it ends first. It returns
-// false where the task would most likely end too late to be of use; the job then
-// waits for a faster target.
+// false where the job does better to wait for a faster target.
 func (d *Dispatch) cost(now time.Duration, a *agent, t *item, s task.Step, base time.Duration, l load) (float64, bool) {
 	x := d.expected(a, s, base)
 	if t.avoid[a.name] {
@@ -187,7 +191,11 @@
 	if useful < hopelessChance && t.run == 0 && !j.ran {
 		return 0, false
 	}
-	late := 1 - chance(j.due-now, x, spread)
+	inTime := chance(j.due-now, x, spread)
+	if inTime < patientChance && now < j.latest && x > time.Duration(patientFactor*float64(j.fast)) {
+		return 0, false
+	}
+	late := 1 - inTime
 	u := max(0, l[a.label()]-freeLoad) / (1 - freeLoad)
 	return worth(j.size)*(lateWeight*late+failWeight*(1-useful)) + loadWeight*u*u + x.Seconds()*speedWeight, true
 }
--- a/internal/process/role/dispatch/progress.go
+++ b/internal/process/role/dispatch/progress.go
@@ -44,8 +44,9 @@
 		d.move(now, a, x, b, least)
 		return
 	}
-	if least < j.deadline-j.accepted {
-		// The run itself is short enough; another target may take it soon.
+	best := time.Duration(float64(least) * d.bestFactor(j.route.Service()) / d.learned.factor(a.label(), a.name))
+	if now+time.Duration(float64(best)*overrun) <= j.deadline {
+		// A faster target may have room in a moment.
 		return
 	}
 	d.finish(now, j, StateExpired, "work_exceeds_time")
