Ask a target twice where its first answer may be lost

Ruled out: shorter waits alone; each lost call still blinds the agent. Change: a second call when the first is open for 40 ms.

--- a/internal/process/role/node/agent.go
+++ b/internal/process/role/node/agent.go
@@ -18,8 +18,8 @@
 	// orderDuties give orders side by side, so that one without answer does not
 	// hold up the others.
 	orderDuties = 4
-	// holdDuties ask for lists: one waits for an end while another looks.
-	holdDuties = 2
+	// holdDuties ask for lists: two wait for ends while another looks.
+	holdDuties = 3
 )
 
 // TargetCalls are the calls to the target on this host.
--- a/internal/process/role/station/target.go
+++ b/internal/process/role/station/target.go
@@ -12,6 +12,11 @@
 const (
 	// holdRetry is the pause before a list is asked for again.
 	holdRetry = 50 * time.Millisecond
+	// holdHedge is the age of an open call for lists from which a second one is made:
+	// answers get lost, and without lists no end is known and no room is freed.
+	holdHedge = 40 * time.Millisecond
+	// maxHolds bounds the open calls for lists.
+	maxHolds = 2
 	// maxUnanswered is the number of calls in a row without answer from which the
 	// target gets no new work until it answers.
 	maxUnanswered = 2
@@ -47,11 +52,12 @@
 	// leaseEnd is when everything that runs has lapsed unless it is extended.
 	leaseEnd time.Duration
 
-	lastSeen   int64
-	acked      int64
-	holds      uint64
-	listed     uint64
-	holding    bool
+	lastSeen int64
+	acked    int64
+	holds    uint64
+	listed   uint64
+	// waiting holds when each call for lists was sent that is not answered yet.
+	waiting    map[uint64]time.Duration
 	lookDue    bool
 	looking    bool
 	holdAfter  time.Duration
@@ -164,6 +170,7 @@
 		sequence:  r.sequence - 1,
 		clock:     r.clock,
 		clockSeen: now,
+		waiting:   map[uint64]time.Duration{},
 		unclaimed: map[task.Run]time.Duration{},
 	}
 	s.targetChanged()
@@ -206,15 +213,26 @@
 		s.sendHold(now, 0, true)
 	}
 	wanted := active || !t.synced || t.acked < t.lastSeen || t.unanswered > 0
-	if t.holding || !wanted || now < t.holdAfter {
+	if !wanted || now < t.holdAfter || !t.holdDue(now) {
 		return
 	}
 	wait := time.Duration(holdWait)
 	if !t.synced || !active {
 		wait = 0
 	}
-	t.holding = true
 	s.sendHold(now, wait, false)
+	t.waiting[t.holds] = now
+}
+
+// holdDue tells whether another call for lists is due: if none is open, or if the
+// only one has had no answer for a time and may be lost.
+func (t *target) holdDue(now time.Duration) bool {
+	for _, sent := range t.waiting {
+		if now-sent < holdHedge {
+			return false
+		}
+	}
+	return len(t.waiting) < maxHolds
 }
 
 func (s *Station) sendHold(now, wait time.Duration, look bool) {
@@ -249,7 +267,7 @@
 	if h.look {
 		t.looking = false
 	} else {
-		t.holding = false
+		delete(t.waiting, h.number)
 	}
 	was := t.usable()
 	defer func() {
