Let jobs wait in proportion to their slack

Cause: at the crest long jobs waited until the last moment that met their commitment, since short work with an earlier one kept coming; an estimate that was too low by a third then cost the whole job. Ruled out: a higher lead for large jobs alone; at 600 ms it did not outweigh the difference between latest starts.

--- a/internal/process/role/dispatch/fairness.go
+++ b/internal/process/role/dispatch/fairness.go
@@ -11,7 +11,7 @@
 	servedRuns = 34
 	// fairStep is how much earlier a job goes whose group is served not at all in
 	// time while all others are.
-	fairStep = 600 * time.Millisecond
+	fairStep = 300 * time.Millisecond
 	// largeWork and hugeWork divide the jobs of a kind by their work against the mean
 	// of the kind. The largest are the hardest to place, and nobody else sees that a
 	// kind is served well only because its large jobs are not.
--- a/internal/process/role/dispatch/order.go
+++ b/internal/process/role/dispatch/order.go
@@ -19,7 +19,9 @@
 	hopelessChance = 0.3
 	// holdShare is the part of its time for which a job waits without a start before
 	// it is refused, so that its caller can turn elsewhere.
-	holdShare = 0.4
+	holdShare = 0.45
+	// rankShare is the share of its slack after which a job goes before others.
+	rankShare = 0.3
 	// demotion moves a job behind all that can still be served in time.
 	demotion = int64(time.Hour / time.Microsecond)
 	// acceleratorCores is the number of cores that an accelerator counts as.
@@ -82,9 +84,10 @@
 	return longest
 }
 
-// judge sets when a job is due and its rank: the latest start on the fastest
-// target that meets the commitment, with a step for each priority, so that
-// waiting work of lower priority moves up.
+// judge sets when a job is due and its rank: its arrival and a share of its slack,
+// with a step for each priority. Under load jobs then wait in proportion to their
+// slack, so that long work, whose estimates err by more, is not left to its last
+// moment behind short work that keeps coming.
 func (d *Dispatch) judge(j *job) {
 	chain := d.chain(j)
 	service := j.route.Service()
@@ -99,7 +102,8 @@
 	j.latest = j.due - time.Duration(float64(fast)*(1+d.learned.spread(j.route.Name())))
 	j.size = d.fair.measure(j.route.Name(), d.work(j))
 	j.group = groupOf(j.route.Name(), j.size)
-	j.rank = (j.latest + time.Duration(j.route.Priority())*priorityStep - d.fair.lead(j.group)).Microseconds()
+	slack := time.Duration(rankShare * float64(j.latest-j.accepted))
+	j.rank = (j.accepted + slack + time.Duration(j.route.Priority())*priorityStep - d.fair.lead(j.group)).Microseconds()
 }
 
 // work is what a job needs of the targets, in core seconds on a target of factor 1.
@@ -123,11 +127,11 @@
 // has waited long or has become hopeless.
 func (d *Dispatch) review(now time.Duration) {
 	for _, j := range append([]*job(nil), d.queue...) {
-		if !j.ran && (d.hopeless(now, j) || now-j.accepted > time.Duration(holdShare*float64(j.useful-j.accepted))) {
+		if !j.ran && (d.hopeless(now, j) || now-j.accepted > time.Duration(holdShare*float64(j.deadline-j.accepted))) {
 			d.finish(now, j, StateRefused, "no_room_in_time")
 			continue
 		}
-		if !j.demoted && now > j.latest && !j.ran {
+		if !j.demoted && now > j.due-j.fast && !j.ran {
 			j.demoted = true
 			d.dequeue(j)
 			j.rank += demotion
--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -18,7 +18,7 @@
 	roomPause = 5 * time.Millisecond
 	// priorityStep is how much earlier a job has to be to go before one of the next
 	// more urgent priority.
-	priorityStep = 50 * time.Millisecond
+	priorityStep = 15 * time.Millisecond
 	// zoneCost stands for the way to another availability zone and its price.
 	zoneCost = 4 * time.Millisecond
 	// maxBlocked bounds the jobs without room that are looked at in one pass.
