--- a/internal/process/role/dispatch/order.go
+++ b/internal/process/role/dispatch/order.go
@@ -16,7 +16,7 @@
 	lateFactor = 3
 	// hopelessChance is the chance of an answer in time below which a job is refused:
 	// it takes room from others and its caller waits in vain.
-	hopelessChance = 0.3
+	hopelessChance = 0.25
 	// holdShare is the part of its time for which a job waits without a start before
 	// it is refused, so that its caller can turn elsewhere.
 	holdShare = 0.45
--- a/internal/process/role/dispatch/progress.go
+++ b/internal/process/role/dispatch/progress.go
@@ -19,7 +19,7 @@
 	moveGain = 0.6
 	// overrun is how far a run must exceed the caller's time before it is given up;
 	// progress is counted in whole percents.
-	overrun = 1.1
+	overrun = 1.05
 )
 
 // progress takes how far a run is. A run that can't end while its caller waits is
@@ -36,8 +36,7 @@
 	}
 	// The last percent may be almost done.
 	least := p.Ran() * 100 / time.Duration(p.Percent()+1)
-	left := time.Duration(float64(least-p.Ran()) * overrun)
-	if now+left <= j.deadline {
+	if now+time.Duration(float64(least-p.Ran())*overrun) <= j.deadline {
 		return
 	}
 	if b := d.faster(now, a, x, least); b != nil {
