Place a failed task again at once where no other target is left

Cause: TestDispatch/failed_run_is_tried_again: the price of a target on which a task had failed counted as run time, so the task waited for a faster target that did not exist until its latest start. Change: the price counts beside the run time. Conclusion: retries are placed within the same event.

--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -30,6 +30,8 @@
 	lateWeight  = 0.8
 	failWeight  = 0.6
 	loadWeight  = 0.5
+	// avoidWeight is what a target costs on which the task failed or was lost.
+	avoidWeight = 1
 	freeLoad    = 0.6
 	speedWeight = 0.05
 	// patientChance is the chance to end in time below which a task does not go to a
@@ -182,9 +184,6 @@
 // false where the job does better to wait for a faster target.
 func (d *Dispatch) cost(now time.Duration, a *agent, t *item, s task.Step, base time.Duration, l load) (float64, bool) {
 	x := d.expected(a, s, base)
-	if t.avoid[a.name] {
-		x += base
-	}
 	j := t.job
 	spread := d.learned.spread(j.route.Name())
 	useful := chance(j.useful-now, x, spread)
@@ -196,6 +195,9 @@
 		return 0, false
 	}
 	late := 1 - inTime
+	if t.avoid[a.name] {
+		late += avoidWeight
+	}
 	u := max(0, l[a.label()]-freeLoad) / (1 - freeLoad)
 	return worth(j.size)*(lateWeight*late+failWeight*(1-useful)) + loadWeight*u*u + x.Seconds()*speedWeight, true
 }
