Take a target at whose address no process listens as ended

Ruled out: a reset of a connection as a sign; the process may live on. Result: TestStation/target_has_ended; the simulation plays both sorts of crash.

--- a/cmd/greengagedoor/main.go
+++ b/cmd/greengagedoor/main.go
@@ -114,6 +114,7 @@
 		statusCommand(),
 		cancelCommand(),
 		dumpCommand(),
+		explainCommand(),
 		keyCommand(),
 		versionCommand(),
 		completionCommand(),
--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -27,9 +27,9 @@
 	// still worth a fifth. loadWeight is what a place on a full kind of hardware
 	// costs; below the load freeLoad it costs nothing. speedWeight is what a second
 	// of run time costs.
-	lateWeight  = 0.8
-	failWeight  = 0.6
-	loadWeight  = 0.5
+	lateWeight = 0.8
+	failWeight = 0.6
+	loadWeight = 0.5
 	// avoidWeight is what a target costs on which the task failed or was lost.
 	avoidWeight = 1
 	freeLoad    = 0.6
--- a/internal/process/role/dispatch/simulation/target_test.go
+++ b/internal/process/role/dispatch/simulation/target_test.go
@@ -25,6 +25,8 @@
 	holds    []*simHold
 	factor   float64
 	hang     bool
+	// refuses tells that a crashed target's host still answers that nothing listens.
+	refuses bool
 	// loseUntil is until when orders may get no answer and be carried out later.
 	loseUntil time.Duration
 }
@@ -73,6 +75,7 @@
 
 func (t *simTarget) crash() {
 	t.up = false
+	t.refuses = t.w.chance(2)
 	t.running = map[task.Run]*simRun{}
 	t.holds = nil
 }
@@ -86,6 +89,10 @@
 
 // order takes an order and answers it, unless the answer is lost.
 func (t *simTarget) order(o station.Order, reply func(station.Event)) {
+	if !t.up && t.refuses {
+		reply(station.OrderReplied(o, station.VerdictGone, 0))
+		return
+	}
 	lost := t.w.now < t.loseUntil && t.w.chance(10)
 	if lost && t.w.chance(2) {
 		t.w.after(2*time.Second+t.w.jitter(2000), func() { t.apply(o) })
@@ -208,6 +215,10 @@
 }
 
 func (t *simTarget) hold(h station.Hold, reply func(station.Event)) {
+	if !t.up && t.refuses {
+		reply(station.HoldReplied(h, station.VerdictGone, 0, 0, nil, nil))
+		return
+	}
 	if !t.up {
 		t.w.after(h.Wait()+100*time.Millisecond, func() { reply(station.HoldReplied(h, station.VerdictUnknown, 0, 0, nil, nil)) })
 		return
--- a/internal/process/role/station/event.go
+++ b/internal/process/role/station/event.go
@@ -245,6 +245,9 @@
 	VerdictBoot
 	// VerdictUnsent is an order that certainly did not reach the target.
 	VerdictUnsent
+	// VerdictGone is an order to an address where no process listens: the target has
+	// ended, and all that it ran with it.
+	VerdictGone
 	// VerdictInvalid is an order that the target does not understand.
 	VerdictInvalid
 )
@@ -259,6 +262,7 @@
 	VerdictBusy:    "busy",
 	VerdictBoot:    "other_boot",
 	VerdictUnsent:  "unsent",
+	VerdictGone:    "gone",
 	VerdictInvalid: "invalid",
 }
 
@@ -270,6 +274,11 @@
 	return "undefined"
 }
 
+// answered tells whether the target itself said something.
+func (v Verdict) answered() bool {
+	return v != VerdictUnknown && v != VerdictUnsent && v != VerdictGone
+}
+
 // OrderReply is the target's answer to an order.
 type OrderReply struct {
 	order   Order
--- a/internal/process/role/station/run.go
+++ b/internal/process/role/station/run.go
@@ -198,13 +198,17 @@
 	if o.boot != s.target.boot {
 		return
 	}
-	s.target.answered(now, o.sent, in.verdict != VerdictUnknown && in.verdict != VerdictUnsent, in.clock)
+	s.target.answered(now, o.sent, in.verdict.answered(), in.clock)
 	if in.verdict == VerdictFence {
 		s.target.raiseFence(o.fence)
 	}
 	if in.verdict == VerdictBoot {
 		s.target.replaced = true
 	}
+	if in.verdict == VerdictGone {
+		s.gone(now)
+		return
+	}
 	r, ok := s.runs[o.run]
 	if !ok {
 		return
--- a/internal/process/role/station/station_test.go
+++ b/internal/process/role/station/station_test.go
@@ -242,6 +242,15 @@
 			},
 			stops: []int{0},
 		},
+		"target_has_ended": {
+			play: func(b *bed) {
+				b.start(0)
+				orders, _, _ := b.take()
+				b.handle(station.OrderReplied(orders[0], station.VerdictGone, 0))
+				b.start(1)
+			},
+			ends: map[int]task.End{0: task.EndLost, 1: task.EndRefused},
+		},
 		"target_starts_again": {
 			play: func(b *bed) {
 				b.start(0)
--- a/internal/process/role/station/target.go
+++ b/internal/process/role/station/target.go
@@ -276,11 +276,14 @@
 		}
 	}()
 	t.silentHolds++
-	if in.verdict != VerdictUnknown && in.verdict != VerdictUnsent {
+	if in.verdict.answered() {
 		t.silentHolds = 0
 	}
-	t.answered(now, h.sent, in.verdict != VerdictUnknown && in.verdict != VerdictUnsent, in.clock)
+	t.answered(now, h.sent, in.verdict.answered(), in.clock)
 	switch {
+	case in.verdict == VerdictGone:
+		s.gone(now)
+		return
 	case in.verdict == VerdictFence:
 		t.raiseFence(h.fence)
 		return
@@ -375,6 +378,22 @@
 	s.targetChanged()
 }
 
+// gone ends what ran on a target that has ended. It gets no work before its next
+// life reports.
+func (s *Station) gone(now time.Duration) {
+	t := &s.target
+	t.replaced = true
+	t.holdAfter = now + holdRetry
+	s.note(event.TargetLost, event.F("target", t.boot.id), event.F("cause", "no_process"), event.F("runs", len(s.runs)-len(s.waiting)))
+	for _, r := range s.ordered() {
+		if r.state != runWaiting {
+			s.end(now, r, task.EndLost, "target_gone")
+		}
+	}
+	s.refuseWaiting("target_gone")
+	s.targetChanged()
+}
+
 // lapse ends what runs when the lease has certainly run out.
 func (s *Station) lapse(now time.Duration) {
 	t := &s.target
