--- a/internal/process/role/dispatch/simulation/simulation_test.go
+++ b/internal/process/role/dispatch/simulation/simulation_test.go
@@ -64,6 +64,10 @@
 	}
 }
 
+func mute(w *world) {
+	w.agents[w.random.IntN(len(w.agents))].target.muteUntil = w.now + 300*time.Millisecond + w.jitter(2500)
+}
+
 func hang(w *world) {
 	t := w.agents[w.random.IntN(len(w.agents))].target
 	t.hang = true
@@ -77,7 +81,7 @@
 }
 
 func anything(w *world) {
-	faults := []func(*world){killEntry, killAgent, freezeEntry, freezeAgent, cut, crashTarget, loseOrders, hang, slow}
+	faults := []func(*world){killEntry, killAgent, freezeEntry, freezeAgent, cut, crashTarget, loseOrders, mute, hang, slow}
 	faults[w.random.IntN(len(faults))](w)
 }
 
@@ -129,6 +133,8 @@
 		"cut":             {every: 700 * time.Millisecond, fault: cut, least: 0.6},
 		"target_crashed":  {every: 900 * time.Millisecond, fault: crashTarget, least: 0.5},
 		"orders_lost":     {every: 700 * time.Millisecond, fault: loseOrders, least: 0.8},
+		"target_mute":     {every: 900 * time.Millisecond, fault: mute, least: 0.4},
+		"mute_long_work":  {every: 900 * time.Millisecond, fault: mute, least: 0.2, stretch: 4},
 		"target_hangs":    {every: 2 * time.Second, fault: hang, least: 0.6},
 		"target_slow":     {every: 2 * time.Second, fault: slow, least: 0.6},
 		"cut_long_work":   {every: 700 * time.Millisecond, fault: cut, least: 0.5, stretch: 4},
--- a/internal/process/role/dispatch/simulation/target_test.go
+++ b/internal/process/role/dispatch/simulation/target_test.go
@@ -27,6 +27,8 @@
 	hang     bool
 	// refuses tells that a crashed target's host still answers that nothing listens.
 	refuses bool
+	// muteUntil is until when calls do not reach the target, which runs on.
+	muteUntil time.Duration
 	// loseUntil is until when orders may get no answer and be carried out later.
 	loseUntil time.Duration
 }
@@ -60,6 +62,11 @@
 	return t
 }
 
+// clock is the target's own clock, which is slow by 2%.
+func (t *simTarget) clock() time.Duration {
+	return t.w.now / 100 * 98
+}
+
 func (t *simTarget) start() {
 	t.up = true
 	t.boot = station.NewBoot("i-"+t.name, int64(t.w.now/time.Millisecond)+1)
@@ -84,7 +91,7 @@
 	t.sequence++
 	return station.NewReport(t.boot, t.sequence, "service", t.name, "zone").
 		WithCapacity([]string{"a", "r1"}, t.size).
-		WithState(false, 0, 0, t.w.now)
+		WithState(false, 0, 0, t.clock())
 }
 
 // order takes an order and answers it, unless the answer is lost.
@@ -93,18 +100,18 @@
 		reply(station.OrderReplied(o, station.VerdictGone, 0))
 		return
 	}
-	lost := t.w.now < t.loseUntil && t.w.chance(10)
+	lost := t.w.now >= t.muteUntil && t.w.now < t.loseUntil && t.w.chance(10)
 	if lost && t.w.chance(2) {
 		t.w.after(2*time.Second+t.w.jitter(2000), func() { t.apply(o) })
 	} else if lost {
 		t.apply(o)
 	}
-	if lost || !t.up {
+	if lost || !t.up || t.w.now < t.muteUntil {
 		t.w.after(90*time.Millisecond, func() { reply(station.OrderReplied(o, station.VerdictUnknown, 0)) })
 		return
 	}
 	v := t.apply(o)
-	clock := t.w.now
+	clock := t.clock()
 	t.w.after(500*time.Microsecond, func() { reply(station.OrderReplied(o, v, clock)) })
 }
 
@@ -131,7 +138,7 @@
 	switch {
 	case id.Number() <= t.past[id.Task()]:
 		return station.VerdictOld
-	case o.Expires() <= t.w.now:
+	case o.Expires() <= t.clock():
 		return station.VerdictLate
 	case !t.size.Minus(t.used).Covers(need):
 		return station.VerdictRoom
@@ -169,7 +176,7 @@
 }
 
 func (t *simTarget) extend(expires time.Duration) {
-	expires = min(expires, t.w.now+time.Second)
+	expires = min(expires, t.clock()+time.Second)
 	for _, r := range t.running {
 		r.expires = max(r.expires, expires)
 	}
@@ -191,7 +198,7 @@
 // lapse ends the runs whose lease is over.
 func (t *simTarget) lapse() {
 	for id, r := range t.running {
-		if t.w.now > r.expires {
+		if t.clock() > r.expires {
 			t.end(id, task.EndLost)
 		}
 	}
@@ -219,12 +226,12 @@
 		reply(station.HoldReplied(h, station.VerdictGone, 0, 0, nil, nil))
 		return
 	}
-	if !t.up {
+	if !t.up || t.w.now < t.muteUntil || t.w.now < t.loseUntil && t.w.chance(10) {
 		t.w.after(h.Wait()+100*time.Millisecond, func() { reply(station.HoldReplied(h, station.VerdictUnknown, 0, 0, nil, nil)) })
 		return
 	}
 	if h.Boot() != t.boot || h.Fence() < t.fence {
-		reply(station.HoldReplied(h, station.VerdictFence, t.boot.Started(), t.w.now, nil, nil))
+		reply(station.HoldReplied(h, station.VerdictFence, t.boot.Started(), t.clock(), nil, nil))
 		return
 	}
 	t.fence = h.Fence()
@@ -260,7 +267,7 @@
 		running = append(running, station.NewListed(id, percent))
 	}
 	ends := append([]station.Finished(nil), t.ends...)
-	clock := t.w.now
+	clock := t.clock()
 	started := t.boot.Started()
 	t.w.after(500*time.Microsecond, func() {
 		h.reply(station.HoldReplied(h.hold, station.VerdictDone, started, clock, running, ends))
