Split the long files of the new path, drop unused fields

Change: frames, their decoding, attempts, calls to the target, sessions and lists in files of their own; no change of behaviour.

--- /dev/null
+++ b/internal/connection/frame/decode.go
@@ -0,0 +1,289 @@
+package frame
+
+import (
+	"math"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// field is one decoded field: a number or bytes, by its wire type.
+type field struct {
+	number protowire.Number
+	value  uint64
+	bytes  []byte
+}
+
+func (f field) signed() int64 {
+	return protowire.DecodeZigZag(f.value)
+}
+
+// maxMicroseconds bounds durations so that they do not overflow.
+const maxMicroseconds = math.MaxInt64 / int64(time.Microsecond)
+
+func (f field) duration() time.Duration {
+	us := max(-maxMicroseconds, min(f.signed(), maxMicroseconds))
+	return time.Duration(us) * time.Microsecond
+}
+
+func (f field) flag() bool {
+	return protowire.DecodeBool(f.value)
+}
+
+// decode hands each field of a message to take. Fields of other wire types come
+// from a later version and are passed over.
+func decode(b []byte, take func(field) error) error {
+	for len(b) > 0 {
+		n, typ, size := protowire.ConsumeTag(b)
+		if size < 0 {
+			return errors.Wrap(ErrMalformed, protowire.ParseError(size).Error())
+		}
+		b = b[size:]
+		f := field{
+			number: n,
+		}
+		switch typ {
+		case protowire.VarintType:
+			f.value, size = protowire.ConsumeVarint(b)
+		case protowire.BytesType:
+			f.bytes, size = protowire.ConsumeBytes(b)
+		default:
+			size = protowire.ConsumeFieldValue(n, typ, b)
+			f.number = 0
+		}
+		if size < 0 {
+			return errors.Wrap(ErrMalformed, protowire.ParseError(size).Error())
+		}
+		b = b[size:]
+		if f.number == 0 {
+			continue
+		}
+		if err := take(f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Decode is the inverse of Encode.
+func Decode(b []byte) (Frame, error) {
+	var f Frame
+	err := decode(b, func(x field) error { return f.take(x) })
+	return f, err
+}
+
+func (f *Frame) take(x field) error {
+	switch x.number {
+	case 1:
+		f.Clock = x.duration()
+	case 2:
+		f.Echo = x.duration()
+	case 3:
+		f.Known = x.signed()
+	case 4:
+		f.Cleared = x.flag()
+	case 5:
+		f.Leaving = x.flag()
+	case 6:
+		f.Hello = &Hello{}
+		return decode(x.bytes, f.Hello.take)
+	case 7:
+		f.Target = &Target{}
+		return decode(x.bytes, f.Target.take)
+	case 8:
+		f.Room = &Room{}
+		return decode(x.bytes, f.Room.take)
+	case 9:
+		f.Config = &Config{}
+		return decode(x.bytes, f.Config.take)
+	default:
+		return f.takeList(x)
+	}
+	return nil
+}
+
+func (f *Frame) takeList(x field) error {
+	switch x.number {
+	case 10:
+		var s Start
+		err := decode(x.bytes, s.take)
+		f.Starts = append(f.Starts, s)
+		if err == nil && len(s.indexes) != len(s.runs) {
+			return errors.Wrapf(ErrMalformed, "start of %d tasks with %d runs", len(s.indexes), len(s.runs))
+		}
+		return err
+	case 11:
+		var r RunID
+		err := decode(x.bytes, r.take)
+		f.Stops = append(f.Stops, r)
+		return err
+	case 12:
+		var r RunID
+		err := decode(x.bytes, r.take)
+		f.Began = append(f.Began, r)
+		return err
+	case 13:
+		var r Ended
+		err := decode(x.bytes, r.take)
+		f.Ended = append(f.Ended, r)
+		return err
+	case 14:
+		var p Peer
+		err := decode(x.bytes, p.take)
+		f.Peers = append(f.Peers, p)
+		return err
+	case 15:
+		f.Cancels = append(f.Cancels, string(x.bytes))
+	case 16:
+		var p Progress
+		err := decode(x.bytes, p.take)
+		f.Progress = append(f.Progress, p)
+		return err
+	}
+	return nil
+}
+
+func (p *Progress) take(x field) error {
+	switch x.number {
+	case 1:
+		return decode(x.bytes, p.id.take)
+	case 2:
+		p.percent = int(x.value)
+	case 3:
+		p.ran = x.duration()
+	}
+	return nil
+}
+
+func (h *Hello) take(x field) error {
+	switch x.number {
+	case 1:
+		h.name = string(x.bytes)
+	case 2:
+		h.boot = x.value
+	case 3:
+		h.zone = string(x.bytes)
+	case 4:
+		h.address = string(x.bytes)
+	case 5:
+		h.role = Role(x.value)
+	}
+	return nil
+}
+
+func (t *Target) take(x field) error {
+	switch x.number {
+	case 1:
+		t.boot = string(x.bytes)
+	case 2:
+		t.service = string(x.bytes)
+	case 3:
+		t.zone = string(x.bytes)
+	case 4:
+		t.labels = append(t.labels, string(x.bytes))
+	case 5:
+		t.milliCores = x.signed()
+	case 6:
+		t.memoryMB = x.signed()
+	case 7:
+		t.accels = x.signed()
+	case 8:
+		t.usable = x.flag()
+	case 9:
+		t.cold = x.duration()
+	}
+	return nil
+}
+
+func (r *Room) take(x field) error {
+	switch x.number {
+	case 1:
+		r.milliCores = x.signed()
+	case 2:
+		r.memoryMB = x.signed()
+	case 3:
+		r.accels = x.signed()
+	case 4:
+		r.waiting = int(x.signed())
+	case 5:
+		r.seen = x.value
+	}
+	return nil
+}
+
+func (c *Config) take(x field) error {
+	switch x.number {
+	case 1:
+		c.number = x.signed()
+	case 2:
+		c.body = append([]byte(nil), x.bytes...)
+	}
+	return nil
+}
+
+func (s *Start) take(x field) error {
+	switch x.number {
+	case 1:
+		s.number = x.value
+	case 2:
+		s.job = string(x.bytes)
+	case 3:
+		s.step = int(x.value)
+	case 4:
+		s.indexes = append(s.indexes, int(x.value))
+	case 5:
+		s.runs = append(s.runs, int64(x.value))
+	case 6:
+		s.spec = string(x.bytes)
+	case 7:
+		s.cores = x.signed()
+	case 8:
+		s.memoryMB = x.signed()
+	case 9:
+		s.accels = x.signed()
+	case 10:
+		s.notAfter = x.duration()
+	case 11:
+		s.limit = x.duration()
+	case 12:
+		s.rank = x.signed()
+	}
+	return nil
+}
+
+func (r *RunID) take(x field) error {
+	switch x.number {
+	case 1:
+		r.job = string(x.bytes)
+	case 2:
+		r.step = int(x.value)
+	case 3:
+		r.index = int(x.value)
+	case 4:
+		r.run = int64(x.value)
+	}
+	return nil
+}
+
+func (x *Ended) take(f field) error {
+	switch f.number {
+	case 1:
+		return decode(f.bytes, x.id.take)
+	case 2:
+		x.end = int(f.value)
+	case 3:
+		x.ran = f.duration()
+	}
+	return nil
+}
+
+func (p *Peer) take(x field) error {
+	switch x.number {
+	case 1:
+		p.name = string(x.bytes)
+	case 2:
+		p.address = string(x.bytes)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/role/dispatch/attempt.go
@@ -0,0 +1,128 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	"greengagedoor.example/greengagedoor/internal/connection/frame"
+	"greengagedoor.example/greengagedoor/internal/process/event"
+	"greengagedoor.example/greengagedoor/internal/request/task"
+)
+
+type attemptState int
+
+const (
+	attemptSent attemptState = iota + 1
+	attemptStopping
+	// attemptLost is a run behind a connection that ended.
+	attemptLost
+)
+
+// attempt is one run of a task on an agent.
+type attempt struct {
+	id       frame.RunID
+	task     *item
+	need     task.Resources
+	state    attemptState
+	sent     time.Duration
+	began    time.Duration
+	expected time.Duration
+	// total is how long the run will take by its progress; 0 for not known.
+	total  time.Duration
+	goneAt time.Duration
+	target string
+}
+
+// sorted lists the attempts in a fixed order.
+func (a *agent) sorted() []*attempt {
+	list := make([]*attempt, 0, len(a.runs))
+	for _, x := range a.runs {
+		list = append(list, x)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		x, y := list[i].id, list[j].id
+		switch {
+		case x.Job() != y.Job():
+			return x.Job() < y.Job()
+		case x.Step() != y.Step():
+			return x.Step() < y.Step()
+		case x.Index() != y.Index():
+			return x.Index() < y.Index()
+		}
+		return x.Run() < y.Run()
+	})
+	return list
+}
+
+// stopAll stops the runs of a job and returns their number.
+func (d *Dispatch) stopAll(j *job) int {
+	stopped := 0
+	for _, n := range sortedKeys(d.sessions) {
+		a := d.sessions[n]
+		for _, x := range a.sorted() {
+			if x.task.job == j && x.state == attemptSent {
+				x.state = attemptStopping
+				a.stops = append(a.stops, x.id)
+				stopped++
+			}
+		}
+	}
+	return stopped
+}
+
+// endAttempt takes the end of a run: the task is done, or is placed again as
+// long as its route allows.
+func (d *Dispatch) endAttempt(now time.Duration, a *agent, x *attempt, end task.End, ran time.Duration) {
+	delete(a.runs, x.id)
+	t := x.task
+	if d.busy[t.name()] == x {
+		delete(d.busy, t.name())
+	}
+	t.attempt = nil
+	j := t.job
+	d.observe(now, a, x, end, ran)
+	if j.ended {
+		return
+	}
+	switch end {
+	case task.EndDone:
+		d.taskDone(now, t)
+		return
+	case task.EndFailed:
+		t.failures++
+		if t.failures >= j.route.Attempts() {
+			d.finish(now, j, StateFailed, "attempts_used")
+			return
+		}
+		t.avoid[a.name] = true
+	case task.EndLost, task.EndStopped, task.EndStalled:
+		t.avoid[a.name] = true
+	case task.EndRefused:
+		a.backoff = now + refusalPause
+	case task.EndNoRoom:
+		a.backoff = now + roomPause
+	}
+	d.note(event.TaskRetried, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("run", t.name()), event.F("number", t.run),
+		event.F("agent", a.name), event.F("end", end.String()), event.F("failures", t.failures), event.F("ran_ms", ran.Milliseconds()))
+	j.ready = append(j.ready, t)
+	d.enqueue(j)
+}
+
+func (d *Dispatch) taskDone(now time.Duration, t *item) {
+	t.done = true
+	j := t.job
+	j.steps[t.step].left--
+	if j.steps[t.step].left > 0 {
+		return
+	}
+	j.releaseSteps()
+	if len(j.ready) > 0 {
+		d.enqueue(j)
+	}
+	for _, s := range j.steps {
+		if s.left > 0 {
+			return
+		}
+	}
+	d.finish(now, j, StateComplete, "done")
+}
--- a/internal/process/role/node/links.go
+++ b/internal/process/role/node/links.go
@@ -28,7 +28,6 @@
 	address string
 	named   time.Time
 	dialing bool
-	open    bool
 	pause   time.Duration
 	next    time.Time
 	seed    bool
