--- /dev/null
+++ b/cmd/greengagedoor/platform_test.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestSignals guards against processes that a SIGHUP ends, as its default action
+// does, and against ones that do not end on SIGTERM.
+func TestSignals(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "greengagedoor")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v: %s", err, out)
+	}
+	tests := map[string]string{
+		"entry": "callers = %[1]s:%[2]d\nreadiness = %[1]s:%[3]d\n",
+		"agent": "reports = %[1]s:%[2]d\n",
+	}
+	for role, listen := range tests {
+		t.Run(role, func(t *testing.T) {
+			Convey("SIGHUP reads the settings again, SIGTERM ends the process", t, func() {
+				p := ports(t, 4)
+				file := filepath.Join(t.TempDir(), "settings.ini")
+				text := fmt.Sprintf("[process]\nname = %s_1\navailability_zone = a\n[listen]\nlink = 127.0.0.1:%d\n", role, p[0]) +
+					fmt.Sprintf(strings.NewReplacer("%[2]d", fmt.Sprint(p[1]), "%[3]d", fmt.Sprint(p[2])).Replace(listen), "127.0.0.1") +
+					fmt.Sprintf("[store]\naddress = 127.0.0.1:%d\n[times]\ngrace_s = 4\n", p[3])
+				So(os.WriteFile(file, []byte(text), 0o600), ShouldBeNil)
+				cmd := exec.Command(program, "platform", role, "--settings", file)
+				out, err := cmd.StdoutPipe()
+				So(err, ShouldBeNil)
+				So(cmd.Start(), ShouldBeNil)
+				defer func() { _ = cmd.Process.Kill() }()
+				lines := make(chan string, 100)
+				go func() {
+					defer close(lines)
+					for s := bufio.NewScanner(out); s.Scan(); {
+						lines <- s.Text()
+					}
+				}()
+				So(seen(lines, "process_started"), ShouldBeTrue)
+				So(cmd.Process.Signal(syscall.SIGHUP), ShouldBeNil)
+				So(seen(lines, `"cause":"signal"`), ShouldBeTrue)
+				So(cmd.Process.Signal(syscall.SIGTERM), ShouldBeNil)
+				So(seen(lines, "process_stopped"), ShouldBeTrue)
+				So(cmd.Wait(), ShouldBeNil)
+			})
+		})
+	}
+}
+
+// ports returns ports on loopback that nothing listens on.
+func ports(t *testing.T, n int) []int {
+	var list []int
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		list = append(list, l.Addr().(*net.TCPAddr).Port)
+	}
+	return list
+}
+
+// seen waits for a line with a text.
+func seen(lines <-chan string, text string) bool {
+	timeout := time.After(10 * time.Second)
+	for {
+		select {
+		case l, ok := <-lines:
+			if !ok {
+				return false
+			}
+			if strings.Contains(l, text) {
+				return true
+			}
+		case <-timeout:
+			return false
+		}
+	}
+}
