Keep the known entries while the store is away, clearer names

Cause: a list of entries that could not be read counted as an empty one, and agents that connected then were not told of other entries. Found by reading. Change: the list is handed on only if it was read; reportEnd, widestShare and the comment on the time to come back say what they are.

--- a/internal/process/role/dispatch/order.go
+++ b/internal/process/role/dispatch/order.go
@@ -29,6 +29,9 @@
 	// withinSpread is how far the tasks of one job differ, in logarithms; they differ
 	// less than jobs do.
 	withinSpread = 0.2
+	// widestShare brings the bound on the largest of a few normal samples down to
+	// its mean.
+	widestShare = 0.7
 )
 
 // meanFactor is how many times as long a run takes on the mean target as on one
@@ -66,7 +69,7 @@
 	if n <= 1 {
 		return 1
 	}
-	return math.Exp(withinSpread * math.Sqrt(2*math.Log(float64(n))) / 1.4)
+	return math.Exp(withinSpread * widestShare * math.Sqrt(2*math.Log(float64(n))))
 }
 
 // chain is the length of a job's longest chain of work on a target of factor 1.
@@ -157,8 +160,8 @@
 	j.shown.add(math.Log(math.Max(ran.Seconds(), 1e-4)/math.Max(x/float64(time.Second), 1e-4)), 0)
 }
 
-// retryAfter is the time to come back for a refused caller: when the work that
-// waits now is done.
+// retryAfter is the time to come back for a refused caller. The header counts whole
+// seconds, and a backlog of sub-second tasks is done within one.
 func (d *Dispatch) retryAfter() time.Duration {
 	return retryPause
 }
--- a/internal/process/role/node/watch.go
+++ b/internal/process/role/node/watch.go
@@ -164,7 +164,16 @@
 	return lease, nil
 }
 
-// watchEntries reads where entries are, and hands the list on.
+func peersOf(items []keyspace.Item) []frame.Peer {
+	var peers []frame.Peer
+	for _, i := range items {
+		peers = append(peers, frame.NewPeer(i.Key()[len(entriesPrefix):], string(i.Value())))
+	}
+	return peers
+}
+
+// watchEntries reads where entries are, and hands the list on. While the
+// store is away, what is known stays.
 func watchEntries(ctx context.Context, s keyspace.Store, wanted func() bool, note func(event.Name, ...event.Field), found func([]frame.Peer)) error {
 	h := &storeHealth{
 		what: "entries",
@@ -174,11 +183,9 @@
 		if wanted() {
 			items, _, err := s.List(ctx, entriesPrefix)
 			h.observe(err)
-			var peers []frame.Peer
-			for _, i := range items {
-				peers = append(peers, frame.NewPeer(i.Key()[len(entriesPrefix):], string(i.Value())))
+			if err == nil {
+				found(peersOf(items))
 			}
-			found(peers)
 		}
 		if !pause(ctx, listEvery) {
 			return nil
--- a/internal/process/role/station/run.go
+++ b/internal/process/role/station/run.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		if cause := s.startFault(now, r); cause != "" || err != nil {
-			s.report1(x, r, task.EndRefused, 0, cause)
+			s.reportEnd(x, r, task.EndRefused, 0, cause)
 			continue
 		}
 		s.runs[r.id] = r
@@ -160,7 +160,7 @@
 func (s *Station) refuse(r *run, end task.End, cause string) {
 	s.dequeue(r)
 	s.forget(r)
-	s.report1(s.sessions[r.session], r, end, 0, cause)
+	s.reportEnd(s.sessions[r.session], r, end, 0, cause)
 }
 
 // end ends a run that was ordered.
@@ -168,7 +168,7 @@
 	s.used = s.used.Minus(r.need)
 	s.forget(r)
 	s.roomChanged()
-	s.report1(s.sessions[r.session], r, end, now-r.ordered, cause)
+	s.reportEnd(s.sessions[r.session], r, end, now-r.ordered, cause)
 }
 
 func (s *Station) forget(r *run) {
@@ -178,8 +178,8 @@
 	}
 }
 
-// report1 tells the entry of one end. The session is nil if it has ended.
-func (s *Station) report1(x *session, r *run, end task.End, ran time.Duration, cause string) {
+// reportEnd tells the entry of one end. The session is nil if it has ended.
+func (s *Station) reportEnd(x *session, r *run, end task.End, ran time.Duration, cause string) {
 	name := event.RunEnded
 	if !end.Ran() {
 		name = event.RunRefused
