--- a/internal/process/role/dispatch/simulation/world_test.go
+++ b/internal/process/role/dispatch/simulation/world_test.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/process/role/dispatch"
-	"greengagedoor.example/greengagedoor/internal/process/role/station"
 	"greengagedoor.example/greengagedoor/internal/request/task"
 	"greengagedoor.example/greengagedoor/internal/version/route"
 )
@@ -43,7 +42,7 @@
 
 func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
 
-func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
+func (t *timers) Push(x any) { *t = append(*t, x.(timer)) }
 
 func (t *timers) Pop() any {
 	old := *t
