Answer every request that a stopping server has read

Callers whose requests were pipelined, or read in part when a server began to stop, saw their connection end without an answer.

Cause: a stopping server used http.Server.Shutdown. net/http then ends a connection after the current answer, although further requests are in its buffer, and drops a request that it has read but not yet passed to the handler. An answer with Connection: close has the same effect on pipelined requests.

Change: the server tracks its connections and where requests begin and end in their bytes. A connection is idle while each request of which a byte was read has its answer; only idle ones are closed. Connection: close is set when the header is written, unless part of a further request was read, and so also on answers to requests that were in flight at the stop signal. It moves from the callers' interface into the server. At the end of the linger time, idle connections that were used are closed, so that their next request reaches another entry. Unused ones get 250 ms when the server stops, as before.

What a server takes, refuses and leaves unanswered after the stop signal is logged by stage (server_ending) and counted in /debug/vars.

--- a/cmd/greengagedoor/platform.go
+++ b/cmd/greengagedoor/platform.go
@@ -132,6 +132,5 @@
 			}
 			return 0
 		},
-		Leaving: e.Leaving,
 	}
 }
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -15,6 +15,7 @@
 	ProcessStarted  Name = "process_started"
 	ProcessStopping Name = "process_stopping"
 	ProcessStopped  Name = "process_stopped"
+	ServerEnding    Name = "server_ending"
 	SettingsChanged Name = "settings_changed"
 
 	JobAccepted  Name = "job_accepted"
@@ -54,6 +55,7 @@
 	ProcessStarted:   "The process is serving; the line has its settings and addresses.",
 	ProcessStopping:  "The process received a stop signal and accepts no new work.",
 	ProcessStopped:   "The process has stopped.",
+	ServerEnding:     "A server is at a stage of its end; the line has its connections, the requests in flight, and the requests taken, refused and left without an answer since the stop signal.",
 	SettingsChanged:  "The settings file was reloaded.",
 	JobAccepted:      "An entry accepted a job and determined its route, deadline and rank.",
 	JobRefused:       "An entry refused a job before any run started; the line has the reason and the retry delay.",
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -66,7 +66,6 @@
 	lastRequest atomic.Uint64
 	ready       atomic.Bool
 	idle        atomic.Bool
-	leaving     atomic.Bool
 	version     atomic.Pointer[route.Version]
 }
 
@@ -172,7 +171,6 @@
 }
 
 func (e *Entry) leave() {
-	e.leaving.Store(true)
 	_ = e.ring.Push(context.Background(), dispatch.ShutdownRequested())
 }
 
@@ -181,11 +179,6 @@
 	return e.ready.Load()
 }
 
-// Leaving reports whether the entry is shutting down.
-func (e *Entry) Leaving() bool {
-	return e.leaving.Load()
-}
-
 // Version returns the active configuration, or nil if there is none.
 func (e *Entry) Version() *route.Version {
 	return e.version.Load()
--- a/internal/process/role/server/observe.go
+++ b/internal/process/role/server/observe.go
@@ -12,6 +12,7 @@
 	"greengagedoor.example/greengagedoor/internal/process/dump"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
+	"greengagedoor.example/greengagedoor/internal/process/web"
 )
 
 // The sizes of a latency histogram and of the ring of its samples.
@@ -35,7 +36,9 @@
 type observer struct {
 	vars   *expvar.Map
 	events *expvar.Map
-	ring   *ring.Ring[event.Note]
+	// servers has the counters of each HTTP server, by its name and the counter's.
+	servers *expvar.Map
+	ring    *ring.Ring[event.Note]
 }
 
 func newObserver() (*observer, error) {
@@ -44,11 +47,13 @@
 		return nil, err
 	}
 	o := &observer{
-		vars:   new(expvar.Map).Init(),
-		events: new(expvar.Map).Init(),
-		ring:   r,
+		vars:    new(expvar.Map).Init(),
+		events:  new(expvar.Map).Init(),
+		servers: new(expvar.Map).Init(),
+		ring:    r,
 	}
 	o.vars.Set("events", o.events)
+	o.vars.Set("servers", o.servers)
 	o.vars.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
 	o.vars.Set("heap_bytes", expvar.Func(func() any {
 		var m runtime.MemStats
@@ -66,6 +71,11 @@
 	}
 }
 
+// count counts an occurrence at an HTTP server.
+func (o *observer) count(server string, c web.Counter) {
+	o.servers.Add(server+"_"+string(c), 1)
+}
+
 // quantiles is the published summary of a histogram.
 type quantiles struct {
 	Count int64 `json:"count"`
--- a/internal/process/role/server/server.go
+++ b/internal/process/role/server/server.go
@@ -142,6 +142,9 @@
 	// stopDeadline is when the grace period ends, in ns of Unix time; 0 before the
 	// shutdown.
 	stopDeadline atomic.Int64
+	// leaving is closed at the stop signal, lingered when the linger time is over.
+	leaving  chan struct{}
+	lingered chan struct{}
 }
 
 func newBase(s Settings, deps Dependencies, role frame.Role, address string) (*base, error) {
@@ -168,6 +171,8 @@
 		hello:    frame.NewHello(s.name, rand.Uint64()|1, s.zone, address, role),
 		clock:    clock,
 		journal:  j,
+		leaving:  make(chan struct{}),
+		lingered: make(chan struct{}),
 	}
 	if err := b.add("journal", "Writes the log.", j.Ring, j.Run); err != nil {
 		return nil, err
@@ -222,7 +227,13 @@
 	if err != nil {
 		return err
 	}
-	d, cleanup, err := web.Serve(l, b.remaining, name, purpose, h)
+	d, cleanup, err := web.ServeUntil(l, web.Ending{
+		Leaving:  b.leaving,
+		Lingered: b.lingered,
+		Limit:    b.remaining,
+		Note:     b.log,
+		Count:    func(c web.Counter) { b.observer.count(name, c) },
+	}, name, purpose, h)
 	if err != nil {
 		return err
 	}
@@ -265,6 +276,7 @@
 	case <-ctx.Done():
 	}
 	b.stopDeadline.Store(time.Now().Add(b.settings.grace).UnixNano())
+	close(b.leaving)
 	b.logEvent(event.ProcessStopping)
 	leave()
 	b.drain(idle, linger)
@@ -293,6 +305,7 @@
 			return
 		case <-lingered.C:
 			lingerOver = true
+			close(b.lingered)
 		case <-ticker.C:
 		}
 		if lingerOver && idle() {
--- /dev/null
+++ b/internal/process/web/framing.go
@@ -0,0 +1,149 @@
+package web
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+)
+
+// maxKeptLine bounds the part of a header line that is kept to recognize the fields
+// that give the length of a body.
+const maxKeptLine = 256
+
+type framingState int
+
+const (
+	inHeader framingState = iota
+	inBody
+	inChunkSize
+	inChunk
+	inTrailer
+	// unframed is a connection whose bytes are no request; the server ends it.
+	unframed
+)
+
+// framing finds where requests begin and end in the bytes of a connection.
+type framing struct {
+	state   framingState
+	line    []byte
+	started bool
+	chunked bool
+	length  int64
+	// begun and whole are the numbers of requests of which the first and the last byte
+	// have been read.
+	begun int64
+	whole int64
+}
+
+// read advances by the next bytes of the connection.
+func (f *framing) read(p []byte) {
+	for len(p) > 0 && f.state != unframed {
+		switch f.state {
+		case inBody, inChunk:
+			n := min(f.length, int64(len(p)))
+			p = p[n:]
+			f.length -= n
+			if f.length == 0 {
+				f.dataEnded()
+			}
+		default:
+			p = f.readLine(p)
+		}
+	}
+}
+
+func (f *framing) dataEnded() {
+	if f.state == inChunk {
+		f.state = inChunkSize
+		return
+	}
+	f.requestEnded()
+}
+
+func (f *framing) requestEnded() {
+	f.whole++
+	f.started = false
+	f.state = inHeader
+}
+
+// readLine takes bytes up to the end of a line and returns the rest.
+func (f *framing) readLine(p []byte) []byte {
+	if f.state == inHeader && !f.started {
+		// A server ignores empty lines before a request.
+		if p[0] == '\r' || p[0] == '\n' {
+			return p[1:]
+		}
+		f.started = true
+		f.chunked = false
+		f.length = 0
+		f.begun++
+	}
+	n := bytes.IndexByte(p, '\n')
+	part := p
+	if n >= 0 {
+		part = p[:n]
+	}
+	f.line = append(f.line, part[:min(len(part), maxKeptLine-len(f.line))]...)
+	if n < 0 {
+		return nil
+	}
+	line := string(bytes.TrimSuffix(f.line, []byte("\r")))
+	f.line = f.line[:0]
+	f.lineEnded(line)
+	return p[n+1:]
+}
+
+func (f *framing) lineEnded(line string) {
+	switch {
+	case f.state == inChunkSize:
+		f.chunkSize(line)
+	case f.state == inTrailer:
+		if line == "" {
+			f.requestEnded()
+		}
+	case line != "":
+		f.field(line)
+	case f.chunked:
+		f.state = inChunkSize
+	case f.length > 0:
+		f.state = inBody
+	default:
+		f.requestEnded()
+	}
+}
+
+func (f *framing) chunkSize(line string) {
+	if line == "" {
+		return
+	}
+	digits, _, _ := strings.Cut(line, ";")
+	n, err := strconv.ParseInt(strings.TrimSpace(digits), 16, 64)
+	switch {
+	case err != nil || n < 0:
+		f.state = unframed
+	case n == 0:
+		f.state = inTrailer
+	default:
+		f.length = n
+		f.state = inChunk
+	}
+}
+
+func (f *framing) field(line string) {
+	name, value, ok := strings.Cut(line, ":")
+	if !ok {
+		return
+	}
+	value = strings.TrimSpace(value)
+	switch {
+	case strings.EqualFold(name, "Content-Length"):
+		n, err := strconv.ParseInt(value, 10, 64)
+		if err != nil || n < 0 {
+			f.state = unframed
+			return
+		}
+		f.length = n
+	case strings.EqualFold(name, "Transfer-Encoding"):
+		f.chunked = strings.EqualFold(value, "chunked")
+	}
+}
--- /dev/null
+++ b/internal/process/web/run.go
@@ -0,0 +1,114 @@
+package web
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// run serves until ctx ends and the requests that were read are answered.
+func (s *server) run(ctx context.Context, l net.Listener) error {
+	defer s.endLife()
+	served := make(chan error, 1)
+	go func() {
+		served <- s.http.Serve(countingListener{
+			Listener: l,
+			server:   s,
+		})
+	}()
+	leaving, lingered := s.ending.Leaving, s.ending.Lingered
+	for {
+		select {
+		case c := <-s.changes.Out():
+			s.apply(c)
+		case <-leaving:
+			leaving = nil
+			s.leftAt.Store(time.Now().UnixNano())
+			s.noteStage(stageLeaving)
+		case <-lingered:
+			lingered = nil
+			s.closeIdle(false)
+			s.noteStage(stageLingered)
+		case err := <-served:
+			if errors.Is(err, http.ErrServerClosed) {
+				return nil
+			}
+			return errors.Wrap(err, "serve HTTP")
+		case <-ctx.Done():
+			s.stop(l, served)
+			return nil
+		}
+	}
+}
+
+func (s *server) apply(c change) {
+	if c.open {
+		s.connections[c.connection] = true
+		return
+	}
+	delete(s.connections, c.connection)
+	s.countUnanswered(c.connection)
+}
+
+// closeIdle closes the connections without a request in flight; those that never had
+// one only if unused is set.
+func (s *server) closeIdle(unused bool) {
+	for c := range s.connections {
+		if unused || c.used() {
+			c.closeIdle()
+		}
+	}
+}
+
+// stop closes the listener and waits for the requests that were read, and for the
+// first request of each connection that has had none.
+func (s *server) stop(l net.Listener, served <-chan error) {
+	s.stopped.Store(true)
+	s.noteStage(stageStopping)
+	_ = l.Close()
+	limit := time.NewTimer(s.ending.Limit())
+	defer limit.Stop()
+	settle := time.NewTimer(settleTime)
+	defer settle.Stop()
+	ticker := time.NewTicker(endInterval)
+	defer ticker.Stop()
+	settled, accepting := false, true
+	for accepting || len(s.connections) > 0 {
+		s.closeIdle(settled)
+		select {
+		case c := <-s.changes.Out():
+			s.apply(c)
+		case <-served:
+			accepting = false
+		case <-settle.C:
+			settled = true
+		case <-ticker.C:
+		case <-limit.C:
+			s.cut()
+			return
+		}
+	}
+	s.noteStage(stageStopped)
+}
+
+// cut closes the connections that are left and waits a little for their handlers.
+func (s *server) cut() {
+	s.noteStage(stageCut)
+	for c := range s.connections {
+		s.countUnanswered(c)
+	}
+	_ = s.http.Close()
+	end := time.NewTimer(cutTime)
+	defer end.Stop()
+	for len(s.connections) > 0 {
+		select {
+		case c := <-s.changes.Out():
+			s.apply(c)
+		case <-end.C:
+			return
+		}
+	}
+}
--- a/internal/process/web/web.go
+++ b/internal/process/web/web.go
@@ -1,8 +1,11 @@
 // Package web runs HTTP servers as duties of a process.
 //
 // The listener is opened before the duty starts, so that the port chosen for port 0
-// is known. When the duty's context ends, the server accepts no new connection and
-// waits for requests in flight, up to a limit.
+// is known. When the process leaves, answers ask callers to close their connections.
+// When the duty's context ends, the server accepts no new connection, and a
+// connection ends once every request that was read from it is answered, pipelined
+// ones too, up to a limit. http.Server.Shutdown would drop requests that it has read
+// but not yet passed to the handler, and those that are pipelined.
 package web
 
 import (
@@ -15,17 +18,25 @@
 	"github.com/pkg/errors"
 
 	"greengagedoor.example/greengagedoor/internal/process/duty"
+	"greengagedoor.example/greengagedoor/internal/process/event"
+	"greengagedoor.example/greengagedoor/internal/process/ring"
 )
 
-// The time limits of a server.
+// The limits of a server.
 const (
 	// headerTimeout closes connections that do not send request headers.
 	headerTimeout = 10 * time.Second
 	// idleTimeout closes connections without a further request.
 	idleTimeout = 2 * time.Minute
-	// settleTime is how long a received request may take to reach its handler, and a
-	// response to be sent.
+	// settleTime is how long a stopping server waits for the first request of an open
+	// connection.
 	settleTime = 250 * time.Millisecond
+	// cutTime is how long handlers may take to return once their connection is closed.
+	cutTime = 50 * time.Millisecond
+	// endInterval is how often a stopping server looks for connections to close.
+	endInterval = 5 * time.Millisecond
+	// changeRingSize bounds the connections that wait to be added or removed.
+	changeRingSize = 256
 	// ShutdownLimit is how long a stopping server waits for requests in flight, for
 	// roles that have drained before.
 	ShutdownLimit = 4 * time.Second
@@ -51,74 +62,154 @@
 	return func() time.Duration { return d }
 }
 
-// countingServer is an HTTP server that counts the requests in flight.
-type countingServer struct {
-	server *http.Server
-	active atomic.Int64
-	limit  func() time.Duration
+// Ending tells a server how its process ends.
+type Ending struct {
+	// Leaving is closed when the process gets its stop signal; nil if the process does
+	// not announce its end.
+	Leaving <-chan struct{}
+	// Lingered is closed when load balancers have noticed that the process leaves;
+	// connections without a request in flight are then closed. It may be nil.
+	Lingered <-chan struct{}
+	// Limit returns how long a stopping server may wait for requests in flight.
+	Limit func() time.Duration
+	// Note logs an event; it may be nil.
+	Note func(event.Note)
+	// Count adds 1 to a counter; it may be nil.
+	Count func(Counter)
+}
+
+// change is the message that a connection was opened or has ended.
+type change struct {
+	connection *connection
+	open       bool
+}
+
+// server is an HTTP server that tracks its connections.
+type server struct {
+	name    string
+	ending  Ending
+	http    *http.Server
+	changes *ring.Ring[change]
+	// life ends when the duty no longer reads changes.
+	life    context.Context
+	endLife context.CancelFunc
+	// connections belongs to the duty.
+	connections map[*connection]bool
+	// stopped is set when the duty stops.
+	stopped atomic.Bool
+	// leftAt is when the process got its stop signal, in ns of Unix time; 0 before.
+	leftAt atomic.Int64
+	// taken is the number of requests read after the stop signal; lastTaken is when the
+	// last one was, in ns of Unix time.
+	taken      atomic.Int64
+	lastTaken  atomic.Int64
+	refusals   atomic.Int64
+	unanswered atomic.Int64
 }
 
 // Serve returns a duty that serves h on l, and its cleanup function. When the duty
 // stops, it calls limit and waits that long for requests in flight. Connections
 // without a request do not delay the stop.
 func Serve(l net.Listener, limit func() time.Duration, name, purpose string, h http.Handler) (duty.Duty, func(), error) {
-	s := &countingServer{
-		limit: limit,
+	return ServeUntil(l, Ending{
+		Limit: limit,
+	}, name, purpose, h)
+}
+
+// ServeUntil is Serve for a process that announces its end.
+func ServeUntil(l net.Listener, ending Ending, name, purpose string, h http.Handler) (duty.Duty, func(), error) {
+	changes, err := ring.New[change](name, changeRingSize)
+	if err != nil {
+		return duty.Duty{}, func() { _ = l.Close() }, err
 	}
-	s.server = &http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			s.active.Add(1)
-			defer s.active.Add(-1)
-			h.ServeHTTP(w, r)
-		}),
+	s := &server{
+		name:        name,
+		ending:      ending,
+		changes:     changes,
+		connections: map[*connection]bool{},
+	}
+	s.life, s.endLife = context.WithCancel(context.Background())
+	s.http = &http.Server{
+		Handler:           s.handler(h),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnContext:       withConnection,
+		ConnState: func(nc net.Conn, state http.ConnState) {
+			if c, ok := nc.(*connection); ok && state == http.StateIdle {
+				c.answered()
+			}
+		},
 	}
-	d, err := duty.New(name, purpose, nil, func(ctx context.Context) error {
+	d, err := duty.New(name, purpose, func() (int, int, int64) {
+		return changes.Depth(), changes.Size(), changes.Rejected()
+	}, func(ctx context.Context) error {
 		return s.run(ctx, l)
 	})
 	return d, func() {
-		_ = s.server.Close()
+		s.endLife()
+		_ = s.http.Close()
 		// Close does not reach the listener of a server that was never started.
 		_ = l.Close()
 	}, err
 }
 
-func (s *countingServer) run(ctx context.Context, l net.Listener) error {
-	ended := make(chan struct{})
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		select {
-		case <-ctx.Done():
-			s.stop(context.WithoutCancel(ctx))
-		case <-ended:
+func (s *server) handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := connectionOf(r.Context())
+		if c == nil {
+			h.ServeHTTP(w, r)
+			return
+		}
+		x := &response{
+			ResponseWriter: w,
+			server:         s,
+			connection:     c,
+			number:         c.entered.Add(1),
 		}
-	}()
-	err := s.server.Serve(l)
-	close(ended)
-	<-stopped
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+		defer c.returned.Add(1)
+		h.ServeHTTP(x, r)
+		if !x.written {
+			x.WriteHeader(http.StatusOK)
+		}
+	})
+}
+
+// leaving reports whether the process has got its stop signal.
+func (s *server) leaving() bool {
+	if s.stopped.Load() {
+		return true
+	}
+	select {
+	case <-s.ending.Leaving:
+		return true
+	default:
+		return false
 	}
-	return errors.Wrap(err, "serve HTTP")
 }
 
-// stop closes the listener and waits for the requests in flight.
-func (s *countingServer) stop(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, s.limit())
-	defer cancel()
-	for {
-		settleCtx, cancel := context.WithTimeout(ctx, settleTime)
-		err := s.server.Shutdown(settleCtx)
-		cancel()
-		if err == nil {
-			return
-		}
-		// The open connections have a request in flight or have never had one.
-		if s.active.Load() == 0 || ctx.Err() != nil {
-			_ = s.server.Close()
-			return
-		}
+// answering completes the header of an answer.
+func (s *server) answering(w *response, status int) {
+	if !s.leaving() {
+		return
+	}
+	if status == http.StatusServiceUnavailable {
+		s.refused()
 	}
+	// After an answer that closes its connection, no further request is answered.
+	if w.connection.begun.Load() <= w.number {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+func (s *server) connectionOpened(c *connection) {
+	_ = s.changes.Push(s.life, change{
+		connection: c,
+		open:       true,
+	})
+}
+
+func (s *server) connectionEnded(c *connection) {
+	_ = s.changes.Push(s.life, change{
+		connection: c,
+	})
 }
