Bound the jobs of a leaving entry by its last answer

Callers lost requests around a restart: the entry took them up to the end of its grace period, passed them on and closed their connections without an answer.

Cause: nothing bounded a job's deadline by the end of the process. Under load an entry is never idle, so it served until 0.7 s before the end of the grace period; 0.4 s later its server closed what was left. A job of 1.5 s that began in the last 2 s could end that way.

The duties had not ended, the dispatcher answered to the end; the time had.

Change: the stop event tells the dispatcher how long it may still answer. All deadlines are bounded by that time, also those of runs on targets. What has started gets its answer then (504). What has not started is refused at once if the end leaves it less than 0.9 of its chance of a useful answer, with Retry-After: 0, since another entry can take it at once.

--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -71,6 +71,8 @@
 	// cachedLoad is the load at the start of the current event; nil if not computed.
 	cachedLoad loadByLabel
 	leaving    bool
+	// lastAnswer is when a leaving entry has answered all callers.
+	lastAnswer time.Duration
 	out        Output
 }
 
@@ -122,6 +124,7 @@
 	d.estimates.decay(now)
 	d.apply(now, ev)
 	d.expireJobs(now)
+	d.refuseUnfinishable(now)
 	d.expireLostRuns(now)
 	d.place(now)
 	d.reviewQueue(now)
@@ -147,8 +150,8 @@
 		d.query(*ev.query)
 	case ev.version != nil:
 		d.updateVersion(ev.version, ev.config)
-	case ev.shutdown:
-		d.leaving = true
+	case ev.shutdown != nil:
+		d.shutDown(now, *ev.shutdown)
 	}
 }
 
--- a/internal/process/role/dispatch/dispatch_test.go
+++ b/internal/process/role/dispatch/dispatch_test.go
@@ -21,6 +21,7 @@
 	now       time.Duration
 	clock     time.Duration
 	starts    []frame.Start
+	allStarts []frame.Start
 	stops     []frame.RunID
 	answers   map[uint64]dispatch.Answer
 	sessionOf map[string]uint64
@@ -45,6 +46,7 @@
 	for _, f := range out.Frames() {
 		for _, s := range f.Frame().Starts {
 			fx.starts = append(fx.starts, s)
+			fx.allStarts = append(fx.allStarts, s)
 			fx.sessionOf[s.Job()] = f.Session()
 		}
 		fx.stops = append(fx.stops, f.Frame().Stops...)
--- a/internal/process/role/dispatch/event.go
+++ b/internal/process/role/dispatch/event.go
@@ -21,7 +21,8 @@
 	query      *Query
 	version    *route.Version
 	config     frame.Config
-	shutdown   bool
+	// shutdown is how long an entry that was told to shut down still answers.
+	shutdown *time.Duration
 }
 
 // Submission is a caller's request to run a job.
@@ -151,10 +152,11 @@
 	}
 }
 
-// ShutdownRequested is the event of an entry that was told to shut down.
-func ShutdownRequested() Event {
+// ShutdownRequested is the event of an entry that was told to shut down and has to
+// answer all callers within a time.
+func ShutdownRequested(answerWithin time.Duration) Event {
 	return Event{
-		shutdown: true,
+		shutdown: &answerWithin,
 	}
 }
 
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -34,6 +34,10 @@
 	// the caller.
 	due         time.Duration
 	usefulUntil time.Duration
+	// cut is set if the entry ends before the deadline of the caller. uncutUntil is then
+	// usefulUntil without that end.
+	cut        bool
+	uncutUntil time.Duration
 	// fastestTime is the expected time on the fastest target. latestStart is the latest
 	// start there that meets the commitment.
 	fastestTime time.Duration
@@ -175,6 +179,13 @@
 		})
 	}
 	d.prioritize(j)
+	if d.leaving {
+		d.cutTimes(j)
+	}
+	if d.endsTooSoon(now, j) {
+		d.refuse(s, work.ID(), StateRefused, reasonLeaving, d.retryAfter())
+		return
+	}
 	if d.unlikelyInTime(now, j) {
 		d.refuse(s, work.ID(), StateRefused, "too_long_for_caller", defaultRetryAfter)
 		return
@@ -307,9 +318,9 @@
 	for _, id := range d.overdueJobs(now) {
 		j := d.jobs[id]
 		if j.started {
-			d.finish(now, j, StateExpired, "deadline")
+			d.finish(now, j, StateExpired, j.expiryReason())
 		} else {
-			d.finish(now, j, StateRefused, "deadline")
+			d.finish(now, j, StateRefused, j.expiryReason())
 		}
 	}
 	for id, p := range d.finished {
--- a/internal/process/role/dispatch/order.go
+++ b/internal/process/role/dispatch/order.go
@@ -190,8 +190,12 @@
 }
 
 // retryAfter returns the time after which a refused caller may retry. The header
-// has whole seconds, and a backlog of sub-second tasks is done within one.
+// has whole seconds, and a backlog of sub-second tasks is done within one. While this
+// entry leaves, another one can take the job at once.
 func (d *Dispatch) retryAfter() time.Duration {
+	if d.leaving {
+		return 0
+	}
 	return defaultRetryAfter
 }
 
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -171,7 +171,7 @@
 }
 
 func (e *Entry) leave() {
-	_ = e.ring.Push(context.Background(), dispatch.ShutdownRequested())
+	_ = e.ring.Push(context.Background(), dispatch.ShutdownRequested(e.base.untilLastAnswer()))
 }
 
 // Ready reports whether the entry can serve new callers.
--- a/internal/process/role/server/server.go
+++ b/internal/process/role/server/server.go
@@ -289,6 +289,11 @@
 	return max(0, time.Until(time.Unix(0, b.stopDeadline.Load()))-answerMargin)
 }
 
+// untilLastAnswer returns how long an entry that shuts down may still take to answer.
+func (b *base) untilLastAnswer() time.Duration {
+	return time.Until(time.Unix(0, b.stopDeadline.Load())) - drainMargin
+}
+
 // drain waits for the linger time and then until the process is idle, but not
 // longer than the grace period allows.
 func (b *base) drain(idle func() bool, linger time.Duration) {
