Refuse requests that find the dispatcher's ring full

Callers got 504, which says that the job may have run, and which they resend only after a while, although the request had not reached the dispatcher.

Change: such a request is refused with 503 and Retry-After, and logged as job_refused with the reason overloaded.

The new test fails on the code before in its three rows ("ring dispatch: ring is full: entry is overloaded" as an error) and passes now:

go test -count=1 ./internal/process/role/server

--- a/internal/process/role/dispatch/event.go
+++ b/internal/process/role/dispatch/event.go
@@ -225,6 +225,15 @@
 	pending    int
 }
 
+// Refused returns the answer to a request that did not reach the state machine.
+func Refused(reason string, retryAfter time.Duration) Answer {
+	return Answer{
+		state:      StateRefused,
+		reason:     reason,
+		retryAfter: retryAfter,
+	}
+}
+
 func (a Answer) Request() uint64 {
 	return a.request
 }
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -16,8 +16,9 @@
 	"greengagedoor.example/greengagedoor/internal/version/route"
 )
 
-// ErrOverloaded reports a request that is rejected because the ring is full.
-var ErrOverloaded = errors.New("entry is overloaded")
+// overloadedRetryAfter is the time after which a caller may retry that found the ring
+// full.
+const overloadedRetryAfter = time.Second
 
 // request is a caller's request with the channel for its answer.
 type request struct {
@@ -207,13 +208,12 @@
 func (e *Entry) call(ctx context.Context, ev func(uint64) dispatch.Event) (dispatch.Answer, error) {
 	n := e.lastRequest.Add(1)
 	reply := make(chan dispatch.Answer, 1)
-	err := e.ring.TryPush(request{
+	if e.ring.TryPush(request{
 		number: n,
 		event:  ev(n),
 		reply:  reply,
-	})
-	if err != nil {
-		return dispatch.Answer{}, errors.Wrap(ErrOverloaded, err.Error())
+	}) != nil {
+		return e.refuse("overloaded", overloadedRetryAfter), nil
 	}
 	select {
 	case a := <-reply:
@@ -226,6 +226,12 @@
 	}
 }
 
+// refuse answers a request that did not reach the dispatcher.
+func (e *Entry) refuse(reason string, retryAfter time.Duration) dispatch.Answer {
+	e.base.logEvent(event.JobRefused, event.F("reason", reason), event.F("retry_after_ms", retryAfter.Milliseconds()))
+	return dispatch.Refused(reason, retryAfter)
+}
+
 // configurationRead passes a stored configuration to the duty.
 func (e *Entry) configurationRead(ctx context.Context, body []byte) {
 	_ = e.ring.Push(ctx, frame.NewConfig(0, body))
