Make a seed of the simulation repeat exactly

Three places drew decisions from the order of map iteration:

- dispatch ended lost runs agent by agent in map order, and summed factors and served shares in it, so that sums differed in the last bits;
- the executor closed expired sessions in map order;
- the simulation closed links, expired leases and listed runs in map order.

TestSeedRepeats plays a seed of each scenario twice and compares all runs and answers.

--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -214,7 +215,8 @@
 // expireLostRuns retries the tasks of lost runs that have certainly ended, and
 // removes agents that have been disconnected for agentRetention.
 func (d *Dispatch) expireLostRuns(now time.Duration) {
-	for name, a := range d.agents {
+	for _, name := range slices.Sorted(maps.Keys(d.agents)) {
+		a := d.agents[name]
 		for _, x := range a.lostAttempts(func(x *attempt) bool { return now >= x.endedBy }) {
 			d.endAttempt(now, a, x, task.EndLost, 0)
 		}
--- a/internal/process/role/dispatch/fairness.go
+++ b/internal/process/role/dispatch/fairness.go
@@ -37,6 +37,8 @@
 type fairness struct {
 	meanWork     map[string]*movingAverage
 	servedInTime map[group]*movingAverage
+	// shares are the values of servedInTime in the order of their creation.
+	shares []*movingAverage
 }
 
 func newFairness() *fairness {
@@ -83,6 +85,7 @@
 	}
 	s := getOrCreate(f.servedInTime, g)
 	if s.count == 0 {
+		f.shares = append(f.shares, s)
 		s.add(1, servedWeight)
 	}
 	s.count = max(s.count, servedMinCount)
@@ -97,9 +100,9 @@
 		return 0
 	}
 	sum := 0.0
-	for _, s := range f.servedInTime {
+	for _, s := range f.shares {
 		sum += s.value
 	}
-	mean := sum / float64(len(f.servedInTime))
+	mean := sum / float64(len(f.shares))
 	return time.Duration((mean - own.value) * float64(maxLead))
 }
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -286,7 +286,7 @@
 	for _, p := range d.peers {
 		p.cancels = append(p.cancels, id)
 	}
-	for _, a := range d.sessions {
+	for _, a := range d.connected {
 		a.cancels = append(a.cancels, id)
 	}
 	d.answer(c.request, StateGone, "no_job", 0)
--- a/internal/process/role/dispatch/order.go
+++ b/internal/process/role/dispatch/order.go
@@ -43,7 +43,7 @@
 // based on the run time on the mean target.
 func (d *Dispatch) meanFactor(service string) float64 {
 	sum, n := 0.0, 0
-	for _, a := range d.sessions {
+	for _, a := range d.connected {
 		if a.target.Service() == service {
 			sum += d.estimates.factor(a.label(), a.name)
 			n++
@@ -58,7 +58,7 @@
 // fastestFactor returns the factor of the fastest usable target of a service.
 func (d *Dispatch) fastestFactor(service string) float64 {
 	best := math.Inf(1)
-	for _, a := range d.sessions {
+	for _, a := range d.connected {
 		if a.usable() && a.target.Service() == service {
 			best = math.Min(best, d.estimates.factor(a.label(), a.name))
 		}
--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -118,7 +118,7 @@
 func (d *Dispatch) measureLoad() loadByLabel {
 	used := map[string]int64{}
 	size := map[string]int64{}
-	for _, a := range d.sessions {
+	for _, a := range d.connected {
 		if !a.usable() {
 			continue
 		}
--- a/internal/process/role/dispatch/simulation/cluster_test.go
+++ b/internal/process/role/dispatch/simulation/cluster_test.go
@@ -9,7 +9,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -77,6 +79,8 @@
 	request uint64
 	version *route.Version
 	pending map[uint64]func(dispatch.Answer)
+	// trace has a line for each run that began and each answer, in their order.
+	trace []string
 	// callerTimeout is how long callers wait.
 	callerTimeout time.Duration
 }
@@ -135,6 +139,10 @@
 	c.now = until
 }
 
+func (c *cluster) record(format string, args ...any) {
+	c.trace = append(c.trace, fmt.Sprintf("%v: ", c.now)+fmt.Sprintf(format, args...))
+}
+
 // oneIn is true with a probability of 1/n.
 func (c *cluster) oneIn(n int) bool {
 	return c.random.IntN(n) == 0
@@ -164,6 +172,7 @@
 	n := c.request
 	c.pending[n] = func(a dispatch.Answer) {
 		j.answers = append(j.answers, a.State())
+		c.record("%s: %v", j.id, a.State())
 		switch a.State() {
 		case dispatch.StateExpired:
 			c.resubmit(j)
@@ -188,7 +197,8 @@
 
 // dropRequests ends all requests of an entry that was killed.
 func (c *cluster) dropRequests(e *simEntry) {
-	for n, owner := range e.requests {
+	for _, n := range slices.Sorted(maps.Keys(e.requests)) {
+		owner := e.requests[n]
 		if _, open := c.pending[n]; open {
 			delete(c.pending, n)
 			c.resubmit(owner)
@@ -230,6 +240,7 @@
 		return
 	}
 	o.runs[id.Job()]++
+	o.c.record("%v on %s", id, t.name)
 }
 
 // end checks how callers were answered.
--- a/internal/process/role/dispatch/simulation/process_test.go
+++ b/internal/process/role/dispatch/simulation/process_test.go
@@ -1,6 +1,8 @@
 package simulation_test
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
@@ -64,7 +66,7 @@
 
 func (e *simEntry) kill() {
 	e.incarnation++
-	for _, l := range e.links {
+	for _, l := range sortedLinks(e.links) {
 		l.close(true)
 	}
 	e.c.dropRequests(e)
@@ -74,6 +76,16 @@
 	e.c.after(300*time.Millisecond+e.c.jitter(500), e.start)
 }
 
+// sortedLinks returns links in the order in which they were opened, so that a seed
+// repeats.
+func sortedLinks(links map[uint64]*simLink) []*simLink {
+	var list []*simLink
+	for _, n := range slices.Sorted(maps.Keys(links)) {
+		list = append(list, links[n])
+	}
+	return list
+}
+
 func (e *simEntry) handle(ev dispatch.Event) {
 	incarnation := e.incarnation
 	e.schedule(e.c, func() {
@@ -184,7 +196,7 @@
 
 func (a *simAgent) kill() {
 	a.incarnation++
-	for _, l := range a.links {
+	for _, l := range sortedLinks(a.links) {
 		l.close(true)
 	}
 	a.s = nil
--- a/internal/process/role/dispatch/simulation/simulation_test.go
+++ b/internal/process/role/dispatch/simulation/simulation_test.go
@@ -23,6 +23,24 @@
 	stretch time.Duration
 }
 
+var scenarios = map[string]scenario{
+	"no_faults":             {minComplete: 0.97},
+	"entry_killed":          {every: 900 * time.Millisecond, fault: killEntry, minComplete: 0.5},
+	"agent_killed":          {every: 900 * time.Millisecond, fault: killAgent, minComplete: 0.5},
+	"entry_frozen":          {every: 1500 * time.Millisecond, fault: freezeEntry, minComplete: 0.3},
+	"agent_frozen":          {every: 1500 * time.Millisecond, fault: freezeAgent, minComplete: 0.5},
+	"partition":             {every: 700 * time.Millisecond, fault: partition, minComplete: 0.6},
+	"target_crashed":        {every: 900 * time.Millisecond, fault: crashTarget, minComplete: 0.5},
+	"orders_lost":           {every: 700 * time.Millisecond, fault: loseCommands, minComplete: 0.8},
+	"target_unreachable":    {every: 900 * time.Millisecond, fault: disconnectTarget, minComplete: 0.4},
+	"unreachable_long_work": {every: 900 * time.Millisecond, fault: disconnectTarget, minComplete: 0.2, stretch: 4},
+	"target_hangs":          {every: 2 * time.Second, fault: hangTarget, minComplete: 0.6},
+	"target_slow":           {every: 2 * time.Second, fault: slowTarget, minComplete: 0.6},
+	"partition_long_work":   {every: 700 * time.Millisecond, fault: partition, minComplete: 0.5, stretch: 4},
+	"all_long_work":         {every: 700 * time.Millisecond, fault: anyFault, minComplete: 0.1, stretch: 4},
+	"all_at_any_time":       {every: 500 * time.Millisecond, fault: anyFault, minComplete: 0.2},
+}
+
 func killEntry(c *cluster) {
 	if e := c.entries[c.random.IntN(len(c.entries))]; e.d != nil {
 		e.kill()
@@ -164,24 +182,7 @@
 // work. Processes are killed, frozen or cut off, and targets crash, hang or lose
 // replies.
 func TestSimulation(t *testing.T) {
-	tests := map[string]scenario{
-		"no_faults":             {minComplete: 0.97},
-		"entry_killed":          {every: 900 * time.Millisecond, fault: killEntry, minComplete: 0.5},
-		"agent_killed":          {every: 900 * time.Millisecond, fault: killAgent, minComplete: 0.5},
-		"entry_frozen":          {every: 1500 * time.Millisecond, fault: freezeEntry, minComplete: 0.3},
-		"agent_frozen":          {every: 1500 * time.Millisecond, fault: freezeAgent, minComplete: 0.5},
-		"partition":             {every: 700 * time.Millisecond, fault: partition, minComplete: 0.6},
-		"target_crashed":        {every: 900 * time.Millisecond, fault: crashTarget, minComplete: 0.5},
-		"orders_lost":           {every: 700 * time.Millisecond, fault: loseCommands, minComplete: 0.8},
-		"target_unreachable":    {every: 900 * time.Millisecond, fault: disconnectTarget, minComplete: 0.4},
-		"unreachable_long_work": {every: 900 * time.Millisecond, fault: disconnectTarget, minComplete: 0.2, stretch: 4},
-		"target_hangs":          {every: 2 * time.Second, fault: hangTarget, minComplete: 0.6},
-		"target_slow":           {every: 2 * time.Second, fault: slowTarget, minComplete: 0.6},
-		"partition_long_work":   {every: 700 * time.Millisecond, fault: partition, minComplete: 0.5, stretch: 4},
-		"all_long_work":         {every: 700 * time.Millisecond, fault: anyFault, minComplete: 0.1, stretch: 4},
-		"all_at_any_time":       {every: 500 * time.Millisecond, fault: anyFault, minComplete: 0.2},
-	}
-	for name, s := range tests {
+	for name, s := range scenarios {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			complete, jobs := 0, 0
@@ -207,3 +208,32 @@
 		})
 	}
 }
+
+// TestSeedRepeats guards against decisions that depend on the order of map iteration.
+func TestSeedRepeats(t *testing.T) {
+	for name, s := range scenarios {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			first := simulate(t, 1, s)
+			second := simulate(t, 1, s)
+			Convey("a second run of the seed has the same runs and answers", t, func() {
+				So(len(first.trace), ShouldBeGreaterThan, 0)
+				So(firstDifference(first.trace, second.trace), ShouldBeEmpty)
+			})
+		})
+	}
+}
+
+// firstDifference returns the first lines in which two traces differ, empty if they
+// are equal.
+func firstDifference(a, b []string) string {
+	for i := range min(len(a), len(b)) {
+		if a[i] != b[i] {
+			return fmt.Sprintf("line %d: %q and %q", i, a[i], b[i])
+		}
+	}
+	if len(a) != len(b) {
+		return fmt.Sprintf("%d and %d lines", len(a), len(b))
+	}
+	return ""
+}
--- a/internal/process/role/dispatch/simulation/target_test.go
+++ b/internal/process/role/dispatch/simulation/target_test.go
@@ -1,6 +1,9 @@
 package simulation_test
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/process/role/executor"
@@ -199,10 +202,15 @@
 	t.answerRenewals()
 }
 
+// sortedRuns returns the active runs in a fixed order.
+func (t *simTarget) sortedRuns() []task.Run {
+	return slices.SortedFunc(maps.Keys(t.running), func(a, b task.Run) int { return cmp.Compare(a.String(), b.String()) })
+}
+
 // expire ends the runs whose lease has expired and the renewals that are due.
 func (t *simTarget) expire() {
-	for id, r := range t.running {
-		if t.clock() > r.expires {
+	for _, id := range t.sortedRuns() {
+		if r, ok := t.running[id]; ok && t.clock() > r.expires {
 			t.end(id, task.EndLost)
 		}
 	}
@@ -263,7 +271,8 @@
 
 func (t *simTarget) answer(x *simRenewal) {
 	var running []executor.ActiveRun
-	for id, r := range t.running {
+	for _, id := range t.sortedRuns() {
+		r := t.running[id]
 		percent := int64(0)
 		if !r.hangs {
 			percent = int64(100 * (t.c.now - r.began) / r.length)
--- a/internal/process/role/executor/session.go
+++ b/internal/process/role/executor/session.go
@@ -1,7 +1,8 @@
 package executor
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
@@ -38,11 +39,16 @@
 	s.logEvent(event.SessionOpened, event.F("entry", o.hello.Name()), event.F("session", o.session))
 }
 
+// sessionNumbers returns the numbers of the sessions in ascending order.
+func (s *StateMachine) sessionNumbers() []uint64 {
+	return slices.Sorted(maps.Keys(s.sessions))
+}
+
 // expireSessions ends the sessions whose last echo is older than the session
 // timeout.
 func (s *StateMachine) expireSessions(now time.Duration) {
-	for n, sess := range s.sessions {
-		if now-sess.echo > s.timing.sessionTimeout {
+	for _, n := range s.sessionNumbers() {
+		if sess := s.sessions[n]; now-sess.echo > s.timing.sessionTimeout {
 			s.out.sessionsToClose = append(s.out.sessionsToClose, n)
 			s.closeSession(now, n, "silent")
 		}
@@ -114,12 +120,7 @@
 
 // flush sends a frame to each entry for which one is due.
 func (s *StateMachine) flush(now time.Duration) {
-	numbers := make([]uint64, 0, len(s.sessions))
-	for n := range s.sessions {
-		numbers = append(numbers, n)
-	}
-	sort.Slice(numbers, func(i, j int) bool { return numbers[i] < numbers[j] })
-	for _, n := range numbers {
+	for _, n := range s.sessionNumbers() {
 		sess := s.sessions[n]
 		sinceSent := now - sess.sent
 		if sess.sendNow || !sess.targetSent || len(sess.ended)+len(sess.started) > 0 || sinceSent >= s.timing.heartbeatInterval || sess.capacityDue && sinceSent >= capacityInterval {
