Decide in a time that does not grow with jobs and agents that have nothing to do

For each event, an entry walked all agents for lost runs, all agents and runs to stop one job, all outcomes of the last 10 s, and all jobs for their deadline, computed factors by exponentials for each agent and task, and copied and reviewed the whole queue.

Now lost runs are sought only on agents that have any, a job knows its runs, outcomes leave in order, the earliest deadline is kept, factors are computed when they change, closed agents are passed over once in a pass, loads are measured once in a pass, and the queue is reviewed every 5 ms. Handle takes several events and decides once for them.

--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -1,9 +1,9 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
@@ -40,6 +40,11 @@
 	knownConfig int64
 	cleared     bool
 	health      health
+	// speed and load are those of the target and of its hardware label.
+	speed speed
+	load  *hardwareLoad
+	// left is the free capacity after the starts that the report does not include.
+	left task.Resources
 	// backoffUntil is when the agent may get new work after a refusal.
 	backoffUntil time.Duration
 	cancels      []string
@@ -84,14 +89,11 @@
 	return false
 }
 
-// available returns the free capacity after the starts that the report does not
-// include.
-func (a *agent) available() task.Resources {
-	free := a.free
+func (a *agent) updateLeft() {
+	a.left = a.free
 	for _, u := range a.unreported {
-		free = free.Sub(u.need)
+		a.left = a.left.Sub(u.need)
 	}
-	return free
 }
 
 // frameDue reports whether a frame to the agent is due.
@@ -148,8 +150,10 @@
 	}
 	if !ok {
 		a = &agent{
-			name: name,
-			runs: map[frame.RunID]*attempt{},
+			name:  name,
+			runs:  map[frame.RunID]*attempt{},
+			speed: d.estimates.speed("", name),
+			load:  d.loadOf(""),
 		}
 		d.agents[name] = a
 	}
@@ -162,6 +166,7 @@
 	a.knownConfig = 0
 	a.lastStart = 0
 	a.unreported = nil
+	a.updateLeft()
 	a.leaving = false
 	a.cleared = false
 	a.target = frame.Target{}
@@ -199,6 +204,7 @@
 	delete(d.sessions, number)
 	d.connected = slices.DeleteFunc(d.connected, func(x *agent) bool { return x == a })
 	a.session = 0
+	d.part(a)
 	a.starts = nil
 	a.stops = nil
 	for _, x := range a.runs {
@@ -212,19 +218,40 @@
 		event.F("silent_ms", (now-a.lastSeen).Milliseconds()), event.F("runs", len(a.runs)))
 }
 
+func (a *agent) hasLostRuns() bool {
+	for _, x := range a.runs {
+		if x.state == attemptLost {
+			return true
+		}
+	}
+	return false
+}
+
+// part adds an agent to the list of those that expireLostRuns examines.
+func (d *Dispatch) part(a *agent) {
+	at, listed := slices.BinarySearchFunc(d.parted, a, func(x, y *agent) int { return strings.Compare(x.name, y.name) })
+	if !listed {
+		d.parted = slices.Insert(d.parted, at, a)
+	}
+}
+
 // expireLostRuns retries the tasks of lost runs that have certainly ended, and
 // removes agents that have been disconnected for agentRetention.
 func (d *Dispatch) expireLostRuns(now time.Duration) {
-	for _, name := range slices.Sorted(maps.Keys(d.agents)) {
-		a := d.agents[name]
+	d.parted = slices.DeleteFunc(d.parted, func(a *agent) bool {
 		for _, x := range a.lostAttempts(func(x *attempt) bool { return now >= x.endedBy }) {
 			d.endAttempt(now, a, x, task.EndLost, 0)
 		}
-		if a.session == 0 && len(a.runs) == 0 && now-a.lastSeen > agentRetention {
-			d.estimates.forget(name)
-			delete(d.agents, name)
+		if a.session != 0 {
+			return !a.hasLostRuns()
 		}
-	}
+		if len(a.runs) == 0 && now-a.lastSeen > agentRetention {
+			d.estimates.forget(a.name)
+			delete(d.agents, a.name)
+			return true
+		}
+		return false
+	})
 }
 
 // agentRetention is how long a disconnected agent is kept, together with the
@@ -292,6 +319,8 @@
 	}
 	a.target = t
 	a.size = resourcesOrZero(t.Capacity())
+	a.speed = d.estimates.speed(a.label(), a.name)
+	a.load = d.loadOf(a.label())
 }
 
 func (a *agent) updateCapacity(r frame.FreeCapacity) {
@@ -304,6 +333,7 @@
 		}
 	}
 	a.unreported = kept
+	a.updateLeft()
 }
 
 // clearLostRuns ends the lost runs of previous connections to an agent that reports
--- a/internal/process/role/dispatch/attempt.go
+++ b/internal/process/role/dispatch/attempt.go
@@ -23,6 +23,7 @@
 type attempt struct {
 	id       frame.RunID
 	task     *jobTask
+	agent    *agent
 	need     task.Resources
 	state    attemptState
 	sent     time.Duration
@@ -62,10 +63,10 @@
 // stopRuns stops the runs of a job and returns their number.
 func (d *Dispatch) stopRuns(j *job) int {
 	stopped := 0
-	for _, a := range d.connected {
-		for _, x := range a.attemptsWhere(func(x *attempt) bool { return x.task.job == j && x.state == attemptSent }) {
+	for _, t := range j.tasks {
+		if x := t.attempt; x != nil && x.state == attemptSent {
 			x.state = attemptStopping
-			a.stops = append(a.stops, x.id)
+			x.agent.stops = append(x.agent.stops, x.id)
 			stopped++
 		}
 	}
@@ -77,8 +78,8 @@
 func (d *Dispatch) endAttempt(now time.Duration, a *agent, x *attempt, end task.End, ran time.Duration) {
 	delete(a.runs, x.id)
 	t := x.task
-	if d.running[t.name()] == x {
-		delete(d.running, t.name())
+	if d.running[t.name] == x {
+		delete(d.running, t.name)
 	}
 	t.attempt = nil
 	j := t.job
@@ -96,15 +97,15 @@
 			d.finish(now, j, StateFailed, "attempts_used")
 			return
 		}
-		t.avoidAgents[a.name] = true
+		t.avoid(a)
 	case task.EndLost, task.EndStopped, task.EndStalled:
-		t.avoidAgents[a.name] = true
+		t.avoid(a)
 	case task.EndRefused:
 		a.backoffUntil = now + refusalBackoff
 	case task.EndNoCapacity:
 		a.backoffUntil = now + capacityBackoff
 	}
-	d.logEvent(event.TaskRetried, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("run", t.name()), event.F("number", t.run),
+	d.logEvent(event.TaskRetried, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("run", t.name), event.F("number", t.run),
 		event.F("agent", a.name), event.F("end", end.String()), event.F("failures", t.failures), event.F("ran_ms", ran.Milliseconds()))
 	j.ready = append([]*jobTask{t}, j.ready...)
 	d.enqueue(j)
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -63,15 +63,30 @@
 	jobs      map[string]*job
 	requests  map[uint64]*job
 	queue     []*job
+	// open and scratch are reused: the agents that can get work in this pass, and a copy
+	// of the queue while it changes.
+	open    []*agent
+	scratch []*job
+	// nextReview is when the queue is reviewed again.
+	nextReview time.Duration
 	// running has the current attempt of each task that may be running, by task name.
-	running   map[string]*attempt
-	finished  map[string]finishedJob
+	running  map[string]*attempt
+	finished map[string]finishedJob
+	// finishedOrder lists the ids of finished in the order of their times.
+	finishedOrder []string
+	// nextDeadline is at or before the earliest deadline of the jobs.
+	nextDeadline time.Duration
+	// parted lists the agents that have no session or have lost runs, by name.
+	parted    []*agent
 	estimates *estimator
 	fairness  *fairness
-	// cachedLoad is the load at the start of the current event; nil if not computed.
-	cachedLoad loadByLabel
-	leaving    bool
-	out        Output
+	// loads has the load by hardware label, and lowestLoad the lowest of them, 1 if
+	// there is none. They were measured in this pass if loadMeasured is set.
+	loads        map[string]*hardwareLoad
+	lowestLoad   float64
+	loadMeasured bool
+	leaving      bool
+	out          Output
 }
 
 // peer is a connection to another entry.
@@ -109,18 +124,23 @@
 		requests:  map[uint64]*job{},
 		running:   map[string]*attempt{},
 		finished:  map[string]finishedJob{},
+		loads:     map[string]*hardwareLoad{},
 		estimates: newEstimator(),
 		fairness:  newFairness(),
 	}
 }
 
-// Handle processes one event and returns the actions to perform.
-func (d *Dispatch) Handle(now time.Duration, ev Event) Output {
+// Handle processes events in their order and returns the actions to perform. It
+// decides once for all of them, so that an entry that is short of processor time
+// spends less of it on each event.
+func (d *Dispatch) Handle(now time.Duration, events ...Event) Output {
 	d.out = Output{}
-	d.cachedLoad = nil
+	d.loadMeasured = false
 	d.expireSessions(now)
 	d.estimates.decay(now)
-	d.apply(now, ev)
+	for _, ev := range events {
+		d.apply(now, ev)
+	}
 	d.expireJobs(now)
 	d.expireLostRuns(now)
 	d.place(now)
--- a/internal/process/role/dispatch/estimate.go
+++ b/internal/process/role/dispatch/estimate.go
@@ -71,6 +71,13 @@
 	return m.measured.value + m.slope()*(declared-m.declared.value)
 }
 
+// base returns the expected run time of a task on a target of factor 1.
+func (m *routeModel) base(estimate time.Duration) time.Duration {
+	return fromLogSeconds(m.predict(logDeclared(estimate)))
+}
+
+// spread returns the standard deviation of the logarithms of run times from their
+// estimates.
 func (m *routeModel) spread() float64 {
 	if m.residual.count < minRuns {
 		return initialSpread
@@ -124,20 +131,36 @@
 	return math.Log(estimate.Seconds())
 }
 
-// base returns the expected run time of a task of a route on a target of factor 1.
-func (e *estimator) base(route string, estimate time.Duration) time.Duration {
-	return fromLogSeconds(getOrCreate(e.routes, route).predict(logDeclared(estimate)))
+// route returns the model of a route.
+func (e *estimator) route(name string) *routeModel {
+	return getOrCreate(e.routes, name)
 }
 
-// spread returns the standard deviation of the logarithms of run times from their
-// estimates.
-func (e *estimator) spread(route string) float64 {
-	return getOrCreate(e.routes, route).spread()
+// speed is the factor of one target. It keeps the last result, since factors are
+// read far more often than they change.
+type speed struct {
+	label  *movingAverage
+	target *movingAverage
+	log    float64
+	factor float64
 }
 
-// factor returns the run time on a target relative to one of factor 1.
-func (e *estimator) factor(label, target string) float64 {
-	return math.Exp(getOrCreate(e.labels, label).value + getOrCreate(e.targets, target).value)
+// speed returns the speed of a target.
+func (e *estimator) speed(label, target string) speed {
+	return speed{
+		label:  getOrCreate(e.labels, label),
+		target: getOrCreate(e.targets, target),
+		factor: 1,
+	}
+}
+
+// value returns the run time on the target relative to one of factor 1.
+func (s *speed) value() float64 {
+	if x := s.label.value + s.target.value; x != s.log {
+		s.log = x
+		s.factor = math.Exp(x)
+	}
+	return s.factor
 }
 
 // observe adds the run time of a successful run.
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -27,6 +27,7 @@
 	work     task.Job
 	trace    string
 	route    route.Route
+	model    *routeModel
 	callers  []uint64
 	accepted time.Duration
 	deadline time.Duration
@@ -47,7 +48,9 @@
 	// job's tasks.
 	observedRatio movingAverage
 	steps         []*step
-	ready         []*jobTask
+	// tasks are the tasks of all released steps, and ready those that can be placed.
+	tasks []*jobTask
+	ready []*jobTask
 	// started is set once a task may have started.
 	started bool
 	ended   bool
@@ -63,11 +66,14 @@
 
 // jobTask is one task of a job.
 type jobTask struct {
-	job         *job
-	step        int
-	index       int
-	run         int64
-	failures    int
+	job      *job
+	step     int
+	index    int
+	name     string
+	run      int64
+	failures int
+	// avoidAgents has the agents on which a run of the task failed, was lost or was
+	// stopped; nil before the first.
 	avoidAgents map[string]bool
 	// measuredTime is a lower bound of the run time on a target of factor 1, from the
 	// progress of a run that was stopped because only a faster target can end the task
@@ -77,8 +83,11 @@
 	done         bool
 }
 
-func (t *jobTask) name() string {
-	return task.NewRun(t.job.work.ID(), t.step, t.index, 0).TaskName()
+func (t *jobTask) avoid(a *agent) {
+	if t.avoidAgents == nil {
+		t.avoidAgents = map[string]bool{}
+	}
+	t.avoidAgents[a.name] = true
 }
 
 func (d *Dispatch) answer(request uint64, s State, reason string, retryAfter time.Duration) {
@@ -164,6 +173,7 @@
 		work:     work,
 		trace:    s.trace,
 		route:    r,
+		model:    d.estimates.route(r.Name()),
 		callers:  []uint64{s.request},
 		accepted: now,
 		deadline: now + limit,
@@ -181,6 +191,7 @@
 	}
 	j.releaseSteps()
 	d.jobs[work.ID()] = j
+	d.nextDeadline = min(d.nextDeadline, j.deadline)
 	d.requests[s.request] = j
 	d.enqueue(j)
 	d.logAccepted(now, j)
@@ -194,12 +205,14 @@
 		}
 		st.released = true
 		for n := range j.work.Steps()[i].Count() {
-			j.ready = append(j.ready, &jobTask{
-				job:         j,
-				step:        i,
-				index:       n,
-				avoidAgents: map[string]bool{},
-			})
+			t := &jobTask{
+				job:   j,
+				step:  i,
+				index: n,
+				name:  task.NewRun(j.work.ID(), i, n, 0).TaskName(),
+			}
+			j.tasks = append(j.tasks, t)
+			j.ready = append(j.ready, t)
 		}
 	}
 }
@@ -234,10 +247,7 @@
 	}
 	stopped := d.stopRuns(j)
 	if s == StateComplete || s == StateFailed || s == StateCancelled {
-		d.finished[j.work.ID()] = finishedJob{
-			state:      s,
-			finishedAt: now,
-		}
+		d.keepOutcome(now, j.work.ID(), s)
 	}
 	name := event.JobEnded
 	if s == StateRefused {
@@ -302,6 +312,15 @@
 	return true
 }
 
+// keepOutcome keeps the outcome of a finished job for answerRetention.
+func (d *Dispatch) keepOutcome(now time.Duration, id string, s State) {
+	d.finished[id] = finishedJob{
+		state:      s,
+		finishedAt: now,
+	}
+	d.finishedOrder = append(d.finishedOrder, id)
+}
+
 // expireJobs ends the jobs past their deadline and removes old outcomes.
 func (d *Dispatch) expireJobs(now time.Duration) {
 	for _, id := range d.overdueJobs(now) {
@@ -312,9 +331,12 @@
 			d.finish(now, j, StateRefused, "deadline")
 		}
 	}
-	for id, p := range d.finished {
-		if now-p.finishedAt >= answerRetention {
-			delete(d.finished, id)
+	for len(d.finishedOrder) > 0 {
+		id := d.finishedOrder[0]
+		if p, ok := d.finished[id]; ok && now-p.finishedAt < answerRetention {
+			return
 		}
+		delete(d.finished, id)
+		d.finishedOrder = d.finishedOrder[1:]
 	}
 }
--- a/internal/process/role/dispatch/order.go
+++ b/internal/process/role/dispatch/order.go
@@ -23,6 +23,9 @@
 	// maxQueueShare is the share of its time limit after which a job that has not
 	// started is refused, so that its caller can try elsewhere.
 	maxQueueShare = 0.45
+	// reviewInterval is the minimum time between two reviews of the queue. It is short
+	// against the shortest commitment.
+	reviewInterval = 5 * time.Millisecond
 	// rankSlackShare is the share of its slack that is added to the rank of a job; see
 	// prioritize.
 	rankSlackShare = 0.3
@@ -45,7 +48,7 @@
 	sum, n := 0.0, 0
 	for _, a := range d.connected {
 		if a.target.Service() == service {
-			sum += d.estimates.factor(a.label(), a.name)
+			sum += a.speed.value()
 			n++
 		}
 	}
@@ -60,7 +63,7 @@
 	best := math.Inf(1)
 	for _, a := range d.connected {
 		if a.usable() && a.target.Service() == service {
-			best = math.Min(best, d.estimates.factor(a.label(), a.name))
+			best = math.Min(best, a.speed.value())
 		}
 	}
 	if math.IsInf(best, 1) {
@@ -87,7 +90,7 @@
 		for _, p := range s.Prerequisites() {
 			before = max(before, j.steps[p].criticalPath)
 		}
-		own := float64(d.estimates.base(j.route.Name(), s.Estimate())) * longestFactor(s.Count())
+		own := float64(j.model.base(s.Estimate())) * longestFactor(s.Count())
 		j.steps[i].criticalPath = before + time.Duration(own)
 		longest = max(longest, j.steps[i].criticalPath)
 	}
@@ -109,7 +112,7 @@
 	j.usefulUntil = j.accepted + min(usefulFactor*commitment, limit)
 	j.fastestTime = fast
 	// The spread is a margin for estimates that are too low.
-	j.latestStart = j.due - time.Duration(float64(fast)*(1+d.estimates.spread(j.route.Name())))
+	j.latestStart = j.due - time.Duration(float64(fast)*(1+j.model.spread()))
 	j.relativeSize = d.fairness.relativeSize(j.route.Name(), d.jobWork(j))
 	j.fairnessGroup = groupOf(j.route.Name(), j.relativeSize)
 	slack := time.Duration(rankSlackShare * float64(j.latestStart-j.accepted))
@@ -121,7 +124,7 @@
 	sum := 0.0
 	for _, s := range j.work.Steps() {
 		cores := float64(s.Resources().MilliCores())/1000 + acceleratorCores*float64(s.Resources().Accelerators())
-		sum += cores * float64(s.Count()) * d.estimates.base(j.route.Name(), s.Estimate()).Seconds()
+		sum += cores * float64(s.Count()) * j.model.base(s.Estimate()).Seconds()
 	}
 	return sum
 }
@@ -129,20 +132,26 @@
 // unlikelyInTime reports whether a job that starts now has too low a probability of
 // a useful answer, even on the fastest target.
 func (d *Dispatch) unlikelyInTime(now time.Duration, j *job) bool {
-	return probabilityWithin(j.usefulUntil-now, j.fastestTime, d.estimates.spread(j.route.Name())) < d.minProbability()
+	return probabilityWithin(j.usefulUntil-now, j.fastestTime, j.model.spread()) < d.minProbability()
 }
 
 // minProbability returns the probability of an answer in time from which a job is
 // worth its capacity.
 func (d *Dispatch) minProbability() float64 {
-	return minProbabilityIdle + (minProbabilityFull-minProbabilityIdle)*scarcity(d.load().lowest())
+	d.measureLoad()
+	return minProbabilityIdle + (minProbabilityFull-minProbabilityIdle)*scarcity(d.lowestLoad)
 }
 
 // reviewQueue refuses queued jobs that have not started and have waited too long or
 // are unlikely to be answered in time. It abandons jobs with an overdue task, and
 // moves jobs that can no longer meet their commitment behind the others.
 func (d *Dispatch) reviewQueue(now time.Duration) {
-	for _, j := range append([]*job(nil), d.queue...) {
+	if now < d.nextReview || len(d.queue) == 0 {
+		return
+	}
+	d.nextReview = now + reviewInterval
+	d.scratch = append(d.scratch[:0], d.queue...)
+	for _, j := range d.scratch {
 		if !j.started && (d.unlikelyInTime(now, j) || now-j.accepted > time.Duration(maxQueueShare*float64(j.deadline-j.accepted))) {
 			d.finish(now, j, StateRefused, "no_room_in_time")
 			continue
@@ -185,7 +194,7 @@
 	if ran <= 0 {
 		return
 	}
-	x := float64(d.estimates.base(j.route.Name(), s.Estimate())) * d.estimates.factor(a.label(), a.name)
+	x := float64(j.model.base(s.Estimate())) * a.speed.value()
 	j.observedRatio.add(math.Log(math.Max(ran.Seconds(), 1e-4)/math.Max(x/float64(time.Second), 1e-4)), 0)
 }
 
@@ -197,11 +206,17 @@
 
 // overdueJobs returns the sorted ids of the jobs past their deadline.
 func (d *Dispatch) overdueJobs(now time.Duration) []string {
+	if now < d.nextDeadline {
+		return nil
+	}
 	var ids []string
+	d.nextDeadline = math.MaxInt64
 	for id, j := range d.jobs {
 		if now >= j.deadline {
 			ids = append(ids, id)
+			continue
 		}
+		d.nextDeadline = min(d.nextDeadline, j.deadline)
 	}
 	sort.Strings(ids)
 	return ids
--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -75,8 +75,10 @@
 	if len(d.queue) == 0 {
 		return
 	}
+	d.findOpen(now)
+	d.scratch = append(d.scratch[:0], d.queue...)
 	blocked := 0
-	for _, j := range append([]*job(nil), d.queue...) {
+	for _, j := range d.scratch {
 		if !d.placeJob(now, j) {
 			blocked++
 		}
@@ -89,49 +91,14 @@
 	}
 }
 
-// loadByLabel is the occupied share of the capacity, between 0 and 1, by hardware
-// label.
-type loadByLabel map[string]float64
-
-// load returns the load at the start of the current event.
-func (d *Dispatch) load() loadByLabel {
-	if d.cachedLoad == nil {
-		d.cachedLoad = d.measureLoad()
-	}
-	return d.cachedLoad
-}
-
-// lowest returns the load of the least loaded kind of hardware, 1 if there is none.
-func (l loadByLabel) lowest() float64 {
-	least := 1.0
-	for _, x := range l {
-		least = min(least, x)
-	}
-	return least
-}
-
-// scarcity returns the value of free capacity at a load, between 0 and 1.
-func scarcity(load float64) float64 {
-	return max(0, load-freeLoadLimit) / (1 - freeLoadLimit)
-}
-
-func (d *Dispatch) measureLoad() loadByLabel {
-	used := map[string]int64{}
-	size := map[string]int64{}
+// findOpen lists the agents that can get work in this pass.
+func (d *Dispatch) findOpen(now time.Duration) {
+	d.open = d.open[:0]
 	for _, a := range d.connected {
-		if !a.usable() {
-			continue
-		}
-		size[a.label()] += a.size.MilliCores()
-		used[a.label()] += a.size.MilliCores() - max(a.available().MilliCores(), 0)
-	}
-	l := loadByLabel{}
-	for label, n := range size {
-		if n > 0 {
-			l[label] = float64(used[label]) / float64(n)
+		if a.usable() && now >= a.backoffUntil && now-a.lastSeen <= maxReportAge && a.clock != 0 && a.health.admits(now, len(a.runs)) {
+			d.open = append(d.open, a)
 		}
 	}
-	return l
 }
 
 // placeJob places the ready tasks of a job. It returns false if a task found no
@@ -140,7 +107,7 @@
 	var rest []*jobTask
 	placedAll := true
 	for i, t := range j.ready {
-		if d.running[t.name()] != nil {
+		if d.running[t.name] != nil {
 			rest = append(rest, t)
 			continue
 		}
@@ -165,15 +132,15 @@
 	lengthKnown := t.measuredTime > 0 || t.job.observedRatio.count > 0
 	var best *agent
 	var bestCost float64
-	for _, a := range d.connected {
-		if !d.fits(now, a, t, s) || lengthKnown && now+d.expectedTime(a, s, base) > t.job.deadline {
+	for _, a := range d.open {
+		if !a.fits(t, s) || lengthKnown && now+d.expectedTime(a, s, base) > t.job.deadline {
 			continue
 		}
 		cost, ok := d.cost(now, a, t, s, base)
 		if !ok {
 			continue
 		}
-		if best == nil || cost < bestCost || cost == bestCost && a.available().Quotient(s.Resources()) > best.available().Quotient(s.Resources()) {
+		if best == nil || cost < bestCost || cost == bestCost && a.left.Quotient(s.Resources()) > best.left.Quotient(s.Resources()) {
 			best = a
 			bestCost = cost
 		}
@@ -190,7 +157,7 @@
 		return t.measuredTime
 	}
 	s := t.job.work.Steps()[t.step]
-	return t.job.adjustEstimate(d.estimates.base(t.job.route.Name(), s.Estimate()))
+	return t.job.adjustEstimate(t.job.model.base(s.Estimate()))
 }
 
 // chooseQueue returns the agent with the most capacity left, or the smallest
@@ -198,29 +165,28 @@
 // agent, which starts first what it accepted first.
 func (d *Dispatch) chooseQueue(now time.Duration, t *jobTask, s task.Step, base time.Duration) *agent {
 	var best *agent
-	for _, a := range d.connected {
-		if !d.eligible(now, a, t, s) || a.queuedStarts >= maxQueuedStarts || now+d.expectedTime(a, s, base) > t.job.deadline {
+	for _, a := range d.open {
+		if !a.eligible(t, s) || a.queuedStarts >= maxQueuedStarts || now+d.expectedTime(a, s, base) > t.job.deadline {
 			continue
 		}
-		if best == nil || a.available().MilliCores() > best.available().MilliCores() {
+		if best == nil || a.left.MilliCores() > best.left.MilliCores() {
 			best = a
 		}
 	}
 	return best
 }
 
-func (d *Dispatch) fits(now time.Duration, a *agent, t *jobTask, s task.Step) bool {
-	return d.eligible(now, a, t, s) && a.available().Covers(s.Resources())
+func (a *agent) fits(t *jobTask, s task.Step) bool {
+	return a.left.Covers(s.Resources()) && a.eligible(t, s)
 }
 
-// eligible reports whether an agent may get a task, apart from its free capacity.
-func (d *Dispatch) eligible(now time.Duration, a *agent, t *jobTask, s task.Step) bool {
+// eligible reports whether an open agent may get a task, apart from its free
+// capacity.
+func (a *agent) eligible(t *jobTask, s task.Step) bool {
 	switch {
-	case !a.usable() || a.target.Service() != t.job.route.Service():
-		return false
-	case now < a.backoffUntil || now-a.lastSeen > maxReportAge || a.clock == 0:
+	case a.target.Service() != t.job.route.Service(), !a.hasLabel(s.Label()):
 		return false
-	case !a.hasLabel(s.Label()) || !a.health.admits(now, len(a.runs)):
+	case a.health.probationLeft > 0 && len(a.runs) >= maxProbes:
 		return false
 	case s.MaxPerTarget() > 0 && a.countRuns(t.job, t.step) >= s.MaxPerTarget():
 		return false
@@ -231,7 +197,7 @@
 // expectedTime returns the expected run time on an agent, including cold start,
 // transfers from another rack, and the penalty of another availability zone.
 func (d *Dispatch) expectedTime(a *agent, s task.Step, base time.Duration) time.Duration {
-	x := time.Duration(float64(base)*d.estimates.factor(a.label(), a.name)) + a.target.WarmUp()
+	x := time.Duration(float64(base)*a.speed.value()) + a.target.WarmUp()
 	if s.Rack() != "" && a.rack() != s.Rack() {
 		x += base / 2
 	}
@@ -249,7 +215,7 @@
 func (d *Dispatch) cost(now time.Duration, a *agent, t *jobTask, s task.Step, base time.Duration) (float64, bool) {
 	x := d.expectedTime(a, s, base)
 	j := t.job
-	spread := d.estimates.spread(j.route.Name())
+	spread := j.model.spread()
 	useful := probabilityWithin(j.usefulUntil-now, x, spread)
 	if useful < d.minProbability() && t.run == 0 && !j.started {
 		return 0, false
@@ -262,7 +228,8 @@
 	if t.avoidAgents[a.name] {
 		late += avoidWeight
 	}
-	u := scarcity(d.load()[a.label()])
+	d.measureLoad()
+	u := scarcity(a.load.share())
 	return jobValue(j.relativeSize)*(lateWeight*late+lossWeight*(1-useful)) + loadWeight*u*u + x.Seconds()*speedWeight, true
 }
 
@@ -286,6 +253,7 @@
 	x := &attempt{
 		id:       frame.NewRunID(j.work.ID(), t.step, t.index, t.run),
 		task:     t,
+		agent:    a,
 		need:     s.Resources(),
 		state:    attemptSent,
 		sent:     now,
@@ -294,12 +262,13 @@
 	t.attempt = x
 	j.started = true
 	a.runs[x.id] = x
-	d.running[t.name()] = x
+	d.running[t.name] = x
 	a.lastStart++
 	a.unreported = append(a.unreported, unreportedStart{
 		number: a.lastStart,
 		need:   s.Resources(),
 	})
+	a.left = a.left.Sub(s.Resources())
 	n := s.Resources()
 	st := frame.NewStart(a.lastStart, j.work.ID(), t.step, []int{t.index}, []int64{t.run}, j.work.Spec()).
 		WithResources(n.MilliCores(), n.MemoryMB(), n.Accelerators()).
--- a/internal/process/role/dispatch/progress.go
+++ b/internal/process/role/dispatch/progress.go
@@ -38,7 +38,7 @@
 	if now+least-ran <= j.deadline {
 		return
 	}
-	own := d.estimates.factor(a.label(), a.name)
+	own := a.speed.value()
 	best := time.Duration(float64(least) * d.fastestFactor(j.route.Service()) / own)
 	if now+moveDelay+best > j.deadline {
 		d.logOverdue(now, a, x, p, best, "given_up")
@@ -63,7 +63,7 @@
 func (d *Dispatch) observeProjection(a *agent, x *attempt) {
 	j := x.task.job
 	s := j.work.Steps()[x.task.step]
-	expected := float64(d.estimates.base(j.route.Name(), s.Estimate())) * d.estimates.factor(a.label(), a.name)
+	expected := float64(j.model.base(s.Estimate())) * a.speed.value()
 	if j.observedRatio.count > 0 || expected <= 0 {
 		return
 	}
@@ -75,6 +75,6 @@
 // time where it is.
 func (d *Dispatch) moveRun(a *agent, x *attempt) {
 	x.state = attemptStopping
-	x.task.avoidAgents[a.name] = true
+	x.task.avoid(a)
 	a.stops = append(a.stops, x.id)
 }
