--- a/internal/process/log/journal.go
+++ b/internal/process/log/journal.go
@@ -5,8 +5,6 @@
 	"io"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 )
@@ -17,6 +15,8 @@
 	journalCapacity = 4096
 	// linesPerSecond limits the volume; an entry writes about four lines per task.
 	linesPerSecond = 1500
+	// maxWrite is the number of bytes from which queued lines are written.
+	maxWrite = 32 << 10
 	// burstLines is the number of lines that may exceed the rate after an idle
 	// period.
 	burstLines = 3000
@@ -28,7 +28,10 @@
 // caller: a note that finds the ring full or exceeds the rate limit, a token
 // bucket, is dropped and counted.
 type Journal struct {
-	log        *logrus.Entry
+	out     io.Writer
+	process string
+	// lines are the encoded lines that have not been written yet.
+	lines      []byte
 	ring       *ring.Ring[timedNote]
 	now        func() time.Time
 	tokens     float64
@@ -45,22 +48,13 @@
 
 // NewJournal returns a journal that writes JSON lines of the named process to w.
 func NewJournal(w io.Writer, process string, now func() time.Time) (*Journal, error) {
-	l, err := New(w, "json", "info", process)
-	if err != nil {
-		return nil, err
-	}
-	l.Logger.SetFormatter(&logrus.JSONFormatter{
-		TimestampFormat: "2006-01-02T15:04:05.000Z07:00",
-		FieldMap: logrus.FieldMap{
-			logrus.FieldKeyMsg: "event",
-		},
-	})
 	r, err := ring.New[timedNote]("journal", journalCapacity)
 	if err != nil {
 		return nil, err
 	}
 	return &Journal{
-		log:        l,
+		out:        w,
+		process:    process,
 		ring:       r,
 		now:        now,
 		tokens:     burstLines,
@@ -82,22 +76,38 @@
 	return j.ring.Depth(), j.ring.Size(), j.ring.Rejected()
 }
 
-// Run writes notes until ctx ends, and then the notes that are still queued.
+// Run writes notes until ctx ends, and then the notes that are still queued. Notes
+// that wait are written together.
 func (j *Journal) Run(ctx context.Context) error {
 	for {
-		s, err := j.ring.Pop(ctx)
+		n, err := j.ring.Pop(ctx)
 		if err != nil {
 			break
 		}
-		j.write(s)
+		j.write(n)
+		j.writeQueued()
 	}
-	for {
+	for j.ring.Depth() > 0 {
+		j.writeQueued()
+	}
+	return nil
+}
+
+// writeQueued writes the notes that are queued now.
+func (j *Journal) writeQueued() {
+	for len(j.lines) < maxWrite {
 		select {
-		case s := <-j.ring.Out():
-			j.write(s)
+		case n := <-j.ring.Out():
+			j.write(n)
+			continue
 		default:
-			return nil
 		}
+		break
+	}
+	if len(j.lines) > 0 {
+		// A closed output must not end the process.
+		_, _ = j.out.Write(j.lines)
+		j.lines = j.lines[:0]
 	}
 }
 
@@ -110,7 +120,7 @@
 	}
 	j.tokens--
 	j.reportDropped(s.at)
-	j.writeLine(s.at, s.note)
+	j.lines = appendLine(j.lines, s.at, j.process, s.note)
 }
 
 func (j *Journal) reportDropped(at time.Time) {
@@ -118,15 +128,7 @@
 	if total == j.reported || at.Sub(j.lastReport) < dropReportInterval {
 		return
 	}
-	j.writeLine(at, event.New(event.LinesDropped, event.F("count", total-j.reported)))
+	j.lines = appendLine(j.lines, at, j.process, event.New(event.LinesDropped, event.F("count", total-j.reported)))
 	j.reported = total
 	j.lastReport = at
 }
-
-func (j *Journal) writeLine(at time.Time, n event.Note) {
-	fields := make(logrus.Fields, len(n.Fields()))
-	for _, f := range n.Fields() {
-		fields[f.Key()] = f.Value()
-	}
-	j.log.WithTime(at).WithFields(fields).Info(string(n.Name()))
-}
