--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,10 @@
 	"greengagedoor.example/greengagedoor/internal/version/route"
 )
 
+// maxBatch bounds the events of one pass of the dispatcher, so that answers and
+// starts are not held up by a long queue.
+const maxBatch = 128
+
 // ErrOverloaded reports a request that is rejected because the ring is full.
 var ErrOverloaded = errors.New("entry is overloaded")
 
@@ -55,14 +60,16 @@
 
 // Entry is the process that accepts callers' requests and assigns tasks to agents.
 type Entry struct {
-	base        *base
-	dispatch    *dispatch.Dispatch
-	ring        *ring.Ring[any]
-	links       *links
-	streams     map[uint64]*stream.Stream
-	roles       map[uint64]frame.Role
-	replies     map[uint64]chan dispatch.Answer
-	peers       []frame.Peer
+	base     *base
+	dispatch *dispatch.Dispatch
+	ring     *ring.Ring[any]
+	links    *links
+	streams  map[uint64]*stream.Stream
+	roles    map[uint64]frame.Role
+	replies  map[uint64]chan dispatch.Answer
+	peers    []frame.Peer
+	// events is reused by takeAll.
+	events      []dispatch.Event
 	lastRequest atomic.Uint64
 	ready       atomic.Bool
 	idle        atomic.Bool
@@ -244,7 +251,7 @@
 	for {
 		select {
 		case m := <-e.ring.Out():
-			e.receive(m)
+			e.handle(e.takeAll(m)...)
 		case <-ticker.C:
 			e.handle(dispatch.Tick())
 		case <-ctx.Done():
@@ -253,35 +260,56 @@
 	}
 }
 
-func (e *Entry) receive(m any) {
+// takeAll returns the events of a message and of those that wait behind it. The
+// readers of streams that have a frame push it first, so that one pass of the
+// dispatcher decides on all of them.
+func (e *Entry) takeAll(m any) []dispatch.Event {
+	runtime.Gosched()
+	events := append(e.events[:0], e.receive(m)...)
+	for len(events) < maxBatch {
+		select {
+		case m := <-e.ring.Out():
+			events = append(events, e.receive(m)...)
+			continue
+		default:
+		}
+		break
+	}
+	e.events = events
+	return events
+}
+
+// receive returns the events of a message.
+func (e *Entry) receive(m any) []dispatch.Event {
 	switch m := m.(type) {
 	case request:
 		e.replies[m.number] = m.reply
-		e.handle(m.event)
+		return []dispatch.Event{m.event}
 	case callerLeft:
 		delete(e.replies, m.number)
-		e.handle(dispatch.CallerLeft(m.number))
+		return []dispatch.Event{dispatch.CallerLeft(m.number)}
 	case dispatch.Event:
-		e.handle(m)
+		return []dispatch.Event{m}
 	case streamOpened:
 		e.streams[m.stream.Number()] = m.stream
 		e.roles[m.stream.Number()] = m.hello.Role()
-		e.handle(dispatch.SessionOpened(m.stream.Number(), m.hello))
 		e.sendPeers(m.stream)
+		return []dispatch.Event{dispatch.SessionOpened(m.stream.Number(), m.hello)}
 	case frameReceived:
-		e.handle(dispatch.FrameReceived(m.stream.Number(), m.frame))
+		return []dispatch.Event{dispatch.FrameReceived(m.stream.Number(), m.frame)}
 	case streamClosed:
 		delete(e.streams, m.stream.Number())
 		delete(e.roles, m.stream.Number())
-		e.handle(dispatch.SessionClosed(m.stream.Number()))
+		return []dispatch.Event{dispatch.SessionClosed(m.stream.Number())}
 	case frame.Config:
-		e.applyConfiguration(m)
+		return e.decodeConfiguration(m)
 	case entriesFound:
 		e.peers = m.peers
 		for _, s := range e.streams {
 			e.sendPeers(s)
 		}
 	}
+	return nil
 }
 
 // sendPeers sends the addresses of the known entries to an agent.
@@ -294,20 +322,20 @@
 	})
 }
 
-// applyConfiguration decodes a stored configuration and passes it to the
-// dispatcher. An invalid one is logged and ignored.
-func (e *Entry) applyConfiguration(c frame.Config) {
+// decodeConfiguration returns the event of a stored configuration. An invalid one is
+// logged and ignored.
+func (e *Entry) decodeConfiguration(c frame.Config) []dispatch.Event {
 	v, err := e.base.deps.Decode(c.Body())
 	if err != nil {
 		e.base.logEvent(event.ConfigInvalid, event.F("error", err.Error()), event.F("bytes", len(c.Body())))
-		return
+		return nil
 	}
-	e.handle(dispatch.VersionReceived(v, frame.NewConfig(v.Number(), c.Body())))
+	return []dispatch.Event{dispatch.VersionReceived(v, frame.NewConfig(v.Number(), c.Body()))}
 }
 
-// handle passes an event to the dispatcher and carries out its output.
-func (e *Entry) handle(ev dispatch.Event) {
-	out := e.dispatch.Handle(e.base.clock(), ev)
+// handle passes events to the dispatcher and carries out its output.
+func (e *Entry) handle(events ...dispatch.Event) {
+	out := e.dispatch.Handle(e.base.clock(), events...)
 	for _, n := range out.Notes() {
 		e.base.log(n)
 	}
@@ -330,7 +358,7 @@
 		}
 	}
 	for _, c := range out.Configs() {
-		e.applyConfiguration(c)
+		e.handle(e.decodeConfiguration(c)...)
 	}
 	e.ready.Store(e.dispatch.Ready())
 	e.idle.Store(e.dispatch.Idle())
