Let an entry say how often its agents report free capacity

Every agent reported free capacity and progress to every entry up to 40 times a second: 2,200 frames a second for an entry of 55 agents, and more for its smallest hosts, which have 0.19 of a core, than they could read.

An entry now asks for an interval that bounds these reports to 800 a second: 69 ms with 55 agents, 25 ms as before up to 20. Ends are reported at once as before.

--- a/internal/connection/frame/codec.go
+++ b/internal/connection/frame/codec.go
@@ -100,6 +100,7 @@
 	for _, p := range f.Progress {
 		e.message(16, p.encode)
 	}
+	e.duration(17, f.ReportInterval)
 	return e.b
 }
 
--- a/internal/connection/frame/decode.go
+++ b/internal/connection/frame/decode.go
@@ -141,6 +141,8 @@
 		err := decode(x.bytes, p.setField)
 		f.Progress = append(f.Progress, p)
 		return err
+	case 17:
+		f.ReportInterval = x.duration()
 	}
 	return nil
 }
--- a/internal/connection/frame/frame.go
+++ b/internal/connection/frame/frame.go
@@ -236,6 +236,9 @@
 	Echo time.Duration
 	// ConfigVersion is the number of the sender's configuration.
 	ConfigVersion int64
+	// ReportInterval is the minimum time between two frames of the receiver that report
+	// only free capacity and progress, 0 to change nothing.
+	ReportInterval time.Duration
 	// EarlierRunsEnded reports that all runs of earlier connections between the two
 	// processes have ended.
 	EarlierRunsEnded bool
--- a/internal/connection/frame/frame_test.go
+++ b/internal/connection/frame/frame_test.go
@@ -25,6 +25,7 @@
 		Clock:            time.Minute,
 		Echo:             time.Second,
 		ConfigVersion:    4,
+		ReportInterval:   70 * time.Millisecond,
 		EarlierRunsEnded: true,
 		Leaving:          true,
 		Starts:           []frame.Start{frame.NewStart(1, "job", 0, []int{0, 5}, []int64{1, 2}, "spec").WithResources(1, 2, 3).WithTimes(4, 5*time.Second, -6)},
--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -108,13 +108,25 @@
 	return now-a.lastSent >= interval
 }
 
+// maxReports is the number of reports of free capacity that all agents together send
+// in a second.
+const maxReports = 800
+
+// reportInterval returns the interval at which each agent may report free capacity,
+// so that the reports of a large site do not take the processor time of its smallest
+// entries.
+func (d *Dispatch) reportInterval() time.Duration {
+	return time.Duration(len(d.connected)) * time.Second / maxReports
+}
+
 func (d *Dispatch) sendAgent(now time.Duration, a *agent) {
 	f := frame.Frame{
-		Echo:          a.clock,
-		ConfigVersion: d.config.Number(),
-		Leaving:       d.leaving,
-		Stops:         a.stops,
-		Cancels:       a.cancels,
+		Echo:           a.clock,
+		ConfigVersion:  d.config.Number(),
+		ReportInterval: d.reportInterval(),
+		Leaving:        d.leaving,
+		Stops:          a.stops,
+		Cancels:        a.cancels,
 	}
 	for _, s := range a.starts {
 		f.Starts = append(f.Starts, *s)
--- a/internal/process/role/executor/executor.go
+++ b/internal/process/role/executor/executor.go
@@ -99,8 +99,7 @@
 	// freezeThreshold is the time without any event after which the agent assumes
 	// that it was frozen. Ticks arrive many times within it.
 	freezeThreshold = 250 * time.Millisecond
-	// capacityInterval is the minimum time between two frames that report only free
-	// capacity and progress.
+	// capacityInterval is the least interval of reports of free capacity and progress.
 	capacityInterval = 25 * time.Millisecond
 	// maxQueued bounds the accepted starts that wait for capacity.
 	maxQueued = 16
--- a/internal/process/role/executor/session.go
+++ b/internal/process/role/executor/session.go
@@ -17,8 +17,11 @@
 	echo        time.Duration
 	sent        time.Duration
 	capacityDue bool
-	started     []frame.RunID
-	ended       []frame.Ended
+	// reportInterval is the minimum time between two frames that report only free
+	// capacity and progress. The entry asks for a longer one if it has many agents.
+	reportInterval time.Duration
+	started        []frame.RunID
+	ended          []frame.Ended
 	// progress is what the next frame reports about active runs.
 	progress   []frame.Progress
 	lastStart  uint64
@@ -31,10 +34,11 @@
 
 func (s *StateMachine) openSession(now time.Duration, o Opened) {
 	s.sessions[o.session] = &session{
-		number:  o.session,
-		entry:   o.hello.Name(),
-		echo:    now,
-		sendNow: true,
+		number:         o.session,
+		entry:          o.hello.Name(),
+		echo:           now,
+		reportInterval: capacityInterval,
+		sendNow:        true,
 	}
 	s.logEvent(event.SessionOpened, event.F("entry", o.hello.Name()), event.F("session", o.session))
 }
@@ -87,6 +91,9 @@
 		return
 	}
 	s.updateConfig(sess, f)
+	if f.ReportInterval > 0 {
+		sess.reportInterval = min(max(f.ReportInterval, capacityInterval), s.timing.heartbeatInterval)
+	}
 	for _, st := range f.Starts {
 		s.handleStart(now, sess, st)
 	}
@@ -123,7 +130,7 @@
 	for _, n := range s.sessionNumbers() {
 		sess := s.sessions[n]
 		sinceSent := now - sess.sent
-		if sess.sendNow || !sess.targetSent || len(sess.ended)+len(sess.started) > 0 || sinceSent >= s.timing.heartbeatInterval || sess.capacityDue && sinceSent >= capacityInterval {
+		if sess.sendNow || !sess.targetSent || len(sess.ended)+len(sess.started) > 0 || sinceSent >= s.timing.heartbeatInterval || sess.capacityDue && sinceSent >= sess.reportInterval {
 			s.sendFrame(now, sess)
 		}
 	}
