Count the caller's time from the arrival of a request

A request that waited for the decision of a busy entry got its whole time from there on, so that the entry worked for callers that had left. The request carries its time of arrival now, and one without enough time left is refused at once. A request that finds the entry's ring full is refused with 503 and Retry-After instead of 504, since nothing of it has run.

job_accepted, job_ended and job_refused say how long a request waited, its size class and expected work, and how many of its tasks were done, so that a table of ends by size can be made of the log.

--- a/cmd/greengagedoor/platform.go
+++ b/cmd/greengagedoor/platform.go
@@ -123,6 +123,7 @@
 // entryCalls returns the calls of an entry that the handler for callers needs.
 func entryCalls(e *server.Entry) platform.EntryCalls {
 	return platform.EntryCalls{
+		Now:    e.Now,
 		Submit: e.Submit,
 		Cancel: e.Cancel,
 		Query:  e.Query,
--- a/internal/process/role/dispatch/event.go
+++ b/internal/process/role/dispatch/event.go
@@ -33,6 +33,7 @@
 	spec      string
 	steps     []task.Step
 	timeLimit time.Duration
+	arrived   time.Duration
 }
 
 // NewSubmission returns the submission of a request to a host and path. The trace
@@ -54,6 +55,13 @@
 	return s
 }
 
+// ArrivedAt returns the submission of a request that arrived at a time of the entry's
+// clock. The caller's time counts from then; without it, from the event's time.
+func (s Submission) ArrivedAt(t time.Duration) Submission {
+	s.arrived = t
+	return s
+}
+
 // Submitted is the event of a new submission.
 func Submitted(s Submission) Event {
 	return Event{
@@ -246,6 +254,18 @@
 	return a.retryAfter
 }
 
+// ReasonOverloaded is the reason of a request that an entry cannot decide on in time.
+const ReasonOverloaded = "overloaded"
+
+// Overloaded returns the answer to a request that did not reach the state machine.
+func Overloaded() Answer {
+	return Answer{
+		state:      StateRefused,
+		reason:     ReasonOverloaded,
+		retryAfter: defaultRetryAfter,
+	}
+}
+
 // OutgoingFrame is a frame to send on a session.
 type OutgoingFrame struct {
 	session uint64
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -24,12 +24,14 @@
 
 // job is a job from its request to its answer.
 type job struct {
-	work     task.Job
-	trace    string
-	route    route.Route
-	model    *routeModel
-	callers  []uint64
-	accepted time.Duration
+	work    task.Job
+	trace   string
+	route   route.Route
+	model   *routeModel
+	callers []uint64
+	// arrived is when the request arrived, which may be some time before the decision
+	// on it.
+	arrived  time.Duration
 	deadline time.Duration
 	// due is when the commitment expires. An answer after usefulUntil has no value for
 	// the caller.
@@ -41,6 +43,8 @@
 	latestStart time.Duration
 	rank        int64
 	demoted     bool
+	// coreSeconds is the expected work on a target of factor 1.
+	coreSeconds float64
 	// relativeSize is the work of the job relative to the mean of its route.
 	relativeSize  float64
 	fairnessGroup group
@@ -108,9 +112,14 @@
 	return r, strings.TrimPrefix(path, r.Prefix()), true
 }
 
-func (d *Dispatch) refuse(s Submission, id string, st State, reason string, retryAfter time.Duration) {
-	d.logEvent(event.JobRefused, event.F("job", id), event.F("trace", s.trace), event.F("reason", reason),
-		event.F("retry_after_ms", retryAfter.Milliseconds()), event.F("jobs_held", len(d.jobs)))
+func (d *Dispatch) refuse(s Submission, id string, st State, reason string, retryAfter time.Duration, fields ...event.Field) {
+	d.logEvent(event.JobRefused, append([]event.Field{
+		event.F("job", id),
+		event.F("trace", s.trace),
+		event.F("reason", reason),
+		event.F("retry_after_ms", retryAfter.Milliseconds()),
+		event.F("jobs_held", len(d.jobs)),
+	}, fields...)...)
 	d.answer(s.request, st, reason, retryAfter)
 }
 
@@ -169,14 +178,18 @@
 	if r.Timeout() > 0 {
 		limit = min(limit, r.Timeout())
 	}
+	arrived := now
+	if s.arrived > 0 {
+		arrived = min(s.arrived, now)
+	}
 	j := &job{
 		work:     work,
 		trace:    s.trace,
 		route:    r,
 		model:    d.estimates.route(r.Name()),
 		callers:  []uint64{s.request},
-		accepted: now,
-		deadline: now + limit,
+		arrived:  arrived,
+		deadline: arrived + limit,
 	}
 	for i, x := range work.Steps() {
 		j.steps = append(j.steps, &step{
@@ -186,7 +199,9 @@
 	}
 	d.prioritize(j)
 	if d.unlikelyInTime(now, j) {
-		d.refuse(s, work.ID(), StateRefused, "too_long_for_caller", defaultRetryAfter)
+		d.refuse(s, work.ID(), StateRefused, "too_long_for_caller", defaultRetryAfter, event.F("route", r.Name()),
+			event.F("expected_ms", j.fastestTime.Milliseconds()), event.F("limit_ms", (j.deadline-now).Milliseconds()),
+			event.F("queued_ms", (now-j.arrived).Milliseconds()), event.F("size_class", j.fairnessGroup.sizeClass))
 		return
 	}
 	j.releaseSteps()
@@ -254,8 +269,18 @@
 		name = event.JobRefused
 	}
 	d.logEvent(name, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("route", j.route.Name()), event.F("state", s.String()),
-		event.F("reason", reason), event.F("took_ms", (now-j.accepted).Milliseconds()), event.F("late_ms", (now-j.due).Milliseconds()),
-		event.F("runs_stopped", stopped))
+		event.F("reason", reason), event.F("took_ms", (now-j.arrived).Milliseconds()), event.F("late_ms", (now-j.due).Milliseconds()),
+		event.F("runs_stopped", stopped), event.F("size_class", j.fairnessGroup.sizeClass), event.F("tasks_done", j.tasksDone()))
+}
+
+func (j *job) tasksDone() int {
+	n := 0
+	for _, t := range j.tasks {
+		if t.done {
+			n++
+		}
+	}
+	return n
 }
 
 func (d *Dispatch) callerLeft(now time.Duration, request uint64) {
@@ -273,7 +298,7 @@
 	if len(j.callers) > 0 {
 		return
 	}
-	d.logEvent(event.JobLeft, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("held_ms", (now-j.accepted).Milliseconds()))
+	d.logEvent(event.JobLeft, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("held_ms", (now-j.arrived).Milliseconds()))
 	d.finish(now, j, StateExpired, reasonCallersLeft)
 }
 
--- a/internal/process/role/dispatch/order.go
+++ b/internal/process/role/dispatch/order.go
@@ -106,17 +106,18 @@
 	service := j.route.Service()
 	mean := time.Duration(float64(chain) * d.meanFactor(service))
 	fast := time.Duration(float64(chain) * d.fastestFactor(service))
-	limit := j.deadline - j.accepted
+	limit := j.deadline - j.arrived
 	commitment := j.route.Commitment(mean)
-	j.due = j.accepted + min(commitment, limit)
-	j.usefulUntil = j.accepted + min(usefulFactor*commitment, limit)
+	j.due = j.arrived + min(commitment, limit)
+	j.usefulUntil = j.arrived + min(usefulFactor*commitment, limit)
 	j.fastestTime = fast
 	// The spread is a margin for estimates that are too low.
 	j.latestStart = j.due - time.Duration(float64(fast)*(1+j.model.spread()))
-	j.relativeSize = d.fairness.relativeSize(j.route.Name(), d.jobWork(j))
+	j.coreSeconds = d.jobWork(j)
+	j.relativeSize = d.fairness.relativeSize(j.route.Name(), j.coreSeconds)
 	j.fairnessGroup = groupOf(j.route.Name(), j.relativeSize)
-	slack := time.Duration(rankSlackShare * float64(j.latestStart-j.accepted))
-	j.rank = (j.accepted + slack + time.Duration(j.route.Priority())*priorityStep - d.fairness.lead(j.fairnessGroup)).Microseconds()
+	slack := time.Duration(rankSlackShare * float64(j.latestStart-j.arrived))
+	j.rank = (j.arrived + slack + time.Duration(j.route.Priority())*priorityStep - d.fairness.lead(j.fairnessGroup)).Microseconds()
 }
 
 // jobWork returns the work of a job in core seconds on a target of factor 1.
@@ -152,7 +153,7 @@
 	d.nextReview = now + reviewInterval
 	d.scratch = append(d.scratch[:0], d.queue...)
 	for _, j := range d.scratch {
-		if !j.started && (d.unlikelyInTime(now, j) || now-j.accepted > time.Duration(maxQueueShare*float64(j.deadline-j.accepted))) {
+		if !j.started && (d.unlikelyInTime(now, j) || now-j.arrived > time.Duration(maxQueueShare*float64(j.deadline-j.arrived))) {
 			d.finish(now, j, StateRefused, "no_room_in_time")
 			continue
 		}
@@ -226,5 +227,7 @@
 func (d *Dispatch) logAccepted(now time.Duration, j *job) {
 	d.logEvent(event.JobAccepted, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("route", j.route.Name()),
 		event.F("version", d.version.Number()), event.F("tasks", len(j.ready)), event.F("expected_ms", j.fastestTime.Milliseconds()),
-		event.F("due_ms", (j.due-now).Milliseconds()), event.F("limit_ms", (j.deadline-now).Milliseconds()), event.F("held", len(d.jobs)))
+		event.F("due_ms", (j.due-now).Milliseconds()), event.F("limit_ms", (j.deadline-now).Milliseconds()), event.F("held", len(d.jobs)),
+		event.F("queued_ms", (now-j.arrived).Milliseconds()), event.F("size_class", j.fairnessGroup.sizeClass),
+		event.F("work_core_ms", int64(j.coreSeconds*1000)))
 }
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -21,9 +21,6 @@
 // starts are not held up by a long queue.
 const maxBatch = 128
 
-// ErrOverloaded reports a request that is rejected because the ring is full.
-var ErrOverloaded = errors.New("entry is overloaded")
-
 // request is a caller's request with the channel for its answer.
 type request struct {
 	number uint64
@@ -203,6 +200,11 @@
 	e.base.log(n)
 }
 
+// Now returns the time of the clock that decisions use.
+func (e *Entry) Now() time.Duration {
+	return e.base.clock()
+}
+
 // Submit submits a job and waits for its answer or the end of ctx.
 func (e *Entry) Submit(ctx context.Context, s dispatch.Submission) (dispatch.Answer, error) {
 	return e.call(ctx, func(n uint64) dispatch.Event { return dispatch.Submitted(s.WithRequest(n)) })
@@ -227,7 +229,8 @@
 		reply:  reply,
 	})
 	if err != nil {
-		return dispatch.Answer{}, errors.Wrap(ErrOverloaded, err.Error())
+		e.base.logEvent(event.JobRefused, event.F("reason", dispatch.ReasonOverloaded), event.F("queued", e.ring.Depth()))
+		return dispatch.Overloaded(), nil
 	}
 	select {
 	case a := <-reply:
