--- a/internal/process/role/dispatch/event.go
+++ b/internal/process/role/dispatch/event.go
@@ -34,6 +34,7 @@
 	spec      string
 	steps     []task.Step
 	timeLimit time.Duration
+	arrived   time.Duration
 }
 
 // NewSubmission returns the submission of a request to a host and path. The trace
@@ -55,6 +56,13 @@
 	return s
 }
 
+// ArrivedAt returns the submission of a request that arrived at a time of the entry's
+// clock. The caller's time counts from then; without it, from the event's time.
+func (s Submission) ArrivedAt(t time.Duration) Submission {
+	s.arrived = t
+	return s
+}
+
 // Submitted is the event of a new submission.
 func Submitted(s Submission) Event {
 	return Event{
--- a/internal/process/role/dispatch/order.go
+++ b/internal/process/role/dispatch/order.go
@@ -23,6 +23,9 @@
 	// maxQueueShare is the share of its time limit after which a job that has not
 	// started is refused, so that its caller can try elsewhere.
 	maxQueueShare = 0.45
+	// reviewInterval is the minimum time between two reviews of the queue. It is short
+	// against the shortest commitment.
+	reviewInterval = 5 * time.Millisecond
 	// rankSlackShare is the share of its slack that is added to the rank of a job; see
 	// prioritize.
 	rankSlackShare = 0.3
@@ -43,9 +46,9 @@
 // based on the run time on the mean target.
 func (d *Dispatch) meanFactor(service string) float64 {
 	sum, n := 0.0, 0
-	for _, a := range d.sessions {
+	for _, a := range d.connected {
 		if a.target.Service() == service {
-			sum += d.estimates.factor(a.label(), a.name)
+			sum += a.speed.value()
 			n++
 		}
 	}
@@ -58,9 +61,9 @@
 // fastestFactor returns the factor of the fastest usable target of a service.
 func (d *Dispatch) fastestFactor(service string) float64 {
 	best := math.Inf(1)
-	for _, a := range d.sessions {
+	for _, a := range d.connected {
 		if a.usable() && a.target.Service() == service {
-			best = math.Min(best, d.estimates.factor(a.label(), a.name))
+			best = math.Min(best, a.speed.value())
 		}
 	}
 	if math.IsInf(best, 1) {
@@ -87,7 +90,7 @@
 		for _, p := range s.Prerequisites() {
 			before = max(before, j.steps[p].criticalPath)
 		}
-		own := float64(d.estimates.base(j.route.Name(), s.Estimate())) * longestFactor(s.Count())
+		own := float64(j.model.base(s.Estimate())) * longestFactor(s.Count())
 		j.steps[i].criticalPath = before + time.Duration(own)
 		longest = max(longest, j.steps[i].criticalPath)
 	}
@@ -103,17 +106,18 @@
 	service := j.route.Service()
 	mean := time.Duration(float64(chain) * d.meanFactor(service))
 	fast := time.Duration(float64(chain) * d.fastestFactor(service))
-	limit := j.deadline - j.accepted
+	limit := j.deadline - j.arrived
 	commitment := j.route.Commitment(mean)
-	j.due = j.accepted + min(commitment, limit)
-	j.usefulUntil = j.accepted + min(usefulFactor*commitment, limit)
+	j.due = j.arrived + min(commitment, limit)
+	j.usefulUntil = j.arrived + min(usefulFactor*commitment, limit)
 	j.fastestTime = fast
 	// The spread is a margin for estimates that are too low.
-	j.latestStart = j.due - time.Duration(float64(fast)*(1+d.estimates.spread(j.route.Name())))
-	j.relativeSize = d.fairness.relativeSize(j.route.Name(), d.jobWork(j))
+	j.latestStart = j.due - time.Duration(float64(fast)*(1+j.model.spread()))
+	j.coreSeconds = d.jobWork(j)
+	j.relativeSize = d.fairness.relativeSize(j.route.Name(), j.coreSeconds)
 	j.fairnessGroup = groupOf(j.route.Name(), j.relativeSize)
-	slack := time.Duration(rankSlackShare * float64(j.latestStart-j.accepted))
-	j.rank = (j.accepted + slack + time.Duration(j.route.Priority())*priorityStep - d.fairness.lead(j.fairnessGroup)).Microseconds()
+	slack := time.Duration(rankSlackShare * float64(j.latestStart-j.arrived))
+	j.rank = (j.arrived + slack + time.Duration(j.route.Priority())*priorityStep - d.fairness.lead(j.fairnessGroup)).Microseconds()
 }
 
 // jobWork returns the work of a job in core seconds on a target of factor 1.
@@ -121,7 +125,7 @@
 	sum := 0.0
 	for _, s := range j.work.Steps() {
 		cores := float64(s.Resources().MilliCores())/1000 + acceleratorCores*float64(s.Resources().Accelerators())
-		sum += cores * float64(s.Count()) * d.estimates.base(j.route.Name(), s.Estimate()).Seconds()
+		sum += cores * float64(s.Count()) * j.model.base(s.Estimate()).Seconds()
 	}
 	return sum
 }
@@ -129,21 +133,27 @@
 // unlikelyInTime reports whether a job that starts now has too low a probability of
 // a useful answer, even on the fastest target.
 func (d *Dispatch) unlikelyInTime(now time.Duration, j *job) bool {
-	return probabilityWithin(j.usefulUntil-now, j.fastestTime, d.estimates.spread(j.route.Name())) < d.minProbability()
+	return probabilityWithin(j.usefulUntil-now, j.fastestTime, j.model.spread()) < d.minProbability()
 }
 
 // minProbability returns the probability of an answer in time from which a job is
 // worth its capacity.
 func (d *Dispatch) minProbability() float64 {
-	return minProbabilityIdle + (minProbabilityFull-minProbabilityIdle)*scarcity(d.load().lowest())
+	d.measureLoad()
+	return minProbabilityIdle + (minProbabilityFull-minProbabilityIdle)*scarcity(d.lowestLoad)
 }
 
 // reviewQueue refuses queued jobs that have not started and have waited too long or
 // are unlikely to be answered in time. It abandons jobs with an overdue task, and
 // moves jobs that can no longer meet their commitment behind the others.
 func (d *Dispatch) reviewQueue(now time.Duration) {
-	for _, j := range append([]*job(nil), d.queue...) {
-		if !j.started && (d.unlikelyInTime(now, j) || now-j.accepted > time.Duration(maxQueueShare*float64(j.deadline-j.accepted))) {
+	if now < d.nextReview || len(d.queue) == 0 {
+		return
+	}
+	d.nextReview = now + reviewInterval
+	d.scratch = append(d.scratch[:0], d.queue...)
+	for _, j := range d.scratch {
+		if !j.started && (d.unlikelyInTime(now, j) || now-j.arrived > time.Duration(maxQueueShare*float64(j.deadline-j.arrived))) {
 			d.finish(now, j, StateRefused, "no_room_in_time")
 			continue
 		}
@@ -185,7 +195,7 @@
 	if ran <= 0 {
 		return
 	}
-	x := float64(d.estimates.base(j.route.Name(), s.Estimate())) * d.estimates.factor(a.label(), a.name)
+	x := float64(j.model.base(s.Estimate())) * a.speed.value()
 	j.observedRatio.add(math.Log(math.Max(ran.Seconds(), 1e-4)/math.Max(x/float64(time.Second), 1e-4)), 0)
 }
 
@@ -201,11 +211,17 @@
 
 // overdueJobs returns the sorted ids of the jobs past their deadline.
 func (d *Dispatch) overdueJobs(now time.Duration) []string {
+	if now < d.nextDeadline {
+		return nil
+	}
 	var ids []string
+	d.nextDeadline = math.MaxInt64
 	for id, j := range d.jobs {
 		if now >= j.deadline {
 			ids = append(ids, id)
+			continue
 		}
+		d.nextDeadline = min(d.nextDeadline, j.deadline)
 	}
 	sort.Strings(ids)
 	return ids
@@ -215,5 +231,7 @@
 func (d *Dispatch) logAccepted(now time.Duration, j *job) {
 	d.logEvent(event.JobAccepted, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("route", j.route.Name()),
 		event.F("version", d.version.Number()), event.F("tasks", len(j.ready)), event.F("expected_ms", j.fastestTime.Milliseconds()),
-		event.F("due_ms", (j.due-now).Milliseconds()), event.F("limit_ms", (j.deadline-now).Milliseconds()), event.F("held", len(d.jobs)))
+		event.F("due_ms", (j.due-now).Milliseconds()), event.F("limit_ms", (j.deadline-now).Milliseconds()), event.F("held", len(d.jobs)),
+		event.F("queued_ms", (now-j.arrived).Milliseconds()), event.F("size_class", j.fairnessGroup.sizeClass),
+		event.F("work_core_ms", int64(j.coreSeconds*1000)))
 }
--- a/internal/process/role/dispatch/shutdown.go
+++ b/internal/process/role/dispatch/shutdown.go
@@ -20,6 +20,7 @@
 	for _, j := range d.sortedJobs() {
 		d.cutTimes(j)
 	}
+	d.nextDeadline = min(d.nextDeadline, d.lastAnswer)
 }
 
 func (d *Dispatch) sortedJobs() []*job {
@@ -46,7 +47,7 @@
 	if !j.cut || j.started {
 		return false
 	}
-	spread := d.estimates.spread(j.route.Name())
+	spread := j.model.spread()
 	return now >= d.lastAnswer ||
 		probabilityWithin(j.usefulUntil-now, j.fastestTime, spread) < minShareLeaving*probabilityWithin(j.uncutUntil-now, j.fastestTime, spread)
 }
