Leave without waiting for a busy dispatcher

Callers kept being sent to an entry that had got SIGTERM seconds before, and those whose requests waited for its dispatcher lost them when it ended.

Cause: readiness turned off only when the dispatcher had taken the stop event from its ring, behind all requests and frames, and a request waited for its dispatcher without a bound.

Change: the stop signal closes a channel that readiness and both state machines' duties read beside their rings. Requests no longer wait 0.5 s before the end of the grace period: they get 504, or 503 if they come later. An entry with requests in its ring is not idle.

--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -139,7 +139,7 @@
 
 // Run serves until ctx ends and no task runs, or the grace period is over.
 func (a *Agent) Run(ctx context.Context) error {
-	return a.base.run(ctx, func() { _ = a.ring.Push(context.Background(), executor.ShutdownRequested()) }, a.idle.Load, 0)
+	return a.base.run(ctx, a.idle.Load, 0)
 }
 
 // Push queues an event of the target. It reports false if the ring is full.
@@ -155,8 +155,12 @@
 func (a *Agent) run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	leaving := a.base.leaving
 	for {
 		select {
+		case <-leaving:
+			leaving = nil
+			a.handle(executor.ShutdownRequested())
 		case m := <-a.ring.Out():
 			a.receive(m)
 		case <-ticker.C:
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -16,6 +16,10 @@
 	"greengagedoor.example/greengagedoor/internal/version/route"
 )
 
+// ErrLeaving reports a request without an answer of the dispatcher when the process
+// ends. Its job may have run.
+var ErrLeaving = errors.New("the entry ends")
+
 // overloadedRetryAfter is the time after which a caller may retry that found the ring
 // full.
 const overloadedRetryAfter = time.Second
@@ -67,7 +71,9 @@
 	lastRequest atomic.Uint64
 	ready       atomic.Bool
 	idle        atomic.Bool
-	version     atomic.Pointer[route.Version]
+	// waiting is the number of requests without an answer of the dispatcher.
+	waiting atomic.Int64
+	version atomic.Pointer[route.Version]
 }
 
 // NewEntry returns an entry and its cleanup function. Serve adds its HTTP
@@ -168,16 +174,13 @@
 // Run serves until ctx ends and all accepted requests are answered, or the grace
 // period is over.
 func (e *Entry) Run(ctx context.Context) error {
-	return e.base.run(ctx, e.leave, e.idle.Load, lingerTime)
-}
-
-func (e *Entry) leave() {
-	_ = e.ring.Push(context.Background(), dispatch.ShutdownRequested(e.base.untilLastAnswer()))
+	return e.base.run(ctx, func() bool { return e.waiting.Load() == 0 && e.idle.Load() }, lingerTime)
 }
 
-// Ready reports whether the entry can serve new callers.
+// Ready reports whether the entry can serve new callers. It turns false with the stop
+// signal, also while the dispatcher is busy.
 func (e *Entry) Ready() bool {
-	return e.ready.Load()
+	return e.ready.Load() && !closed(e.base.leaving)
 }
 
 // Version returns the active configuration, or nil if there is none.
@@ -206,6 +209,11 @@
 }
 
 func (e *Entry) call(ctx context.Context, ev func(uint64) dispatch.Event) (dispatch.Answer, error) {
+	if closed(e.base.replyDeadline) {
+		return e.refuse("leaving", 0), nil
+	}
+	e.waiting.Add(1)
+	defer e.waiting.Add(-1)
 	n := e.lastRequest.Add(1)
 	reply := make(chan dispatch.Answer, 1)
 	if e.ring.TryPush(request{
@@ -218,6 +226,12 @@
 	select {
 	case a := <-reply:
 		return a, nil
+	case <-e.base.replyDeadline:
+		// The dispatcher is too busy to answer by itself.
+		_ = e.ring.TryPush(callerLeft{
+			number: n,
+		})
+		return dispatch.Answer{}, ErrLeaving
 	case <-ctx.Done():
 		_ = e.ring.Push(context.WithoutCancel(ctx), callerLeft{
 			number: n,
@@ -240,8 +254,12 @@
 func (e *Entry) run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	leaving := e.base.leaving
 	for {
 		select {
+		case <-leaving:
+			leaving = nil
+			e.handle(dispatch.ShutdownRequested(e.base.untilLastAnswer()))
 		case m := <-e.ring.Out():
 			e.receive(m)
 		case <-ticker.C:
--- a/internal/process/role/server/server.go
+++ b/internal/process/role/server/server.go
@@ -52,6 +52,9 @@
 	lingerTime = 2500 * time.Millisecond
 	// answerMargin is the part of the grace period that is left after the last answer.
 	answerMargin = 300 * time.Millisecond
+	// replyMargin is the part of the grace period that is left when requests no longer
+	// wait for a dispatcher that is too busy to answer.
+	replyMargin = 500 * time.Millisecond
 	// drainMargin is the part of the grace period that is left after the last task.
 	drainMargin = 700 * time.Millisecond
 )
@@ -145,6 +148,8 @@
 	// leaving is closed at the stop signal, lingered when the linger time is over.
 	leaving  chan struct{}
 	lingered chan struct{}
+	// replyDeadline is closed when requests may no longer wait for the dispatcher.
+	replyDeadline chan struct{}
 }
 
 func newBase(s Settings, deps Dependencies, role frame.Role, address string) (*base, error) {
@@ -173,6 +178,8 @@
 		journal:  j,
 		leaving:  make(chan struct{}),
 		lingered: make(chan struct{}),
+
+		replyDeadline: make(chan struct{}),
 	}
 	if err := b.add("journal", "Writes the log.", j.Ring, j.Run); err != nil {
 		return nil, err
@@ -262,7 +269,7 @@
 
 // run starts all duties. It returns an error when a duty fails, or nil when ctx has
 // ended and the process has drained.
-func (b *base) run(ctx context.Context, leave func(), idle func() bool, linger time.Duration) error {
+func (b *base) run(ctx context.Context, idle func() bool, linger time.Duration) error {
 	table, err := duty.NewTable(b.duties...)
 	if err != nil {
 		return err
@@ -277,13 +284,24 @@
 	}
 	b.stopDeadline.Store(time.Now().Add(b.settings.grace).UnixNano())
 	close(b.leaving)
+	// The timer outlives run, whose duties stop when it returns.
+	time.AfterFunc(b.settings.grace-replyMargin, func() { close(b.replyDeadline) })
 	b.logEvent(event.ProcessStopping)
-	leave()
 	b.drain(idle, linger)
 	b.logEvent(event.ProcessStopped)
 	return nil
 }
 
+// closed reports whether a channel that carries no values is closed.
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // remaining returns how long the open requests may still take during a shutdown.
 func (b *base) remaining() time.Duration {
 	return max(0, time.Until(time.Unix(0, b.stopDeadline.Load()))-answerMargin)
