Leave in order although SIGTERM is repeated

Callers of a leaving process lost their requests when it got SIGTERM again.

Cause: after the first signal the program restored the default actions, so that an operator's second interrupt ends it at once. That also held for SIGTERM, which a supervisor may repeat.

Change: after the first signal SIGTERM is ignored; a second SIGINT still ends the process at once, and SIGKILL always does.

The new test fails on the code before (row terminated: no process_stopped after the second SIGTERM) and passes now:

go test -count=1 -run TestSecond ./cmd/greengagedoor

--- a/cmd/greengagedoor/main.go
+++ b/cmd/greengagedoor/main.go
@@ -126,8 +126,12 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	// A second signal terminates the process without waiting for requests in flight.
-	context.AfterFunc(ctx, stop)
+	context.AfterFunc(ctx, func() {
+		// A supervisor may repeat SIGTERM; only an operator's second interrupt ends the
+		// process without waiting for requests in flight.
+		signal.Ignore(syscall.SIGTERM)
+		stop()
+	})
 	if err := newApp().RunContext(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "greengagedoor:", err)
 		os.Exit(exitCode(err))
--- a/cmd/greengagedoor/platform_test.go
+++ b/cmd/greengagedoor/platform_test.go
@@ -71,6 +71,60 @@
 	}
 }
 
+// TestSecondStopSignal guards against a leaving entry that a second SIGTERM ends at once, with requests in flight.
+func TestSecondStopSignal(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "greengagedoor")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v: %s", err, out)
+	}
+	tests := map[string]struct {
+		second syscall.Signal
+		atOnce bool
+	}{
+		"terminated":  {second: syscall.SIGTERM},
+		"interrupted": {second: syscall.SIGINT, atOnce: true},
+		"reloaded":    {second: syscall.SIGHUP},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := freePorts(t, 4)
+			cmd := exec.Command(program, "platform", "entry", "--name", "entry_1", "--zone", "a",
+				"--link", fmt.Sprintf("127.0.0.1:%d", p[0]), "--callers", fmt.Sprintf("127.0.0.1:%d", p[1]),
+				"--readiness", fmt.Sprintf("127.0.0.1:%d", p[2]), "--store", fmt.Sprintf("127.0.0.1:%d", p[3]))
+			out, err := cmd.StdoutPipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := cmd.Start(); err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = cmd.Process.Kill() }()
+			lines := make(chan string, 100)
+			go func() {
+				defer close(lines)
+				for s := bufio.NewScanner(out); s.Scan(); {
+					lines <- s.Text()
+				}
+			}()
+			started := waitForLine(lines, "process_started")
+			signalled := time.Now()
+			first := cmd.Process.Signal(syscall.SIGTERM)
+			stopping := waitForLine(lines, "process_stopping")
+			time.Sleep(100 * time.Millisecond)
+			second := cmd.Process.Signal(tt.second)
+			stopped := waitForLine(lines, "process_stopped")
+			err = cmd.Wait()
+			Convey("the entry goes on to leave, unless an operator interrupts it", t, func() {
+				So([]any{started, first, stopping, second}, ShouldResemble, []any{true, nil, true, nil})
+				So(stopped, ShouldEqual, !tt.atOnce)
+				So(err == nil, ShouldEqual, !tt.atOnce)
+				So(time.Since(signalled) < time.Second, ShouldEqual, tt.atOnce)
+			})
+		})
+	}
+}
+
 // freePorts returns n free ports on loopback.
 func freePorts(t *testing.T, n int) []int {
 	var list []int
