Hold the requests of an entry that has just started

Callers whose connections reached an entry in its first moments were refused with 503 no_configuration or no_target, although the entry could serve them some 20 to 100 ms later.

Such requests are held for up to 400 ms after the start of the process, and their time counts from their arrival. The row no_configuration of TestDispatch now asks after the time of the start.

--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -85,7 +85,13 @@
 	loads        map[string]*hardwareLoad
 	lowestLoad   float64
 	loadMeasured bool
-	leaving      bool
+	// held lists the requests that arrived before the entry had a configuration and a
+	// target for them. begun is set by the first event; requests are held until
+	// holdUntil.
+	held      []Submission
+	begun     bool
+	holdUntil time.Duration
+	leaving   bool
 	// lastAnswer is when a leaving entry has answered all callers.
 	lastAnswer time.Duration
 	out        Output
@@ -138,11 +144,16 @@
 func (d *Dispatch) Handle(now time.Duration, events ...Event) Output {
 	d.out = Output{}
 	d.loadMeasured = false
+	if !d.begun {
+		d.begun = true
+		d.holdUntil = now + startupWait
+	}
 	d.expireSessions(now)
 	d.estimates.decay(now)
 	for _, ev := range events {
 		d.apply(now, ev)
 	}
+	d.submitHeld(now)
 	d.expireJobs(now)
 	d.refuseUnfinishable(now)
 	d.expireLostRuns(now)
@@ -182,7 +193,7 @@
 
 // Idle reports whether the entry holds no job.
 func (d *Dispatch) Idle() bool {
-	return len(d.jobs) == 0
+	return len(d.jobs)+len(d.held) == 0
 }
 
 // Version returns the active configuration, nil if there is none.
--- a/internal/process/role/dispatch/dispatch_test.go
+++ b/internal/process/role/dispatch/dispatch_test.go
@@ -232,6 +232,7 @@
 		"no_configuration": {
 			run: func(fx *fixture) {
 				fx.d = newFixture(fx.t).d
+				fx.advance(420 * ms)
 				fx.submit(1, "job", fx.step(1, 1000))
 			},
 			state: dispatch.StateRefused,
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -130,7 +130,9 @@
 // submit accepts or refuses a job.
 func (d *Dispatch) submit(now time.Duration, s Submission) {
 	if d.version == nil {
-		d.refuse(s, s.path, StateRefused, "no_configuration", defaultRetryAfter)
+		if !d.hold(now, s) {
+			d.refuse(s, s.path, StateRefused, "no_configuration", defaultRetryAfter)
+		}
 		return
 	}
 	r, id, ok := d.findRoute(s.host, s.path)
@@ -152,26 +154,24 @@
 		d.refuse(s, id, StateInvalid, err.Error(), 0)
 		return
 	}
-	if reason := d.refusalReason(r, work); reason != "" {
-		d.refuse(s, id, StateRefused, reason, defaultRetryAfter)
-		return
+	switch {
+	case len(d.jobs) >= maxJobs:
+		d.refuse(s, id, StateRefused, "too_many_jobs", defaultRetryAfter)
+	case d.hasTarget(r.Service()):
+		d.accept(now, s, r, work)
+	case !d.hold(now, s):
+		d.refuse(s, id, StateRefused, "no_target", defaultRetryAfter)
 	}
-	d.accept(now, s, r, work)
 }
 
-// refusalReason returns why a job cannot be accepted, empty if it can.
-func (d *Dispatch) refusalReason(r route.Route, work task.Job) string {
-	if len(d.jobs) >= maxJobs {
-		return "too_many_jobs"
-	}
-	usable := false
-	for _, a := range d.agents {
-		usable = usable || a.usable() && a.target.Service() == r.Service()
-	}
-	if !usable {
-		return "no_target"
+// hasTarget reports whether a target of a service can get work.
+func (d *Dispatch) hasTarget(service string) bool {
+	for _, a := range d.connected {
+		if a.usable() && a.target.Service() == service {
+			return true
+		}
 	}
-	return ""
+	return false
 }
 
 func (d *Dispatch) accept(now time.Duration, s Submission, r route.Route, work task.Job) {
@@ -297,6 +297,7 @@
 func (d *Dispatch) callerLeft(now time.Duration, request uint64) {
 	j, ok := d.requests[request]
 	if !ok {
+		d.releaseHeld(request)
 		return
 	}
 	delete(d.requests, request)
--- /dev/null
+++ b/internal/process/role/dispatch/startup.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// startupWait is how long after its start an entry holds requests that it has no
+	// configuration or no target for yet. The first read of the store takes some 10 ms,
+	// and agents dial a new entry every 150 ms at most.
+	startupWait = 400 * time.Millisecond
+	// maxHeld bounds the held requests.
+	maxHeld = 512
+)
+
+// hold keeps a request until the entry can decide on it. It reports false if the
+// entry has to decide now.
+func (d *Dispatch) hold(now time.Duration, s Submission) bool {
+	if now >= d.holdUntil || d.leaving || len(d.held) >= maxHeld {
+		return false
+	}
+	if s.arrived == 0 {
+		s.arrived = now
+	}
+	d.held = append(d.held, s)
+	return true
+}
+
+// submitHeld submits the held requests again. Those that still have to wait are held
+// once more.
+func (d *Dispatch) submitHeld(now time.Duration) {
+	if len(d.held) == 0 {
+		return
+	}
+	held := d.held
+	d.held = nil
+	for _, s := range held {
+		d.submit(now, s)
+	}
+}
+
+// releaseHeld drops a held request whose caller has left.
+func (d *Dispatch) releaseHeld(request uint64) {
+	d.held = slices.DeleteFunc(d.held, func(s Submission) bool { return s.request == request })
+}
