--- a/internal/process/role/entry/entry.go
+++ b/internal/process/role/entry/entry.go
@@ -188,7 +188,7 @@
 	s := v.order.Submission()
 	if s.FirstSent().After(now.Add(MaxCallerSkew)) {
 		e.respond(v.request, answer.NotForwarded(answer.KeyInFuture,
-			"key: its time is "+s.FirstSent().UTC().Format(time.RFC3339)+", at most 5 s ahead are allowed", 0))
+			"key: its time is "+s.FirstSent().UTC().Format(time.RFC3339)+", at most "+MaxCallerSkew.String()+" ahead is allowed", 0))
 		return
 	}
 	if detail, ok := e.check(v.order); !ok {
