Give each fleet test process a loopback address of its own

The test looks for a free port and another process took it before the store did. Each test process now uses a loopback address derived from its process id, where nobody else listens.

--- a/internal/process/role/guarantee/fleet/process_test.go
+++ b/internal/process/role/guarantee/fleet/process_test.go
@@ -18,6 +18,9 @@
 	// assigns ports to outgoing connections.
 	firstPort = 20_000
 	lastPort  = 32_000
+	// hostsPerNet and lastNet bound the second and third number of testHost.
+	hostsPerNet = 250
+	lastNet     = 250
 	// logTail is how many bytes of a process's log a failing test prints.
 	logTail = 1000
 )
@@ -25,16 +28,18 @@
 // programDir is the directory of the built programs.
 var programDir string
 
-// nextPort counts the ports that were tried. It starts at a multiple of the process
-// id, so that two concurrent runs rarely try the same ports.
+// nextPort counts the ports that were tried.
 var nextPort atomic.Int64
 
+// testHost is a loopback address of this test process alone, so that no other test can
+// take a port between its choice and its use.
+var testHost = fmt.Sprintf("127.%d.%d.2", 1+os.Getpid()/hostsPerNet%lastNet, os.Getpid()%hostsPerNet)
+
 func TestMain(m *testing.M) {
 	os.Exit(run(m))
 }
 
 func run(m *testing.M) int {
-	nextPort.Store(int64(os.Getpid()) * 101)
 	dir, err := os.MkdirTemp("", "fleet")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -56,7 +61,7 @@
 	t.Helper()
 	for range lastPort - firstPort {
 		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
+		address := fmt.Sprintf("%s:%d", testHost, port)
 		l, err := net.Listen("tcp", address)
 		if err == nil {
 			_ = l.Close()
