Do not wait for the handshake of links at the end of a process

A process could exceed its grace period, or, on the former path, hang for two minutes, because a peer had opened a connection and sent nothing.

Cause: grpc.Server.Stop waits for the handshake of all connections.

Change: a stop waits for 100 ms at most.

--- a/internal/connection/stream/grpc.go
+++ b/internal/connection/stream/grpc.go
@@ -33,6 +33,9 @@
 	// keepaliveTime is both the idle time after which the server pings a peer and
 	// the time after which it closes the connection without an answer.
 	keepaliveTime = 10 * time.Second
+	// StopLimit bounds the end of a server. gRPC would wait for the handshake of its
+	// connections, whose peers may have become unreachable.
+	StopLimit = 100 * time.Millisecond
 )
 
 // codec passes bytes unchanged; package frame encodes the frames.
@@ -121,7 +124,22 @@
 	}, struct{}{})
 	failed := make(chan error, 1)
 	go func() { failed <- errors.Wrap(server.Serve(l), "serve streams") }()
-	return failed, server.Stop
+	return failed, func() { StopServer(server) }
+}
+
+// StopServer stops a server, or gives up waiting for it after StopLimit.
+func StopServer(server *grpc.Server) {
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		server.Stop()
+	}()
+	timer := time.NewTimer(StopLimit)
+	defer timer.Stop()
+	select {
+	case <-stopped:
+	case <-timer.C:
+	}
 }
 
 // Dial opens a stream to an address and exchanges frames until it ends.
--- a/internal/process/role/host/host.go
+++ b/internal/process/role/host/host.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
+	"greengagedoor.example/greengagedoor/internal/connection/stream"
 	"greengagedoor.example/greengagedoor/internal/process/certificate"
 	"greengagedoor.example/greengagedoor/internal/process/duty"
 	"greengagedoor.example/greengagedoor/internal/process/identity"
@@ -213,23 +214,18 @@
 	g := grpc.NewServer(append(c.linkServerOptions(), network.ServerOptions()...)...)
 	register(g)
 	d, err := duty.New("links", "Accepts streams from other processes.", nil, func(ctx context.Context) error {
-		ended := make(chan struct{})
-		stopped := make(chan struct{})
-		go func() {
-			defer close(stopped)
-			select {
-			case <-ctx.Done():
-				g.Stop()
-			case <-ended:
-			}
-		}()
-		err := g.Serve(l)
-		close(ended)
-		<-stopped
-		return errors.Wrap(err, "serve links")
+		failed := make(chan error, 1)
+		go func() { failed <- errors.Wrap(g.Serve(l), "serve links") }()
+		select {
+		case err := <-failed:
+			return err
+		case <-ctx.Done():
+			stream.StopServer(g)
+			return nil
+		}
 	})
 	return d, func() {
-		g.Stop()
+		stream.StopServer(g)
 		// A gRPC server closes its listener only if Serve was called.
 		_ = l.Close()
 	}, err
