State the times of a leaving process and keep them

A leaving entry could end after its grace period, and a step of the time of day could end its connections too soon.

Cause: after the callers' connections 300 ms were left for duties that may take 1.1 s: the removal of the entry's key 0.5 s, links 0.6 s (shortened before), and the readiness listener, which stopped before the callers' one, 0.25 s of the time in which callers get answers. The remaining time was computed from the time of day.

The key is removed at the end of the linger time, and its duty ends within 0.1 s.

--- a/cmd/greengagedoor/platform.go
+++ b/cmd/greengagedoor/platform.go
@@ -110,10 +110,11 @@
 			return err
 		}
 		defer cleanup()
-		if err := e.Serve(v.Text("listen", "callers"), "callers", "Serves callers.", platform.CallerHandler(entryCalls(e))); err != nil {
+		if err := e.Serve(v.Text("listen", "readiness"), "readiness", "Reports to the load balancer whether the entry accepts callers.", platform.ReadinessHandler(e.Ready)); err != nil {
 			return err
 		}
-		if err := e.Serve(v.Text("listen", "readiness"), "readiness", "Reports to the load balancer whether the entry accepts callers.", platform.ReadinessHandler(e.Ready)); err != nil {
+		// The last duty stops first, so callers get all the time that is left.
+		if err := e.Serve(v.Text("listen", "callers"), "callers", "Serves callers.", platform.CallerHandler(entryCalls(e))); err != nil {
 			return err
 		}
 		return e.Run(c.Context)
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -127,7 +127,7 @@
 		return err
 	}
 	if err := b.add("registration", "Renews the store key that announces this entry's address.", nil, func(ctx context.Context) error {
-		return register(ctx, b.deps.Store, b.settings.name, b.settings.advertised, b.logEvent)
+		return register(ctx, b.deps.Store, b.settings.name, b.settings.advertised, b.lingered, b.logEvent)
 	}); err != nil {
 		return err
 	}
--- a/internal/process/role/server/server.go
+++ b/internal/process/role/server/server.go
@@ -47,16 +47,6 @@
 	maxLease = 600 * time.Millisecond
 	// heartbeatInterval is the longest time between two frames to a peer.
 	heartbeatInterval = 200 * time.Millisecond
-	// lingerTime is how long an entry that shuts down continues to serve. The load
-	// balancer probes readiness once a second and must see two failures.
-	lingerTime = 2500 * time.Millisecond
-	// answerMargin is the part of the grace period that is left after the last answer.
-	answerMargin = 300 * time.Millisecond
-	// replyMargin is the part of the grace period that is left when requests no longer
-	// wait for a dispatcher that is too busy to answer.
-	replyMargin = 500 * time.Millisecond
-	// drainMargin is the part of the grace period that is left after the last task.
-	drainMargin = 700 * time.Millisecond
 )
 
 // Settings are the settings that entries and agents share.
@@ -142,9 +132,8 @@
 	observer *observer
 	duties   []duty.Duty
 	cleanups []func()
-	// stopDeadline is when the grace period ends, in ns of Unix time; 0 before the
-	// shutdown.
-	stopDeadline atomic.Int64
+	// graceEnd is when the grace period ends; nil before the stop signal.
+	graceEnd atomic.Pointer[time.Time]
 	// leaving is closed at the stop signal, lingered when the linger time is over.
 	leaving  chan struct{}
 	lingered chan struct{}
@@ -237,7 +226,7 @@
 	d, cleanup, err := web.ServeUntil(l, web.Ending{
 		Leaving:  b.leaving,
 		Lingered: b.lingered,
-		Limit:    b.remaining,
+		Limit:    b.untilCut,
 		Note:     b.log,
 		Count:    func(c web.Counter) { b.observer.count(name, c) },
 	}, name, purpose, h)
@@ -266,73 +255,3 @@
 		}
 	})
 }
-
-// run starts all duties. It returns an error when a duty fails, or nil when ctx has
-// ended and the process has drained.
-func (b *base) run(ctx context.Context, idle func() bool, linger time.Duration) error {
-	table, err := duty.NewTable(b.duties...)
-	if err != nil {
-		return err
-	}
-	failed, stop := table.Start(context.WithoutCancel(ctx))
-	defer stop()
-	b.logEvent(event.ProcessStarted, event.F("zone", b.settings.zone), event.F("link", b.settings.link), event.F("boot", b.hello.Incarnation()), event.F("pid", os.Getpid()))
-	select {
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
-	}
-	b.stopDeadline.Store(time.Now().Add(b.settings.grace).UnixNano())
-	close(b.leaving)
-	// The timer outlives run, whose duties stop when it returns.
-	time.AfterFunc(b.settings.grace-replyMargin, func() { close(b.replyDeadline) })
-	b.logEvent(event.ProcessStopping)
-	b.drain(idle, linger)
-	b.logEvent(event.ProcessStopped)
-	return nil
-}
-
-// closed reports whether a channel that carries no values is closed.
-func closed(c <-chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
-	}
-}
-
-// remaining returns how long the open requests may still take during a shutdown.
-func (b *base) remaining() time.Duration {
-	return max(0, time.Until(time.Unix(0, b.stopDeadline.Load()))-answerMargin)
-}
-
-// untilLastAnswer returns how long an entry that shuts down may still take to answer.
-func (b *base) untilLastAnswer() time.Duration {
-	return time.Until(time.Unix(0, b.stopDeadline.Load())) - drainMargin
-}
-
-// drain waits for the linger time and then until the process is idle, but not
-// longer than the grace period allows.
-func (b *base) drain(idle func() bool, linger time.Duration) {
-	end := time.NewTimer(b.settings.grace - drainMargin)
-	defer end.Stop()
-	lingered := time.NewTimer(linger)
-	defer lingered.Stop()
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	lingerOver := false
-	for {
-		select {
-		case <-end.C:
-			return
-		case <-lingered.C:
-			lingerOver = true
-			close(b.lingered)
-		case <-ticker.C:
-		}
-		if lingerOver && idle() {
-			return
-		}
-	}
-}
--- a/internal/process/role/server/watch.go
+++ b/internal/process/role/server/watch.go
@@ -102,9 +102,9 @@
 	return revision, err
 }
 
-// register keeps the store key with this entry's address and removes it when ctx
-// ends.
-func register(ctx context.Context, s keyspace.Store, name, address string, logEvent func(event.Name, ...event.Field)) error {
+// register keeps the store key with this entry's address and removes it when the
+// process has lingered or ctx ends.
+func register(ctx context.Context, s keyspace.Store, name, address string, lingered <-chan struct{}, logEvent func(event.Name, ...event.Field)) error {
 	h := &storeHealth{
 		call:     "registration",
 		logEvent: logEvent,
@@ -126,20 +126,35 @@
 		if err != nil {
 			d = maxStoreBackoff
 		}
-		if !duty.Pause(ctx, d) {
+		if !pauseUntil(ctx, d, lingered) {
 			break
 		}
 	}
 	if lease == 0 {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxStoreBackoff)
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxStoreBackoff)
 	defer cancel()
+	defer context.AfterFunc(ctx, func() { time.AfterFunc(revokeLimit, cancel) })()
 	// If the call fails, the key expires with its lease.
-	h.update(s.Revoke(ctx, lease))
+	h.update(s.Revoke(end, lease))
 	return nil
 }
 
+// pauseUntil waits for d. It returns false if ctx ends or stop is closed before.
+func pauseUntil(ctx context.Context, d time.Duration, stop <-chan struct{}) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-stop:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // createRegistration writes the entry's key under a new lease. It overwrites a key
 // that a previous process of the same name left.
 func createRegistration(ctx context.Context, s keyspace.Store, name, address string) (int64, error) {
--- a/internal/process/web/counter.go
+++ b/internal/process/web/counter.go
@@ -59,7 +59,7 @@
 		return
 	}
 	s.taken.Add(1)
-	s.lastTaken.Store(time.Now().UnixNano())
+	s.lastTaken.Store(time.Since(s.began).Nanoseconds())
 	s.count(RequestsTaken)
 }
 
@@ -93,9 +93,9 @@
 	}
 	since, last := int64(0), int64(0)
 	if at := s.leftAt.Load(); at > 0 {
-		since = time.Since(time.Unix(0, at)).Milliseconds()
+		since = (time.Since(s.began) - time.Duration(at)).Milliseconds()
 		if t := s.lastTaken.Load(); t > 0 {
-			last = (t - at) / int64(time.Millisecond)
+			last = time.Duration(t - at).Milliseconds()
 		}
 	}
 	s.ending.Note(event.New(event.ServerEnding, event.F("server", s.name), event.F("stage", stage), event.F("since_stop_ms", since),
--- a/internal/process/web/run.go
+++ b/internal/process/web/run.go
@@ -26,7 +26,7 @@
 			s.apply(c)
 		case <-leaving:
 			leaving = nil
-			s.leftAt.Store(time.Now().UnixNano())
+			s.leftAt.Store(time.Since(s.began).Nanoseconds())
 			s.noteStage(stageLeaving)
 		case <-lingered:
 			lingered = nil
@@ -71,7 +71,7 @@
 	_ = l.Close()
 	limit := time.NewTimer(s.ending.Limit())
 	defer limit.Stop()
-	settle := time.NewTimer(settleTime)
+	settle := time.NewTimer(SettleTime)
 	defer settle.Stop()
 	ticker := time.NewTicker(endInterval)
 	defer ticker.Stop()
@@ -101,7 +101,7 @@
 		s.countUnanswered(c)
 	}
 	_ = s.http.Close()
-	end := time.NewTimer(cutTime)
+	end := time.NewTimer(CutTime)
 	defer end.Stop()
 	for len(s.connections) > 0 {
 		select {
--- a/internal/process/web/web.go
+++ b/internal/process/web/web.go
@@ -28,11 +28,11 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout closes connections without a further request.
 	idleTimeout = 2 * time.Minute
-	// settleTime is how long a stopping server waits for the first request of an open
+	// SettleTime is how long a stopping server waits for the first request of an open
 	// connection.
-	settleTime = 250 * time.Millisecond
-	// cutTime is how long handlers may take to return once their connection is closed.
-	cutTime = 50 * time.Millisecond
+	SettleTime = 250 * time.Millisecond
+	// CutTime is how long handlers may take to return once their connection is closed.
+	CutTime = 50 * time.Millisecond
 	// endInterval is how often a stopping server looks for connections to close.
 	endInterval = 5 * time.Millisecond
 	// changeRingSize bounds the connections that wait to be added or removed.
@@ -97,10 +97,13 @@
 	connections map[*connection]bool
 	// stopped is set when the duty stops.
 	stopped atomic.Bool
-	// leftAt is when the process got its stop signal, in ns of Unix time; 0 before.
+	// began is when the server was made; leftAt and lastTaken count from it, in ns, on a
+	// clock that is never set.
+	began time.Time
+	// leftAt is when the process got its stop signal; 0 before.
 	leftAt atomic.Int64
 	// taken is the number of requests read after the stop signal; lastTaken is when the
-	// last one was, in ns of Unix time.
+	// last one was.
 	taken      atomic.Int64
 	lastTaken  atomic.Int64
 	refusals   atomic.Int64
@@ -127,6 +130,7 @@
 		ending:      ending,
 		changes:     changes,
 		connections: map[*connection]bool{},
+		began:       time.Now(),
 	}
 	s.life, s.endLife = context.WithCancel(context.Background())
 	s.http = &http.Server{
