Stop the runs of an agent before it ends

A job that was at work on a leaving agent at the end of its grace period waited for 1,178 ms before it was placed elsewhere.

Cause: the agent ended beside the run, so the entry had to wait until its lease had certainly expired.

Change: 0.2 s before an agent ends it stops what still runs and reports the ends.

go test -count=1 ./internal/process/role/executor

--- a/internal/process/role/executor/event.go
+++ b/internal/process/role/executor/event.go
@@ -19,7 +19,8 @@
 	left         string
 	commandReply *CommandReply
 	renewalReply *RenewalReply
-	shutdown     bool
+	// shutdown is how long runs may continue after a request to shut down.
+	shutdown *time.Duration
 }
 
 // Opened is a new connection to an entry.
@@ -152,10 +153,11 @@
 	}
 }
 
-// ShutdownRequested returns the event of a request to shut down the agent.
-func ShutdownRequested() Event {
+// ShutdownRequested returns the event of a request to shut down the agent, whose runs
+// may continue for a time.
+func ShutdownRequested(runsWithin time.Duration) Event {
 	return Event{
-		shutdown: true,
+		shutdown: &runsWithin,
 	}
 }
 
--- a/internal/process/role/executor/executor.go
+++ b/internal/process/role/executor/executor.go
@@ -155,9 +155,12 @@
 	inUse           task.Resources
 	queuedResources task.Resources
 	leaving         bool
-	lastEvent       time.Duration
-	config          frame.Config
-	out             Output
+	// stopRunsAt is when a leaving agent stops what still runs, so that entries can place
+	// it elsewhere without waiting for its lease.
+	stopRunsAt time.Duration
+	lastEvent  time.Duration
+	config     frame.Config
+	out        Output
 }
 
 // New returns the state machine of an agent. The fence must be higher than that of
@@ -221,8 +224,8 @@
 		s.handleCommandReply(now, *ev.commandReply)
 	case ev.renewalReply != nil:
 		s.handleRenewalReply(now, *ev.renewalReply)
-	case ev.shutdown:
-		s.handleShutdown()
+	case ev.shutdown != nil:
+		s.handleShutdown(now + *ev.shutdown)
 	}
 }
 
@@ -257,8 +260,9 @@
 	return list
 }
 
-func (s *StateMachine) handleShutdown() {
+func (s *StateMachine) handleShutdown(stopRunsAt time.Duration) {
 	s.leaving = true
+	s.stopRunsAt = stopRunsAt
 	for _, sess := range s.sessions {
 		sess.targetSent = false
 		sess.sendNow = true
@@ -275,6 +279,8 @@
 		switch {
 		case r.state != runStopping && now >= r.deadline:
 			s.stop(now, r, "deadline")
+		case s.leaving && r.state != runStopping && now >= s.stopRunsAt:
+			s.stop(now, r, "leaving")
 		case r.state == runStopping && r.stopConfirmed == 0 && now-r.stopSent >= stopRetryInterval:
 			s.sendStop(now, r)
 		}
--- a/internal/process/role/executor/executor_test.go
+++ b/internal/process/role/executor/executor_test.go
@@ -172,7 +172,7 @@
 		},
 		"leaving": {
 			act: func(fx *fixture) {
-				fx.handle(executor.ShutdownRequested())
+				fx.handle(executor.ShutdownRequested(time.Second))
 				fx.start(0)
 			},
 			ends: map[int]task.End{0: task.EndRefused},
--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -160,7 +160,7 @@
 		select {
 		case <-leaving:
 			leaving = nil
-			a.handle(executor.ShutdownRequested())
+			a.handle(executor.ShutdownRequested(a.base.left(drainMargin + runStopTime)))
 		case m := <-a.ring.Out():
 			a.receive(m)
 		case <-ticker.C:
--- a/internal/process/role/server/shutdown.go
+++ b/internal/process/role/server/shutdown.go
@@ -21,6 +21,9 @@
 	// drainMargin is the part of the grace period that is left after the last task and
 	// the dispatcher's last answer.
 	drainMargin = 700 * time.Millisecond
+	// runStopTime is the time before drainMargin in which a leaving agent stops its runs
+	// and reports their ends.
+	runStopTime = 200 * time.Millisecond
 	// replyMargin is the part of the grace period that is left when requests no longer
 	// wait for a dispatcher that is too busy to answer.
 	replyMargin = 550 * time.Millisecond
