Test the stages and counts of a server that ends

The test guards the closing of idle connections at the end of the linger time, Connection: close on answers after the stop signal, and the counters of requests taken, refused and left without an answer:

--- a/internal/process/web/web_test.go
+++ b/internal/process/web/web_test.go
@@ -1,6 +1,7 @@
 package web_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"greengagedoor.example/greengagedoor/internal/process/duty"
+	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/web"
 )
 
@@ -77,3 +79,87 @@
 		})
 	}
 }
+
+// TestEndingStages guards against a leaving server that keeps callers on their connections, and against counts that miss requests.
+func TestEndingStages(t *testing.T) {
+	Convey("connections end at their stages, and the counts are right", t, func() {
+		l, address, err := web.Listen("127.0.0.1:0")
+		So(err, ShouldBeNil)
+		leaving, lingered := make(chan struct{}), make(chan struct{})
+		notes := make(chan event.Note, 10)
+		counted := make(chan web.Counter, 10)
+		d, cleanup, err := web.ServeUntil(l, web.Ending{
+			Leaving:  leaving,
+			Lingered: lingered,
+			Limit:    web.ConstantLimit(100 * time.Millisecond),
+			Note:     func(n event.Note) { notes <- n },
+			Count:    func(c web.Counter) { counted <- c },
+		}, "front", "Answers.", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			switch r.URL.Path {
+			case "/refused":
+				w.WriteHeader(http.StatusServiceUnavailable)
+			case "/long":
+				<-r.Context().Done()
+			}
+		}))
+		So(err, ShouldBeNil)
+		defer cleanup()
+		table, err := duty.NewTable(d)
+		So(err, ShouldBeNil)
+		_, stop := table.Start(context.Background())
+		defer stop()
+		dial := func() (net.Conn, *bufio.Reader) {
+			c, err := net.Dial("tcp", address)
+			So(err, ShouldBeNil)
+			So(c.SetDeadline(time.Now().Add(5*time.Second)), ShouldBeNil)
+			return c, bufio.NewReader(c)
+		}
+		send := func(c net.Conn, path string) {
+			_, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: a\r\n\r\n")
+			So(err, ShouldBeNil)
+		}
+		used, usedAnswers := dial()
+		defer func() { _ = used.Close() }()
+		send(used, "/")
+		w, err := http.ReadResponse(usedAnswers, nil)
+		So(err, ShouldBeNil)
+		So(w.Close, ShouldBeFalse)
+		other, answers := dial()
+		defer func() { _ = other.Close() }()
+		long, longAnswers := dial()
+		defer func() { _ = long.Close() }()
+
+		close(leaving)
+		So(stage(<-notes), ShouldEqual, "leaving")
+		send(other, "/refused")
+		w, err = http.ReadResponse(answers, nil)
+		So(err, ShouldBeNil)
+		So(w.Close, ShouldBeTrue)
+		_, err = answers.ReadByte()
+		So(err, ShouldEqual, io.EOF)
+		So([]web.Counter{<-counted, <-counted}, ShouldResemble, []web.Counter{web.RequestsTaken, web.RequestsRefused})
+
+		close(lingered)
+		So(stage(<-notes), ShouldEqual, "lingered")
+		_, err = usedAnswers.ReadByte()
+		So(err, ShouldEqual, io.EOF)
+		send(long, "/long")
+		So(<-counted, ShouldEqual, web.RequestsTaken)
+
+		go stop()
+		So(stage(<-notes), ShouldEqual, "stopping")
+		So(stage(<-notes), ShouldEqual, "cut")
+		So(<-counted, ShouldEqual, web.RequestsUnanswered)
+		_, err = longAnswers.ReadByte()
+		So(err, ShouldNotBeNil)
+	})
+}
+
+func stage(n event.Note) any {
+	for _, f := range n.Fields() {
+		if f.Key() == "stage" {
+			return f.Value()
+		}
+	}
+	return nil
+}
