--- a/internal/process/role/dispatch/event.go
+++ b/internal/process/role/dispatch/event.go
@@ -21,7 +21,8 @@
 	query      *Query
 	version    *route.Version
 	config     frame.Config
-	shutdown   bool
+	// shutdown is how long an entry that was told to shut down still answers.
+	shutdown *time.Duration
 }
 
 // Submission is a caller's request to run a job.
@@ -33,6 +34,7 @@
 	spec      string
 	steps     []task.Step
 	timeLimit time.Duration
+	arrived   time.Duration
 }
 
 // NewSubmission returns the submission of a request to a host and path. The trace
@@ -54,6 +56,13 @@
 	return s
 }
 
+// ArrivedAt returns the submission of a request that arrived at a time of the entry's
+// clock. The caller's time counts from then; without it, from the event's time.
+func (s Submission) ArrivedAt(t time.Duration) Submission {
+	s.arrived = t
+	return s
+}
+
 // Submitted is the event of a new submission.
 func Submitted(s Submission) Event {
 	return Event{
@@ -151,10 +160,11 @@
 	}
 }
 
-// ShutdownRequested is the event of an entry that was told to shut down.
-func ShutdownRequested() Event {
+// ShutdownRequested is the event of an entry that was told to shut down and has to
+// answer all callers within a time.
+func ShutdownRequested(answerWithin time.Duration) Event {
 	return Event{
-		shutdown: true,
+		shutdown: &answerWithin,
 	}
 }
 
@@ -223,6 +233,15 @@
 	pending    int
 }
 
+// Refused returns the answer to a request that did not reach the state machine.
+func Refused(reason string, retryAfter time.Duration) Answer {
+	return Answer{
+		state:      StateRefused,
+		reason:     reason,
+		retryAfter: retryAfter,
+	}
+}
+
 func (a Answer) Request() uint64 {
 	return a.request
 }
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -24,22 +24,31 @@
 
 // job is a job from its request to its answer.
 type job struct {
-	work     task.Job
-	trace    string
-	route    route.Route
-	callers  []uint64
-	accepted time.Duration
+	work    task.Job
+	trace   string
+	route   route.Route
+	model   *routeModel
+	callers []uint64
+	// arrived is when the request arrived, which may be some time before the decision
+	// on it.
+	arrived  time.Duration
 	deadline time.Duration
 	// due is when the commitment expires. An answer after usefulUntil has no value for
 	// the caller.
 	due         time.Duration
 	usefulUntil time.Duration
+	// cut is set if the entry ends before the deadline of the caller. uncutUntil is then
+	// usefulUntil without that end.
+	cut        bool
+	uncutUntil time.Duration
 	// fastestTime is the expected time on the fastest target. latestStart is the latest
 	// start there that meets the commitment.
 	fastestTime time.Duration
 	latestStart time.Duration
 	rank        int64
 	demoted     bool
+	// coreSeconds is the expected work on a target of factor 1.
+	coreSeconds float64
 	// relativeSize is the work of the job relative to the mean of its route.
 	relativeSize  float64
 	fairnessGroup group
@@ -47,7 +56,9 @@
 	// job's tasks.
 	observedRatio movingAverage
 	steps         []*step
-	ready         []*jobTask
+	// tasks are the tasks of all released steps, and ready those that can be placed.
+	tasks []*jobTask
+	ready []*jobTask
 	// started is set once a task may have started.
 	started bool
 	ended   bool
@@ -63,11 +74,14 @@
 
 // jobTask is one task of a job.
 type jobTask struct {
-	job         *job
-	step        int
-	index       int
-	run         int64
-	failures    int
+	job      *job
+	step     int
+	index    int
+	name     string
+	run      int64
+	failures int
+	// avoidAgents has the agents on which a run of the task failed, was lost or was
+	// stopped; nil before the first.
 	avoidAgents map[string]bool
 	// measuredTime is a lower bound of the run time on a target of factor 1, from the
 	// progress of a run that was stopped because only a faster target can end the task
@@ -77,8 +91,11 @@
 	done         bool
 }
 
-func (t *jobTask) name() string {
-	return task.NewRun(t.job.work.ID(), t.step, t.index, 0).TaskName()
+func (t *jobTask) avoid(a *agent) {
+	if t.avoidAgents == nil {
+		t.avoidAgents = map[string]bool{}
+	}
+	t.avoidAgents[a.name] = true
 }
 
 func (d *Dispatch) answer(request uint64, s State, reason string, retryAfter time.Duration) {
@@ -99,9 +116,14 @@
 	return r, strings.TrimPrefix(path, r.Prefix()), true
 }
 
-func (d *Dispatch) refuse(s Submission, id string, st State, reason string, retryAfter time.Duration) {
-	d.logEvent(event.JobRefused, event.F("job", id), event.F("trace", s.trace), event.F("reason", reason),
-		event.F("retry_after_ms", retryAfter.Milliseconds()), event.F("jobs_held", len(d.jobs)))
+func (d *Dispatch) refuse(s Submission, id string, st State, reason string, retryAfter time.Duration, fields ...event.Field) {
+	d.logEvent(event.JobRefused, append([]event.Field{
+		event.F("job", id),
+		event.F("trace", s.trace),
+		event.F("reason", reason),
+		event.F("retry_after_ms", retryAfter.Milliseconds()),
+		event.F("jobs_held", len(d.jobs)),
+	}, fields...)...)
 	d.answer(s.request, st, reason, retryAfter)
 }
 
@@ -160,13 +182,18 @@
 	if r.Timeout() > 0 {
 		limit = min(limit, r.Timeout())
 	}
+	arrived := now
+	if s.arrived > 0 {
+		arrived = min(s.arrived, now)
+	}
 	j := &job{
 		work:     work,
 		trace:    s.trace,
 		route:    r,
+		model:    d.estimates.route(r.Name()),
 		callers:  []uint64{s.request},
-		accepted: now,
-		deadline: now + limit,
+		arrived:  arrived,
+		deadline: arrived + limit,
 	}
 	for i, x := range work.Steps() {
 		j.steps = append(j.steps, &step{
@@ -175,12 +202,22 @@
 		})
 	}
 	d.prioritize(j)
+	if d.leaving {
+		d.cutTimes(j)
+	}
+	if d.endsTooSoon(now, j) {
+		d.refuse(s, work.ID(), StateRefused, reasonLeaving, d.retryAfter())
+		return
+	}
 	if d.unlikelyInTime(now, j) {
-		d.refuse(s, work.ID(), StateRefused, "too_long_for_caller", defaultRetryAfter)
+		d.refuse(s, work.ID(), StateRefused, "too_long_for_caller", defaultRetryAfter, event.F("route", r.Name()),
+			event.F("expected_ms", j.fastestTime.Milliseconds()), event.F("limit_ms", (j.deadline-now).Milliseconds()),
+			event.F("queued_ms", (now-j.arrived).Milliseconds()), event.F("size_class", j.fairnessGroup.sizeClass))
 		return
 	}
 	j.releaseSteps()
 	d.jobs[work.ID()] = j
+	d.nextDeadline = min(d.nextDeadline, j.deadline)
 	d.requests[s.request] = j
 	d.enqueue(j)
 	d.logAccepted(now, j)
@@ -194,12 +231,14 @@
 		}
 		st.released = true
 		for n := range j.work.Steps()[i].Count() {
-			j.ready = append(j.ready, &jobTask{
-				job:         j,
-				step:        i,
-				index:       n,
-				avoidAgents: map[string]bool{},
-			})
+			t := &jobTask{
+				job:   j,
+				step:  i,
+				index: n,
+				name:  task.NewRun(j.work.ID(), i, n, 0).TaskName(),
+			}
+			j.tasks = append(j.tasks, t)
+			j.ready = append(j.ready, t)
 		}
 	}
 }
@@ -234,18 +273,25 @@
 	}
 	stopped := d.stopRuns(j)
 	if s == StateComplete || s == StateFailed || s == StateCancelled {
-		d.finished[j.work.ID()] = finishedJob{
-			state:      s,
-			finishedAt: now,
-		}
+		d.keepOutcome(now, j.work.ID(), s)
 	}
 	name := event.JobEnded
 	if s == StateRefused {
 		name = event.JobRefused
 	}
 	d.logEvent(name, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("route", j.route.Name()), event.F("state", s.String()),
-		event.F("reason", reason), event.F("took_ms", (now-j.accepted).Milliseconds()), event.F("late_ms", (now-j.due).Milliseconds()),
-		event.F("runs_stopped", stopped))
+		event.F("reason", reason), event.F("took_ms", (now-j.arrived).Milliseconds()), event.F("late_ms", (now-j.due).Milliseconds()),
+		event.F("runs_stopped", stopped), event.F("size_class", j.fairnessGroup.sizeClass), event.F("tasks_done", j.tasksDone()))
+}
+
+func (j *job) tasksDone() int {
+	n := 0
+	for _, t := range j.tasks {
+		if t.done {
+			n++
+		}
+	}
+	return n
 }
 
 func (d *Dispatch) callerLeft(now time.Duration, request uint64) {
@@ -263,7 +309,7 @@
 	if len(j.callers) > 0 {
 		return
 	}
-	d.logEvent(event.JobLeft, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("held_ms", (now-j.accepted).Milliseconds()))
+	d.logEvent(event.JobLeft, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("held_ms", (now-j.arrived).Milliseconds()))
 	d.finish(now, j, StateExpired, reasonCallersLeft)
 }
 
@@ -286,7 +332,7 @@
 	for _, p := range d.peers {
 		p.cancels = append(p.cancels, id)
 	}
-	for _, a := range d.sessions {
+	for _, a := range d.connected {
 		a.cancels = append(a.cancels, id)
 	}
 	d.answer(c.request, StateGone, "no_job", 0)
@@ -302,19 +348,31 @@
 	return true
 }
 
+// keepOutcome keeps the outcome of a finished job for answerRetention.
+func (d *Dispatch) keepOutcome(now time.Duration, id string, s State) {
+	d.finished[id] = finishedJob{
+		state:      s,
+		finishedAt: now,
+	}
+	d.finishedOrder = append(d.finishedOrder, id)
+}
+
 // expireJobs ends the jobs past their deadline and removes old outcomes.
 func (d *Dispatch) expireJobs(now time.Duration) {
 	for _, id := range d.overdueJobs(now) {
 		j := d.jobs[id]
 		if j.started {
-			d.finish(now, j, StateExpired, "deadline")
+			d.finish(now, j, StateExpired, j.expiryReason())
 		} else {
-			d.finish(now, j, StateRefused, "deadline")
+			d.finish(now, j, StateRefused, j.expiryReason())
 		}
 	}
-	for id, p := range d.finished {
-		if now-p.finishedAt >= answerRetention {
-			delete(d.finished, id)
+	for len(d.finishedOrder) > 0 {
+		id := d.finishedOrder[0]
+		if p, ok := d.finished[id]; ok && now-p.finishedAt < answerRetention {
+			return
 		}
+		delete(d.finished, id)
+		d.finishedOrder = d.finishedOrder[1:]
 	}
 }
--- a/internal/process/role/executor/session.go
+++ b/internal/process/role/executor/session.go
@@ -1,7 +1,8 @@
 package executor
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
@@ -16,8 +17,11 @@
 	echo        time.Duration
 	sent        time.Duration
 	capacityDue bool
-	started     []frame.RunID
-	ended       []frame.Ended
+	// reportInterval is the minimum time between two frames that report only free
+	// capacity and progress. The entry asks for a longer one if it has many agents.
+	reportInterval time.Duration
+	started        []frame.RunID
+	ended          []frame.Ended
 	// progress is what the next frame reports about active runs.
 	progress   []frame.Progress
 	lastStart  uint64
@@ -30,19 +34,25 @@
 
 func (s *StateMachine) openSession(now time.Duration, o Opened) {
 	s.sessions[o.session] = &session{
-		number:  o.session,
-		entry:   o.hello.Name(),
-		echo:    now,
-		sendNow: true,
+		number:         o.session,
+		entry:          o.hello.Name(),
+		echo:           now,
+		reportInterval: capacityInterval,
+		sendNow:        true,
 	}
 	s.logEvent(event.SessionOpened, event.F("entry", o.hello.Name()), event.F("session", o.session))
 }
 
+// sessionNumbers returns the numbers of the sessions in ascending order.
+func (s *StateMachine) sessionNumbers() []uint64 {
+	return slices.Sorted(maps.Keys(s.sessions))
+}
+
 // expireSessions ends the sessions whose last echo is older than the session
 // timeout.
 func (s *StateMachine) expireSessions(now time.Duration) {
-	for n, sess := range s.sessions {
-		if now-sess.echo > s.timing.sessionTimeout {
+	for _, n := range s.sessionNumbers() {
+		if sess := s.sessions[n]; now-sess.echo > s.timing.sessionTimeout {
 			s.out.sessionsToClose = append(s.out.sessionsToClose, n)
 			s.closeSession(now, n, "silent")
 		}
@@ -81,6 +91,9 @@
 		return
 	}
 	s.updateConfig(sess, f)
+	if f.ReportInterval > 0 {
+		sess.reportInterval = min(max(f.ReportInterval, capacityInterval), s.timing.heartbeatInterval)
+	}
 	for _, st := range f.Starts {
 		s.handleStart(now, sess, st)
 	}
@@ -114,15 +127,10 @@
 
 // flush sends a frame to each entry for which one is due.
 func (s *StateMachine) flush(now time.Duration) {
-	numbers := make([]uint64, 0, len(s.sessions))
-	for n := range s.sessions {
-		numbers = append(numbers, n)
-	}
-	sort.Slice(numbers, func(i, j int) bool { return numbers[i] < numbers[j] })
-	for _, n := range numbers {
+	for _, n := range s.sessionNumbers() {
 		sess := s.sessions[n]
 		sinceSent := now - sess.sent
-		if sess.sendNow || !sess.targetSent || len(sess.ended)+len(sess.started) > 0 || sinceSent >= s.timing.heartbeatInterval || sess.capacityDue && sinceSent >= capacityInterval {
+		if sess.sendNow || !sess.targetSent || len(sess.ended)+len(sess.started) > 0 || sinceSent >= s.timing.heartbeatInterval || sess.capacityDue && sinceSent >= sess.reportInterval {
 			s.sendFrame(now, sess)
 		}
 	}
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -16,8 +17,17 @@
 	"greengagedoor.example/greengagedoor/internal/version/route"
 )
 
-// ErrOverloaded reports a request that is rejected because the ring is full.
-var ErrOverloaded = errors.New("entry is overloaded")
+// ErrLeaving reports a request without an answer of the dispatcher when the process
+// ends. Its job may have run.
+var ErrLeaving = errors.New("the entry ends")
+
+// overloadedRetryAfter is the time after which a caller may retry that found the ring
+// full.
+const overloadedRetryAfter = time.Second
+
+// maxBatch bounds the events of one pass of the dispatcher, so that answers and
+// starts are not held up by a long queue.
+const maxBatch = 128
 
 // request is a caller's request with the channel for its answer.
 type request struct {
@@ -55,19 +65,22 @@
 
 // Entry is the process that accepts callers' requests and assigns tasks to agents.
 type Entry struct {
-	base        *base
-	dispatch    *dispatch.Dispatch
-	ring        *ring.Ring[any]
-	links       *links
-	streams     map[uint64]*stream.Stream
-	roles       map[uint64]frame.Role
-	replies     map[uint64]chan dispatch.Answer
-	peers       []frame.Peer
+	base     *base
+	dispatch *dispatch.Dispatch
+	ring     *ring.Ring[any]
+	links    *links
+	streams  map[uint64]*stream.Stream
+	roles    map[uint64]frame.Role
+	replies  map[uint64]chan dispatch.Answer
+	peers    []frame.Peer
+	// events is reused by takeAll.
+	events      []dispatch.Event
 	lastRequest atomic.Uint64
 	ready       atomic.Bool
 	idle        atomic.Bool
-	leaving     atomic.Bool
-	version     atomic.Pointer[route.Version]
+	// waiting is the number of requests without an answer of the dispatcher.
+	waiting atomic.Int64
+	version atomic.Pointer[route.Version]
 }
 
 // NewEntry returns an entry and its cleanup function. Serve adds its HTTP
@@ -168,22 +181,13 @@
 // Run serves until ctx ends and all accepted requests are answered, or the grace
 // period is over.
 func (e *Entry) Run(ctx context.Context) error {
-	return e.base.run(ctx, e.leave, e.idle.Load, lingerTime)
-}
-
-func (e *Entry) leave() {
-	e.leaving.Store(true)
-	_ = e.ring.Push(context.Background(), dispatch.ShutdownRequested())
+	return e.base.run(ctx, func() bool { return e.waiting.Load() == 0 && e.idle.Load() }, lingerTime)
 }
 
-// Ready reports whether the entry can serve new callers.
+// Ready reports whether the entry can serve new callers. It turns false with the stop
+// signal, also while the dispatcher is busy.
 func (e *Entry) Ready() bool {
-	return e.ready.Load()
-}
-
-// Leaving reports whether the entry is shutting down.
-func (e *Entry) Leaving() bool {
-	return e.leaving.Load()
+	return e.ready.Load() && !closed(e.base.leaving)
 }
 
 // Version returns the active configuration, or nil if there is none.
@@ -196,6 +200,11 @@
 	e.base.log(n)
 }
 
+// Now returns the time of the clock that decisions use.
+func (e *Entry) Now() time.Duration {
+	return e.base.clock()
+}
+
 // Submit submits a job and waits for its answer or the end of ctx.
 func (e *Entry) Submit(ctx context.Context, s dispatch.Submission) (dispatch.Answer, error) {
 	return e.call(ctx, func(n uint64) dispatch.Event { return dispatch.Submitted(s.WithRequest(n)) })
@@ -212,19 +221,29 @@
 }
 
 func (e *Entry) call(ctx context.Context, ev func(uint64) dispatch.Event) (dispatch.Answer, error) {
+	if closed(e.base.replyDeadline) {
+		return e.refuse("leaving", 0), nil
+	}
+	e.waiting.Add(1)
+	defer e.waiting.Add(-1)
 	n := e.lastRequest.Add(1)
 	reply := make(chan dispatch.Answer, 1)
-	err := e.ring.TryPush(request{
+	if e.ring.TryPush(request{
 		number: n,
 		event:  ev(n),
 		reply:  reply,
-	})
-	if err != nil {
-		return dispatch.Answer{}, errors.Wrap(ErrOverloaded, err.Error())
+	}) != nil {
+		return e.refuse("overloaded", overloadedRetryAfter), nil
 	}
 	select {
 	case a := <-reply:
 		return a, nil
+	case <-e.base.replyDeadline:
+		// The dispatcher is too busy to answer by itself.
+		_ = e.ring.TryPush(callerLeft{
+			number: n,
+		})
+		return dispatch.Answer{}, ErrLeaving
 	case <-ctx.Done():
 		_ = e.ring.Push(context.WithoutCancel(ctx), callerLeft{
 			number: n,
@@ -233,6 +252,12 @@
 	}
 }
 
+// refuse answers a request that did not reach the dispatcher.
+func (e *Entry) refuse(reason string, retryAfter time.Duration) dispatch.Answer {
+	e.base.logEvent(event.JobRefused, event.F("reason", reason), event.F("retry_after_ms", retryAfter.Milliseconds()))
+	return dispatch.Refused(reason, retryAfter)
+}
+
 // configurationRead passes a stored configuration to the duty.
 func (e *Entry) configurationRead(ctx context.Context, body []byte) {
 	_ = e.ring.Push(ctx, frame.NewConfig(0, body))
@@ -241,10 +266,14 @@
 func (e *Entry) run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	leaving := e.base.leaving
 	for {
 		select {
+		case <-leaving:
+			leaving = nil
+			e.handle(dispatch.ShutdownRequested(e.base.untilLastAnswer()))
 		case m := <-e.ring.Out():
-			e.receive(m)
+			e.handle(e.takeAll(m)...)
 		case <-ticker.C:
 			e.handle(dispatch.Tick())
 		case <-ctx.Done():
@@ -253,35 +282,56 @@
 	}
 }
 
-func (e *Entry) receive(m any) {
+// takeAll returns the events of a message and of those that wait behind it. The
+// readers of streams that have a frame push it first, so that one pass of the
+// dispatcher decides on all of them.
+func (e *Entry) takeAll(m any) []dispatch.Event {
+	runtime.Gosched()
+	events := append(e.events[:0], e.receive(m)...)
+	for len(events) < maxBatch {
+		select {
+		case m := <-e.ring.Out():
+			events = append(events, e.receive(m)...)
+			continue
+		default:
+		}
+		break
+	}
+	e.events = events
+	return events
+}
+
+// receive returns the events of a message.
+func (e *Entry) receive(m any) []dispatch.Event {
 	switch m := m.(type) {
 	case request:
 		e.replies[m.number] = m.reply
-		e.handle(m.event)
+		return []dispatch.Event{m.event}
 	case callerLeft:
 		delete(e.replies, m.number)
-		e.handle(dispatch.CallerLeft(m.number))
+		return []dispatch.Event{dispatch.CallerLeft(m.number)}
 	case dispatch.Event:
-		e.handle(m)
+		return []dispatch.Event{m}
 	case streamOpened:
 		e.streams[m.stream.Number()] = m.stream
 		e.roles[m.stream.Number()] = m.hello.Role()
-		e.handle(dispatch.SessionOpened(m.stream.Number(), m.hello))
 		e.sendPeers(m.stream)
+		return []dispatch.Event{dispatch.SessionOpened(m.stream.Number(), m.hello)}
 	case frameReceived:
-		e.handle(dispatch.FrameReceived(m.stream.Number(), m.frame))
+		return []dispatch.Event{dispatch.FrameReceived(m.stream.Number(), m.frame)}
 	case streamClosed:
 		delete(e.streams, m.stream.Number())
 		delete(e.roles, m.stream.Number())
-		e.handle(dispatch.SessionClosed(m.stream.Number()))
+		return []dispatch.Event{dispatch.SessionClosed(m.stream.Number())}
 	case frame.Config:
-		e.applyConfiguration(m)
+		return e.decodeConfiguration(m)
 	case entriesFound:
 		e.peers = m.peers
 		for _, s := range e.streams {
 			e.sendPeers(s)
 		}
 	}
+	return nil
 }
 
 // sendPeers sends the addresses of the known entries to an agent.
@@ -294,20 +344,20 @@
 	})
 }
 
-// applyConfiguration decodes a stored configuration and passes it to the
-// dispatcher. An invalid one is logged and ignored.
-func (e *Entry) applyConfiguration(c frame.Config) {
+// decodeConfiguration returns the event of a stored configuration. An invalid one is
+// logged and ignored.
+func (e *Entry) decodeConfiguration(c frame.Config) []dispatch.Event {
 	v, err := e.base.deps.Decode(c.Body())
 	if err != nil {
 		e.base.logEvent(event.ConfigInvalid, event.F("error", err.Error()), event.F("bytes", len(c.Body())))
-		return
+		return nil
 	}
-	e.handle(dispatch.VersionReceived(v, frame.NewConfig(v.Number(), c.Body())))
+	return []dispatch.Event{dispatch.VersionReceived(v, frame.NewConfig(v.Number(), c.Body()))}
 }
 
-// handle passes an event to the dispatcher and carries out its output.
-func (e *Entry) handle(ev dispatch.Event) {
-	out := e.dispatch.Handle(e.base.clock(), ev)
+// handle passes events to the dispatcher and carries out its output.
+func (e *Entry) handle(events ...dispatch.Event) {
+	out := e.dispatch.Handle(e.base.clock(), events...)
 	for _, n := range out.Notes() {
 		e.base.log(n)
 	}
@@ -330,7 +380,7 @@
 		}
 	}
 	for _, c := range out.Configs() {
-		e.applyConfiguration(c)
+		e.handle(e.decodeConfiguration(c)...)
 	}
 	e.ready.Store(e.dispatch.Ready())
 	e.idle.Store(e.dispatch.Idle())
--- a/internal/process/role/server/server.go
+++ b/internal/process/role/server/server.go
@@ -52,6 +52,9 @@
 	lingerTime = 2500 * time.Millisecond
 	// answerMargin is the part of the grace period that is left after the last answer.
 	answerMargin = 300 * time.Millisecond
+	// replyMargin is the part of the grace period that is left when requests no longer
+	// wait for a dispatcher that is too busy to answer.
+	replyMargin = 500 * time.Millisecond
 	// drainMargin is the part of the grace period that is left after the last task.
 	drainMargin = 700 * time.Millisecond
 )
@@ -142,6 +145,11 @@
 	// stopDeadline is when the grace period ends, in ns of Unix time; 0 before the
 	// shutdown.
 	stopDeadline atomic.Int64
+	// leaving is closed at the stop signal, lingered when the linger time is over.
+	leaving  chan struct{}
+	lingered chan struct{}
+	// replyDeadline is closed when requests may no longer wait for the dispatcher.
+	replyDeadline chan struct{}
 }
 
 func newBase(s Settings, deps Dependencies, role frame.Role, address string) (*base, error) {
@@ -168,6 +176,10 @@
 		hello:    frame.NewHello(s.name, rand.Uint64()|1, s.zone, address, role),
 		clock:    clock,
 		journal:  j,
+		leaving:  make(chan struct{}),
+		lingered: make(chan struct{}),
+
+		replyDeadline: make(chan struct{}),
 	}
 	if err := b.add("journal", "Writes the log.", j.Ring, j.Run); err != nil {
 		return nil, err
@@ -222,7 +234,13 @@
 	if err != nil {
 		return err
 	}
-	d, cleanup, err := web.Serve(l, b.remaining, name, purpose, h)
+	d, cleanup, err := web.ServeUntil(l, web.Ending{
+		Leaving:  b.leaving,
+		Lingered: b.lingered,
+		Limit:    b.remaining,
+		Note:     b.log,
+		Count:    func(c web.Counter) { b.observer.count(name, c) },
+	}, name, purpose, h)
 	if err != nil {
 		return err
 	}
@@ -251,7 +269,7 @@
 
 // run starts all duties. It returns an error when a duty fails, or nil when ctx has
 // ended and the process has drained.
-func (b *base) run(ctx context.Context, leave func(), idle func() bool, linger time.Duration) error {
+func (b *base) run(ctx context.Context, idle func() bool, linger time.Duration) error {
 	table, err := duty.NewTable(b.duties...)
 	if err != nil {
 		return err
@@ -265,18 +283,35 @@
 	case <-ctx.Done():
 	}
 	b.stopDeadline.Store(time.Now().Add(b.settings.grace).UnixNano())
+	close(b.leaving)
+	// The timer outlives run, whose duties stop when it returns.
+	time.AfterFunc(b.settings.grace-replyMargin, func() { close(b.replyDeadline) })
 	b.logEvent(event.ProcessStopping)
-	leave()
 	b.drain(idle, linger)
 	b.logEvent(event.ProcessStopped)
 	return nil
 }
 
+// closed reports whether a channel that carries no values is closed.
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // remaining returns how long the open requests may still take during a shutdown.
 func (b *base) remaining() time.Duration {
 	return max(0, time.Until(time.Unix(0, b.stopDeadline.Load()))-answerMargin)
 }
 
+// untilLastAnswer returns how long an entry that shuts down may still take to answer.
+func (b *base) untilLastAnswer() time.Duration {
+	return time.Until(time.Unix(0, b.stopDeadline.Load())) - drainMargin
+}
+
 // drain waits for the linger time and then until the process is idle, but not
 // longer than the grace period allows.
 func (b *base) drain(idle func() bool, linger time.Duration) {
@@ -293,6 +328,7 @@
 			return
 		case <-lingered.C:
 			lingerOver = true
+			close(b.lingered)
 		case <-ticker.C:
 		}
 		if lingerOver && idle() {
