Refuse new jobs at once while events wait too long for an entry

Requests and frames carry the time at which they were queued. A job that could not be answered in time at the present lag is refused as well.

--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -26,6 +26,9 @@
 	TaskRetried  Name = "task_retried"
 	TaskOverdue  Name = "task_overdue"
 
+	OverloadBegan Name = "overload_began"
+	OverloadEnded Name = "overload_ended"
+
 	RunStarted   Name = "run_started"
 	RunEnded     Name = "run_ended"
 	RunRefused   Name = "run_refused"
@@ -63,6 +66,8 @@
 	TaskPlaced:       "An entry sent a task to an agent.",
 	TaskRetried:      "A run ended without a result; the task is placed again.",
 	TaskOverdue:      "A run cannot end while its caller still waits; it moves to a faster target, or its job is abandoned.",
+	OverloadBegan:    "Events wait too long for an entry that is short of processor time; it refuses new jobs.",
+	OverloadEnded:    "Events no longer wait too long for the entry; it accepts jobs again.",
 	RunStarted:       "A target accepted a run.",
 	RunEnded:         "A run ended on a target.",
 	RunRefused:       "An agent or its target refused a start; nothing ran.",
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -80,6 +80,7 @@
 	parted    []*agent
 	estimates *estimator
 	fairness  *fairness
+	overload  overload
 	// loads has the load by hardware label, and lowestLoad the lowest of them, 1 if
 	// there is none. They were measured in this pass if loadMeasured is set.
 	loads        map[string]*hardwareLoad
@@ -127,6 +128,7 @@
 		loads:     map[string]*hardwareLoad{},
 		estimates: newEstimator(),
 		fairness:  newFairness(),
+		overload:  newOverload(timing),
 	}
 }
 
@@ -138,6 +140,7 @@
 	d.loadMeasured = false
 	d.expireSessions(now)
 	d.estimates.decay(now)
+	d.updateLag(now, events)
 	for _, ev := range events {
 		d.apply(now, ev)
 	}
--- a/internal/process/role/dispatch/event.go
+++ b/internal/process/role/dispatch/event.go
@@ -22,6 +22,14 @@
 	version    *route.Version
 	config     frame.Config
 	shutdown   bool
+	// queued is when the event was queued for the state machine, 0 if it is not known.
+	queued time.Duration
+}
+
+// QueuedAt returns the event with the time of the entry's clock at which it was queued.
+func (e Event) QueuedAt(t time.Duration) Event {
+	e.queued = t
+	return e
 }
 
 // Submission is a caller's request to run a job.
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -160,6 +160,9 @@
 	if len(d.jobs) >= maxJobs {
 		return "too_many_jobs"
 	}
+	if d.overload.exceeded() {
+		return ReasonOverloaded
+	}
 	usable := false
 	for _, a := range d.agents {
 		usable = usable || a.usable() && a.target.Service() == r.Service()
--- a/internal/process/role/dispatch/order.go
+++ b/internal/process/role/dispatch/order.go
@@ -131,9 +131,10 @@
 }
 
 // unlikelyInTime reports whether a job that starts now has too low a probability of
-// a useful answer, even on the fastest target.
+// a useful answer, even on the fastest target. The end of its last run waits for the
+// entry as long as other events.
 func (d *Dispatch) unlikelyInTime(now time.Duration, j *job) bool {
-	return probabilityWithin(j.usefulUntil-now, j.fastestTime, j.model.spread()) < d.minProbability()
+	return probabilityWithin(j.usefulUntil-now-d.overload.highest(), j.fastestTime, j.model.spread()) < d.minProbability()
 }
 
 // minProbability returns the probability of an answer in time from which a job is
--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -95,7 +95,7 @@
 			return err
 		}
 	}
-	if a.links, err = newLinks(b, handlers(a.ring), func(string) bool { return true }); err != nil {
+	if a.links, err = newLinks(b, handlers(a.ring, b.clock), func(string) bool { return true }); err != nil {
 		return err
 	}
 	if err := b.watchSettings(b.deps.Reload, a.links); err != nil {
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -38,6 +38,8 @@
 type frameReceived struct {
 	stream *stream.Stream
 	frame  frame.Frame
+	// at is when the frame was queued.
+	at time.Duration
 }
 
 // streamClosed is the message that a stream has ended.
@@ -102,7 +104,7 @@
 
 func (e *Entry) assemble() error {
 	b := e.base
-	h := handlers(e.ring)
+	h := handlers(e.ring, b.clock)
 	if err := b.add("dispatch", "Assigns tasks to targets and answers callers.", func() (int, int, int64) {
 		return e.ring.Depth(), e.ring.Size(), e.ring.Rejected()
 	}, e.run); err != nil {
@@ -141,7 +143,7 @@
 
 // handlers returns stream handlers that push each event into a ring. A push blocks
 // while the ring is full, which delays only its own stream.
-func handlers(r *ring.Ring[any]) stream.Handlers {
+func handlers(r *ring.Ring[any], clock func() time.Duration) stream.Handlers {
 	ctx := context.Background()
 	return stream.Handlers{
 		Opened: func(s *stream.Stream, hello frame.Hello) {
@@ -154,6 +156,7 @@
 			_ = r.Push(ctx, frameReceived{
 				stream: s,
 				frame:  f,
+				at:     clock(),
 			})
 		},
 		Closed: func(s *stream.Stream) {
@@ -225,7 +228,7 @@
 	reply := make(chan dispatch.Answer, 1)
 	err := e.ring.TryPush(request{
 		number: n,
-		event:  ev(n),
+		event:  ev(n).QueuedAt(e.base.clock()),
 		reply:  reply,
 	})
 	if err != nil {
@@ -299,7 +302,7 @@
 		e.sendPeers(m.stream)
 		return []dispatch.Event{dispatch.SessionOpened(m.stream.Number(), m.hello)}
 	case frameReceived:
-		return []dispatch.Event{dispatch.FrameReceived(m.stream.Number(), m.frame)}
+		return []dispatch.Event{dispatch.FrameReceived(m.stream.Number(), m.frame).QueuedAt(m.at)}
 	case streamClosed:
 		delete(e.streams, m.stream.Number())
 		delete(e.roles, m.stream.Number())
