Keep the sessions of an entry that is short of processor time

TestShortOfProcessorTime gives each event and each pass of an entry a duration.

Three causes, all in the time that an echo may take. Agents reported as often as before while the entry fell behind; the interval of reports now is at least the lag. An entry sent an idle agent its heartbeat up to 200 ms after the time that it echoes; it now answers a frame at once unless it has sent one in the last 100 ms. And jobs were refused only from a lag at which sessions were lost already; the limit now follows from the session timeout and the heartbeat interval, 100 ms.

--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -27,6 +27,8 @@
 	clock    time.Duration
 	lastSeen time.Duration
 	lastSent time.Duration
+	// heard is set if a frame has been received since the last one was sent.
+	heard bool
 
 	// lastStart is the number of the newest start of the session.
 	lastStart  uint64
@@ -101,8 +103,10 @@
 	if !a.introduced || len(a.starts)+len(a.stops)+len(a.cancels) > 0 {
 		return true
 	}
+	// An answer to a frame of the agent echoes a recent time, which keeps the session
+	// when frames are late.
 	interval := t.heartbeatInterval
-	if len(a.runs) > 0 {
+	if len(a.runs) > 0 || a.heard {
 		interval /= 2
 	}
 	return now-a.lastSent >= interval
@@ -114,9 +118,9 @@
 
 // reportInterval returns the interval at which each agent may report free capacity,
 // so that the reports of a large site do not take the processor time of its smallest
-// entries.
+// entries. Reports that come faster than the entry handles them are of no use to it.
 func (d *Dispatch) reportInterval() time.Duration {
-	return time.Duration(len(d.connected)) * time.Second / maxReports
+	return max(time.Duration(len(d.connected))*time.Second/maxReports, d.overload.highest())
 }
 
 func (d *Dispatch) sendAgent(now time.Duration, a *agent) {
@@ -137,6 +141,7 @@
 	a.stops = nil
 	a.cancels = nil
 	a.lastSent = now
+	a.heard = false
 	d.out.frames = append(d.out.frames, OutgoingFrame{
 		session: a.session,
 		frame:   f,
@@ -286,6 +291,7 @@
 	}
 	f := message.frame
 	a.lastSeen = now
+	a.heard = true
 	a.clock = max(a.clock, f.Clock)
 	a.leaving = f.Leaving
 	a.knownConfig = max(a.knownConfig, f.ConfigVersion)
--- a/internal/process/role/dispatch/overload.go
+++ b/internal/process/role/dispatch/overload.go
@@ -6,15 +6,8 @@
 	"greengagedoor.example/greengagedoor/internal/process/event"
 )
 
-// The parameters of overload.
-const (
-	// lagWindow is how long the highest lag counts.
-	lagWindow = 200 * time.Millisecond
-	// overloadShare is the share of the session timeout from which an entry's lag is an
-	// overload. Echoes wait as long as everything else, both ways, and agents end the
-	// sessions of an entry whose echoes are too old, with all its runs.
-	overloadShare = 0.3
-)
+// lagWindow is how long the highest lag counts.
+const lagWindow = 200 * time.Millisecond
 
 // overload tells an entry that is short of processor time from how long events wait
 // for it.
@@ -27,9 +20,13 @@
 	reported bool
 }
 
+// newOverload returns an overload that begins where sessions with runs are at risk:
+// agents end a session, with all its runs, when the last echo is as old as the session
+// timeout. An echoed time is up to a heartbeat interval old, the next echo follows
+// within half of one, and both frames wait for the entry.
 func newOverload(t Timing) overload {
 	return overload{
-		limit: time.Duration(overloadShare * float64(t.sessionTimeout)),
+		limit: (t.sessionTimeout - t.heartbeatInterval*3/2) / 2,
 	}
 }
 
--- a/internal/process/role/dispatch/overload_test.go
+++ b/internal/process/role/dispatch/overload_test.go
@@ -21,8 +21,8 @@
 		reason string
 	}{
 		"in_time":          {lag: 20 * ms},
-		"late":             {lag: 100 * ms},
-		"too_late":         {lag: 200 * ms, reason: dispatch.ReasonOverloaded},
+		"late":             {lag: 90 * ms},
+		"too_late":         {lag: 110 * ms, reason: dispatch.ReasonOverloaded},
 		"too_late_before":  {lag: 200 * ms, later: 150 * ms, reason: dispatch.ReasonOverloaded},
 		"in_time_again":    {lag: 200 * ms, later: 500 * ms},
 		"frozen_and_awake": {lag: time.Hour, later: 500 * ms},
--- a/internal/process/role/dispatch/simulation/process_test.go
+++ b/internal/process/role/dispatch/simulation/process_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
+	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/role/dispatch"
 	"greengagedoor.example/greengagedoor/internal/process/role/executor"
 )
@@ -44,6 +45,14 @@
 	d           *dispatch.Dispatch
 	links       map[uint64]*simLink
 	requests    map[uint64]*simJob
+	// passCost and eventCost are the time that a pass of the dispatcher and each of its
+	// events take. Events wait meanwhile.
+	passCost  time.Duration
+	eventCost time.Duration
+	busy      bool
+	waiting   []dispatch.Event
+	// sessionsLost counts the sessions that ended.
+	sessionsLost int
 }
 
 func (e *simEntry) start() {
@@ -92,26 +101,59 @@
 		if e.d == nil || e.incarnation != incarnation {
 			return
 		}
-		out := e.d.Handle(e.c.now, ev)
-		for _, a := range out.Answers() {
-			if reply, ok := e.c.pending[a.Request()]; ok {
-				delete(e.c.pending, a.Request())
-				reply(a)
-			}
+		if e.passCost == 0 {
+			e.carryOut(e.d.Handle(e.c.now, ev))
+			return
 		}
-		for _, f := range out.Frames() {
-			if l, ok := e.links[f.Session()]; ok {
-				l.toAgent(f.Frame())
-			}
+		e.waiting = append(e.waiting, ev.QueuedAt(e.c.now))
+		if !e.busy {
+			e.handleWaiting(incarnation)
 		}
-		for _, n := range out.SessionsToClose() {
-			if l, ok := e.links[n]; ok {
-				l.close(true)
-			}
+	})
+}
+
+// handleWaiting handles all events that wait, and those that come meanwhile after it.
+func (e *simEntry) handleWaiting(incarnation uint64) {
+	if e.incarnation != incarnation || len(e.waiting) == 0 {
+		e.busy = false
+		return
+	}
+	e.busy = true
+	events := e.waiting
+	e.waiting = nil
+	out := e.d.Handle(e.c.now, events...)
+	e.c.after(e.passCost+time.Duration(len(events))*e.eventCost, func() {
+		if e.incarnation == incarnation {
+			e.carryOut(out)
 		}
+		e.handleWaiting(incarnation)
 	})
 }
 
+func (e *simEntry) carryOut(out dispatch.Output) {
+	for _, n := range out.Notes() {
+		if n.Name() == event.SessionLost {
+			e.sessionsLost++
+		}
+	}
+	for _, a := range out.Answers() {
+		if reply, ok := e.c.pending[a.Request()]; ok {
+			delete(e.c.pending, a.Request())
+			reply(a)
+		}
+	}
+	for _, f := range out.Frames() {
+		if l, ok := e.links[f.Session()]; ok {
+			l.toAgent(f.Frame())
+		}
+	}
+	for _, n := range out.SessionsToClose() {
+		if l, ok := e.links[n]; ok {
+			l.close(true)
+		}
+	}
+}
+
 type simAgent struct {
 	process
 	c           *cluster
