--- a/internal/process/role/dispatch/event.go
+++ b/internal/process/role/dispatch/event.go
@@ -23,6 +23,14 @@
 	config     frame.Config
 	// shutdown is how long an entry that was told to shut down still answers.
 	shutdown *time.Duration
+	// queued is when the event was queued for the state machine, 0 if it is not known.
+	queued time.Duration
+}
+
+// QueuedAt returns the event with the time of the entry's clock at which it was queued.
+func (e Event) QueuedAt(t time.Duration) Event {
+	e.queued = t
+	return e
 }
 
 // Submission is a caller's request to run a job.
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -157,6 +157,8 @@
 	switch {
 	case len(d.jobs) >= maxJobs:
 		d.refuse(s, id, StateRefused, "too_many_jobs", defaultRetryAfter)
+	case d.overload.exceeded():
+		d.refuse(s, id, StateRefused, ReasonOverloaded, defaultRetryAfter)
 	case d.hasTarget(r.Service()):
 		d.accept(now, s, r, work)
 	case !d.hold(now, s):
