Close callers' connections while an entry of the previous path drains

A caller that kept its connection to a leaving entry was refused again and again for up to 6 s, although another entry would have taken its job.

Cause: the entry's answers asked callers to close their connections only when its server stopped, after the drain.

Change: the server knows from the stop signal on that the process leaves.

The new test fails on the code before ("Expected: true, Actual: false" for the refusal's Connection: close) and passes in 3 of 3 runs:

go test -count=1 -run TestLeavingEntryEnds ./internal/process/role/local

--- a/internal/process/role/host/entry.go
+++ b/internal/process/role/host/entry.go
@@ -27,14 +27,16 @@
 
 // Entry is an entry process.
 type Entry struct {
-	common   Common
-	table    *duty.Table
-	entry    *role
-	network  *network.Network
-	cluster  *cluster
-	ready    atomic.Bool
-	current  atomic.Pointer[configuration.Configuration]
-	rollout  atomic.Pointer[membership.Rollout]
+	common  Common
+	table   *duty.Table
+	entry   *role
+	network *network.Network
+	cluster *cluster
+	ready   atomic.Bool
+	current atomic.Pointer[configuration.Configuration]
+	rollout atomic.Pointer[membership.Rollout]
+	// leaving is closed when the entry begins to drain.
+	leaving  chan struct{}
 	drained  chan struct{}
 	requests atomic.Uint64
 	links    net.Listener
@@ -54,6 +56,7 @@
 func NewEntry(c Common) (*Entry, func(), error) {
 	e := &Entry{
 		common:  c,
+		leaving: make(chan struct{}),
 		drained: make(chan struct{}),
 	}
 	if err := e.build(); err != nil {
@@ -133,7 +136,10 @@
 	if err := e.common.observe(router, func() *duty.Table { return e.table }, e.entry, e.cluster.member, e.cluster.directory); err != nil {
 		return err
 	}
-	api, cleanup, err := web.Serve(e.api, web.ConstantLimit(web.ShutdownLimit), "http", "Serves callers, operators and targets.", router)
+	api, cleanup, err := web.ServeUntil(e.api, web.Ending{
+		Leaving: e.leaving,
+		Limit:   web.ConstantLimit(web.ShutdownLimit),
+	}, "http", "Serves callers, operators and targets.", router)
 	if err != nil {
 		return err
 	}
@@ -178,6 +184,7 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
+		close(e.leaving)
 		e.drain(context.WithoutCancel(ctx))
 		return nil
 	}
--- a/internal/process/role/local/shutdown_test.go
+++ b/internal/process/role/local/shutdown_test.go
@@ -108,3 +108,46 @@
 		}
 	}
 }
+
+// TestLeavingEntryEndsConnections guards against callers that stay on the connection to a leaving entry, which refuses them for seconds.
+func TestLeavingEntryEndsConnections(t *testing.T) {
+	s, stop := startStoppable(t, io.Discard)
+	Convey("the answer with the refusal closes the connection", t, func() {
+		stopped := make(chan struct{})
+		client := &http.Client{
+			Transport: &http.Transport{},
+			Timeout:   testLimit,
+		}
+		defer client.CloseIdleConnections()
+		// The entry leaves as long as this job lasts.
+		held := make(chan response, 1)
+		go func() {
+			held <- send(t, http.MethodPost, s.Entries()[1]+"/v1/teams/tegnestuen/jobs", jsonHeader, submission(keyAt(time.Now()), "log_sale", `[{"run_ms":500}]`))
+		}()
+		waitStarted(t, func() int64 { return startedTasks(t, s) }, 1)
+		go func() {
+			defer close(stopped)
+			stop()
+		}()
+		var refusal *http.Response
+		for refusal == nil {
+			r, err := http.NewRequest(http.MethodPost, s.Entries()[1]+"/v1/teams/tegnestuen/jobs?wait_ms=0",
+				strings.NewReader(submission(keyAt(time.Now()), "log_sale", `[{"run_ms":1}]`)))
+			So(err, ShouldBeNil)
+			for k, v := range jsonHeader {
+				r.Header.Set(k, v)
+			}
+			w, err := client.Do(r)
+			So(err, ShouldBeNil)
+			_, err = io.Copy(io.Discard, w.Body)
+			So(err, ShouldBeNil)
+			So(w.Body.Close(), ShouldBeNil)
+			if w.StatusCode == http.StatusServiceUnavailable {
+				refusal = w
+			}
+		}
+		So(refusal.Close, ShouldBeTrue)
+		So((<-held).status, ShouldEqual, http.StatusOK)
+		<-stopped
+	})
+}
