Log an odd value when it appears or changes, count it each time

Cause: an odd value of another writer is read again with each poll, report or list. A line each time fills the log, which drops other lines then; a line for the first time only hides one that comes back.

Change: a note may be the state of a subject. Text of a line is cut at 1,000 bytes. value_invalid is the event for values that are left out; its counter rises with each reading.

--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -47,6 +47,7 @@
 	StoreLost        Name = "store_lost"
 	StoreRegained    Name = "store_regained"
 	MessageInvalid   Name = "message_invalid"
+	ValueInvalid     Name = "value_invalid"
 	LinesDropped     Name = "lines_dropped"
 )
 
@@ -82,6 +83,7 @@
 	StoreLost:        "The store does not respond to this process.",
 	StoreRegained:    "The store responds to this process again.",
 	MessageInvalid:   "A message from another process could not be decoded and was skipped.",
+	ValueInvalid:     "A value in the store or in a target's lists can't be used and is left out; counted each time it is read, logged when it appears or changes.",
 	LinesDropped:     "Log lines were dropped to limit the volume; the line has the count.",
 }
 
@@ -124,8 +126,9 @@
 
 // Note is one occurrence of an event with its fields.
 type Note struct {
-	name   Name
-	fields []Field
+	name    Name
+	subject string
+	fields  []Field
 }
 
 func New(name Name, fields ...Field) Note {
@@ -142,3 +145,15 @@
 func (n Note) Fields() []Field {
 	return n.fields
 }
+
+// About returns the note as the state of a subject, which may be observed again and
+// again. It is counted each time, and logged when it appears or changes.
+func (n Note) About(subject string) Note {
+	n.subject = subject
+	return n
+}
+
+// Subject returns what the note is the state of, empty if it is a single occurrence.
+func (n Note) Subject() string {
+	return n.subject
+}
--- a/internal/process/log/journal.go
+++ b/internal/process/log/journal.go
@@ -22,6 +22,8 @@
 	burstLines = 3000
 	// dropReportInterval is the minimum time between two lines about dropped lines.
 	dropReportInterval = time.Second
+	// maxTextBytes bounds the text of one field of a line.
+	maxTextBytes = 1000
 )
 
 // Journal writes the notes of a process as structured lines. It never blocks the
@@ -36,6 +38,7 @@
 	dropped    int64
 	lastReport time.Time
 	reported   int64
+	states     *states
 }
 
 type timedNote struct {
@@ -65,6 +68,7 @@
 		now:        now,
 		tokens:     burstLines,
 		lastRefill: now(),
+		states:     newStates(),
 	}, nil
 }
 
@@ -102,6 +106,9 @@
 }
 
 func (j *Journal) write(s timedNote) {
+	if s.note.Subject() != "" && !j.states.changed(s.at, s.note) {
+		return
+	}
 	j.tokens = min(burstLines, j.tokens+s.at.Sub(j.lastRefill).Seconds()*linesPerSecond)
 	j.lastRefill = s.at
 	if j.tokens < 1 {
@@ -123,10 +130,18 @@
 	j.lastReport = at
 }
 
+// shorten cuts text that another process may have made long.
+func shorten(v any) any {
+	if text, ok := v.(string); ok && len(text) > maxTextBytes {
+		return text[:maxTextBytes]
+	}
+	return v
+}
+
 func (j *Journal) writeLine(at time.Time, n event.Note) {
 	fields := make(logrus.Fields, len(n.Fields()))
 	for _, f := range n.Fields() {
-		fields[f.Key()] = f.Value()
+		fields[f.Key()] = shorten(f.Value())
 	}
 	j.log.WithTime(at).WithFields(fields).Info(string(n.Name()))
 }
