Refuse numbers outside their ranges where they are decoded

Cause: a clock, a warm-up or an estimate of 1e300 ms was converted to an integer without a check of its range. x86-64 and arm64 give different values then, and the report counted as one of a target: the entry in front of it got no work.

--- a/internal/request/task/task.go
+++ b/internal/request/task/task.go
@@ -24,6 +24,8 @@
 	MaxSteps = 256
 	// MaxSpecBytes bounds the payload that the tasks of a job share.
 	MaxSpecBytes = 4000
+	// MaxEstimate bounds a declared run time, far above every caller's time.
+	MaxEstimate = 24 * time.Hour
 )
 
 // ErrInvalid reports an invalid job.
@@ -52,7 +54,7 @@
 	return Step{
 		count:     count,
 		resources: resources,
-		estimate:  estimate,
+		estimate:  min(estimate, MaxEstimate),
 	}, nil
 }
 
@@ -223,7 +225,7 @@
 // ParseTaskName returns the run with the given number of the task that Run.TaskName
 // named.
 func ParseTaskName(name string, number int64) (Run, error) {
-	parts := strings.Split(name, ".")
+	parts := strings.SplitN(name, ".", 5)
 	if len(parts) != 4 || parts[0] == "" {
 		return Run{}, errors.Errorf("task name %q, want JOB.OCCURRENCE.STEP.INDEX", name)
 	}
@@ -235,7 +237,11 @@
 	if err != nil {
 		return Run{}, errors.Wrapf(err, "index of task %q", name)
 	}
-	return NewRun(parts[0], step, index, number), nil
+	r := NewRun(parts[0], step, index, number)
+	if r.TaskName() != name {
+		return Run{}, errors.Errorf("task name %q, want %q", name, r.TaskName())
+	}
+	return r, nil
 }
 
 // End is how a run ended.
