Leave single odd rows out of a target's lists of runs

Cause: one row that could not be decoded made the whole list of active or ended runs count as invalid. The agent noted no end any more, and callers missed their deadlines. A progress of -1 was passed on to the entry, which divided by zero and ended. The number of an end far ahead hid all later ends.

Change: rows are decoded one by one, and the odd ones are left out with one log line and a counter. Where a row may be of any active run, the list shows no end by absence: only a listed end or a confirmed stop does. A progress outside 0 to 100 is unknown. A target whose list has an odd row from the start is used once the leases of earlier agents have expired.

--- a/internal/connection/frame/decode.go
+++ b/internal/connection/frame/decode.go
@@ -23,6 +23,9 @@
 // maxMicroseconds bounds decoded durations so that they do not overflow.
 const maxMicroseconds = math.MaxInt64 / int64(time.Microsecond)
 
+// maxPercent is the progress of a run whose work is done.
+const maxPercent = 100
+
 func (f field) duration() time.Duration {
 	us := max(-maxMicroseconds, min(f.signed(), maxMicroseconds))
 	return time.Duration(us) * time.Microsecond
@@ -150,7 +153,9 @@
 	case 1:
 		return decode(x.bytes, p.id.setField)
 	case 2:
-		p.percent = int(x.value)
+		if x.value <= maxPercent {
+			p.percent = int(x.value)
+		}
 	case 3:
 		p.runTime = x.duration()
 	}
--- a/internal/process/role/executor/call.go
+++ b/internal/process/role/executor/call.go
@@ -188,6 +188,9 @@
 	percent int64
 }
 
+// UnknownPercent is the progress of a run whose progress can't be read.
+const UnknownPercent = -1
+
 // NewActiveRun returns a run that has done the given percent of its work.
 func NewActiveRun(r task.Run, percent int64) ActiveRun {
 	return ActiveRun{
@@ -220,6 +223,7 @@
 	clock    time.Duration
 	running  []ActiveRun
 	finished []FinishedRun
+	omitted  Omitted
 }
 
 // RenewalReplied returns the event of an answer to a renewal. The lists are valid
--- a/internal/process/role/executor/executor.go
+++ b/internal/process/role/executor/executor.go
@@ -110,6 +110,11 @@
 	// maxEndsListed is the number of ends from which the target may have truncated
 	// its list.
 	maxEndsListed = 500
+	// maxEndsSkipped bounds the step between the numbers of two listed ends; they count
+	// the ends of an incarnation.
+	maxEndsSkipped = 1 << 20
+	// maxUnclaimed bounds the runs without an entry that are stopped at the same time.
+	maxUnclaimed = 256
 )
 
 type runState int
@@ -181,6 +186,9 @@
 	s.out = Output{}
 	if gap := now - s.lastEvent; s.lastEvent > 0 && gap > freezeThreshold {
 		s.target.frozen(gap)
+		for _, r := range s.runs {
+			r.frozen(gap)
+		}
 	}
 	s.lastEvent = now
 	was := s.target.usable()
--- a/internal/process/role/executor/renewal.go
+++ b/internal/process/role/executor/renewal.go
@@ -97,6 +97,10 @@
 		return
 	}
 	t.ackedEnd = max(t.ackedEnd, request.lastEndSeen)
+	if t.firstList == 0 {
+		t.firstList = now
+	}
+	s.logOmitted(reply.omitted)
 	s.applyFinished(now, reply)
 	if request.number > t.newestList {
 		t.newestList = request.number
@@ -105,8 +109,21 @@
 }
 
 func (s *StateMachine) applyFinished(now time.Duration, reply RenewalReply) {
+	t := &s.target
+	if reply.omitted.ends > 0 {
+		// The target lists them again at once until a later end is acknowledged.
+		t.renewAfter = now + renewalRetry
+	}
+	if reply.truncated() {
+		// Nothing but the acknowledgement of these rows lets the target list later ends.
+		t.acknowledge(reply.omitted.lastEnd)
+	}
 	for _, f := range reply.finished {
-		s.target.lastEndSeen = max(s.target.lastEndSeen, f.number)
+		if !t.acknowledge(f.number) {
+			t.renewAfter = now + renewalRetry
+			s.logOmitted(Omitted{}.AddEnd(0, "number of an end skips too many"))
+			continue
+		}
 		r, ok := s.runs[f.run]
 		if !ok || r.state == runQueued {
 			continue
@@ -119,6 +136,21 @@
 	}
 }
 
+// truncated reports whether the target may have left ended runs out of its list.
+func (r RenewalReply) truncated() bool {
+	return len(r.finished)+r.omitted.ends >= maxEndsListed
+}
+
+// acknowledge records the number of a listed end. It reports false for a number that
+// is too far ahead: acknowledging it would hide all ends before it.
+func (t *target) acknowledge(number int64) bool {
+	if t.lastEndSeen > 0 && number > t.lastEndSeen+maxEndsSkipped {
+		return false
+	}
+	t.lastEndSeen = max(t.lastEndSeen, number)
+	return true
+}
+
 // applyRunning compares the target's list with the accepted runs: it stops runs
 // that no entry asked for, and ends runs that are known to have ended.
 func (s *StateMachine) applyRunning(now time.Duration, reply RenewalReply) {
@@ -131,25 +163,33 @@
 			s.stopUnclaimed(now, l.run)
 			continue
 		}
-		s.trackProgress(now, r, l.percent)
+		if l.percent != UnknownPercent {
+			s.trackProgress(now, r, l.percent)
+		}
 	}
-	if len(reply.finished) >= maxEndsListed {
+	if reply.truncated() {
 		return
 	}
 	for _, r := range s.sortedRuns() {
-		if r.state != runQueued && !listed[r.id] && r.resolvedBefore(reply.renewal.sent, s.timing) {
+		if r.state != runQueued && !listed[r.id] && r.resolvedBefore(reply, s.timing) {
 			s.end(now, r, task.EndLost, r.cause)
 		}
 	}
-	if !t.synced && len(reply.running) == 0 {
+	if !t.synced && len(reply.running) == 0 && (reply.omitted.runs == 0 || reply.renewal.sent > t.firstList+s.timing.maxLeaseSpan()) {
 		t.synced = true
 		s.capacityChanged()
 	}
 }
 
-// resolvedBefore reports whether a list that was requested at the given time would
-// contain the run if it still ran or could still start.
-func (r *run) resolvedBefore(sent time.Duration, timing Timing) bool {
+// resolvedBefore reports whether a list that lacks the run would contain it if it
+// still ran or could still start.
+func (r *run) resolvedBefore(reply RenewalReply, timing Timing) bool {
+	sent := reply.renewal.sent
+	if reply.omitted.runs > 0 {
+		// A row that was left out may be of this run, so only a stop proves its end: two
+		// runs of a task could overlap otherwise.
+		return r.stopConfirmed > 0 && sent > r.stopConfirmed+maxStopTime
+	}
 	switch {
 	case r.stopConfirmed > 0 && r.stopConfirmed < sent:
 		return true
@@ -159,12 +199,35 @@
 	return r.state == runStopping && sent > r.startSent+timing.maxLeaseSpan()
 }
 
+// frozen corrects the time of a stop after the agent was frozen. The target may have
+// been suspended with its host before it carried out the stop.
+func (r *run) frozen(gap time.Duration) {
+	if r.stopConfirmed > 0 {
+		r.stopConfirmed += gap
+	}
+}
+
 func (s *StateMachine) stopUnclaimed(now time.Duration, id task.Run) {
 	t := &s.target
 	if last, ok := t.unclaimed[id]; ok && now-last < stopRetryInterval {
 		return
 	}
+	if len(t.unclaimed) >= maxUnclaimed {
+		t.forgetUnclaimed(now)
+	}
+	if len(t.unclaimed) >= maxUnclaimed {
+		return
+	}
 	t.unclaimed[id] = now
 	s.out.commands = append(s.out.commands, s.stopCommand(now, id))
 	s.logEvent(event.RunUnclaimed, event.F("run", id.String()), event.F("target", t.incarnation.id))
 }
+
+// forgetUnclaimed removes the runs whose stop may be repeated.
+func (t *target) forgetUnclaimed(now time.Duration) {
+	for id, last := range t.unclaimed {
+		if now-last >= stopRetryInterval {
+			delete(t.unclaimed, id)
+		}
+	}
+}
--- a/internal/process/role/executor/target.go
+++ b/internal/process/role/executor/target.go
@@ -35,6 +35,9 @@
 	// synced is set once a list of the target was empty, so that no run of an earlier
 	// agent is left.
 	synced bool
+	// firstList is when the first list arrived. The call for it showed the target this
+	// agent's fence, so no earlier agent has renewed the lease since.
+	firstList time.Duration
 	// replaced is set once the incarnation has ended, until the target reports again.
 	replaced bool
 	// left is set once the target has deregistered.
