Leave single odd items out of the store's lists

Cause: a page of the store was decoded as a whole, so one item that can't be read took all others down: entries were not found, the configuration was not read any more. An item whose key is shorter than the prefix ended the process, since the prefix was cut off without a check. Any value of an entry's key was taken as an address and passed on to agents; ten values of 1 MiB exceed a frame, which closed each connection to an agent again and again.

Change: items are decoded one by one. An entry's value must be ip:port in one spelling with a port from 1; at most 1,024 entries are followed.

--- a/internal/process/keyspace/keyspace.go
+++ b/internal/process/keyspace/keyspace.go
@@ -34,6 +34,7 @@
 	key      string
 	value    []byte
 	revision int64
+	invalid  error
 }
 
 func NewItem(key string, value []byte, revision int64) Item {
@@ -44,6 +45,20 @@
 	}
 }
 
+// NewInvalidItem returns an item that the store listed in a form that can't be read,
+// with the cause. The key is empty if it can't be read either.
+func NewInvalidItem(key string, cause error) Item {
+	return Item{
+		key:     key,
+		invalid: cause,
+	}
+}
+
+// Invalid returns the cause for which the item can't be used, nil for a usable one.
+func (i Item) Invalid() error {
+	return i.invalid
+}
+
 func (i Item) Key() string {
 	return i.key
 }
--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -102,7 +102,7 @@
 		return err
 	}
 	return b.add("entries", "Reads the entries' addresses from the store while no entry is connected.", nil, func(ctx context.Context) error {
-		return watchEntries(ctx, b.deps.Store, func() bool { return a.connected.Load() == 0 }, b.logEvent, a.links.addPeers)
+		return watchEntries(ctx, b, func() bool { return a.connected.Load() == 0 }, a.links.addPeers)
 	})
 }
 
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -116,7 +116,7 @@
 		return err
 	}
 	if err := b.add("configuration", "Watches the operators' configuration.", nil, func(ctx context.Context) error {
-		return watchConfiguration(ctx, b.deps, b.logEvent, e.configurationRead)
+		return watchConfiguration(ctx, b, e.configurationRead)
 	}); err != nil {
 		return err
 	}
@@ -126,7 +126,7 @@
 		return err
 	}
 	return b.add("entries", "Reads the addresses of the other entries.", nil, func(ctx context.Context) error {
-		return watchEntries(ctx, b.deps.Store, func() bool { return true }, b.logEvent, func(peers []frame.Peer) {
+		return watchEntries(ctx, b, func() bool { return true }, func(peers []frame.Peer) {
 			e.links.addPeers(peers)
 			_ = e.ring.TryPush(entriesFound{
 				peers: peers,
--- a/internal/process/role/server/watch.go
+++ b/internal/process/role/server/watch.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"greengagedoor.example/greengagedoor/internal/connection/address"
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/process/duty"
 	"greengagedoor.example/greengagedoor/internal/process/event"
@@ -33,6 +35,9 @@
 	listInterval = 2 * time.Second
 	// entriesPrefix is the prefix of the keys that hold the entries' addresses.
 	entriesPrefix = "greengagedoor/entries/"
+	// maxPeers bounds the entries that are followed, far above the number of hosts. The
+	// list must fit into a frame.
+	maxPeers = 1024
 )
 
 // storeHealth logs when a kind of store call starts to fail and when it recovers.
@@ -54,15 +59,23 @@
 
 // watchConfiguration watches the operators' configuration and passes each version to
 // onRead.
-func watchConfiguration(ctx context.Context, s Dependencies, logEvent func(event.Name, ...event.Field), onRead func(context.Context, []byte)) error {
+func watchConfiguration(ctx context.Context, b *base, onRead func(context.Context, []byte)) error {
 	h := &storeHealth{
 		call:     "configuration",
-		logEvent: logEvent,
+		logEvent: b.logEvent,
+	}
+	onItem := func(i keyspace.Item) {
+		switch {
+		case i.Invalid() != nil:
+			b.log(invalidItem(i, i.Invalid()))
+		case i.Key() == b.deps.ConfigurationKey:
+			onRead(ctx, i.Value())
+		}
 	}
 	backoff := minStoreBackoff
 	after := int64(0)
 	for ctx.Err() == nil {
-		next, err := pollConfiguration(ctx, s, after, onRead)
+		next, err := pollConfiguration(ctx, b.deps, after, onItem)
 		h.update(err)
 		if err != nil {
 			after = 0
@@ -80,13 +93,11 @@
 
 // pollConfiguration reads the configuration if after is 0, and otherwise waits for
 // a change after that revision. It returns the revision for the next call.
-func pollConfiguration(ctx context.Context, s Dependencies, after int64, onRead func(context.Context, []byte)) (int64, error) {
+func pollConfiguration(ctx context.Context, s Dependencies, after int64, onItem func(keyspace.Item)) (int64, error) {
 	if after == 0 {
 		items, revision, err := s.Store.List(ctx, s.ConfigurationKey)
 		for _, i := range items {
-			if i.Key() == s.ConfigurationKey {
-				onRead(ctx, i.Value())
-			}
+			onItem(i)
 		}
 		return revision, err
 	}
@@ -95,8 +106,8 @@
 		return 0, nil
 	}
 	for _, c := range changes {
-		if c.Item().Key() == s.ConfigurationKey && !c.Deleted() {
-			onRead(ctx, c.Item().Value())
+		if !c.Deleted() {
+			onItem(c.Item())
 		}
 	}
 	return revision, err
@@ -155,28 +166,57 @@
 	return lease, nil
 }
 
-func peersFromItems(items []keyspace.Item) []frame.Peer {
+// peersFromItems returns the entries with their addresses. It leaves out the items
+// that can't be used, and logs each of them.
+func peersFromItems(items []keyspace.Item, logState func(event.Note)) []frame.Peer {
 	var peers []frame.Peer
 	for _, i := range items {
-		peers = append(peers, frame.NewPeer(i.Key()[len(entriesPrefix):], string(i.Value())))
+		p, err := peerFromItem(i)
+		if err == nil && len(peers) >= maxPeers {
+			err = errors.Errorf("more than %d entries", maxPeers)
+		}
+		if err != nil {
+			logState(invalidItem(i, err))
+			continue
+		}
+		peers = append(peers, p)
 	}
 	return peers
 }
 
+func peerFromItem(i keyspace.Item) (frame.Peer, error) {
+	if i.Invalid() != nil {
+		return frame.Peer{}, i.Invalid()
+	}
+	name, ok := strings.CutPrefix(i.Key(), entriesPrefix)
+	if !ok || name == "" {
+		return frame.Peer{}, errors.Errorf("key %q names no entry", i.Key())
+	}
+	a, err := address.Parse(string(i.Value()))
+	if err != nil {
+		return frame.Peer{}, err
+	}
+	return frame.NewPeer(name, a), nil
+}
+
+func invalidItem(i keyspace.Item, err error) event.Note {
+	return event.New(event.ValueInvalid, event.F("key", i.Key()), event.F("error", err.Error())).About("key " + i.Key())
+}
+
 // watchEntries reads the entries' addresses at each interval while enabled reports
 // true, and passes the list to onRead. While the store is unavailable, the previous
 // list stays valid.
-func watchEntries(ctx context.Context, s keyspace.Store, enabled func() bool, logEvent func(event.Name, ...event.Field), onRead func([]frame.Peer)) error {
+func watchEntries(ctx context.Context, b *base, enabled func() bool, onRead func([]frame.Peer)) error {
 	h := &storeHealth{
 		call:     "entries",
-		logEvent: logEvent,
+		logEvent: b.logEvent,
 	}
 	for {
 		if enabled() {
-			items, _, err := s.List(ctx, entriesPrefix)
+			items, _, err := b.deps.Store.List(ctx, entriesPrefix)
 			h.update(err)
 			if err == nil {
-				onRead(peersFromItems(items))
+				onRead(peersFromItems(items, b.log))
 			}
 		}
 		if !duty.Pause(ctx, listInterval) {
