Bound the addresses and dials that another writer can cause

Cause: each announced address was dialed at once and again after 50 to 150 ms, however many there were and whatever they were. 900 addresses at which nothing listens took the processor from the entries; a second spelling of an address was a second connection, or one of a process to itself.

Change: an address is dialed only as ip:port in its one spelling. A process keeps at most 2,048, opens at most 64 connections at once and dials at most 16 addresses that never answered in 50 ms; seeds and addresses that have answered go first and are not counted.

--- a/internal/process/role/server/links.go
+++ b/internal/process/role/server/links.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"greengagedoor.example/greengagedoor/internal/connection/address"
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/connection/stream"
 	"greengagedoor.example/greengagedoor/internal/process/event"
@@ -26,11 +27,27 @@
 	dialInterval = 50 * time.Millisecond
 )
 
+// The bounds that keep addresses at which no entry answers from taking the processor
+// from those that are served.
+const (
+	// maxOpening bounds the connections that are being opened.
+	maxOpening = 64
+	// maxDialsPerTick bounds the dials of addresses that never answered, in each
+	// dialInterval.
+	maxDialsPerTick = 16
+	// maxEndpoints bounds the addresses that are dialed: those of maxPeers entries and
+	// the seeds.
+	maxEndpoints = 2 * maxPeers
+)
+
 // endpoint is an entry's address with the state of its connection.
 type endpoint struct {
 	address  string
 	lastSeen time.Time
 	dialing  bool
+	// open reports that the connection is established, reached that one was before.
+	open     bool
+	reached  bool
 	backoff  time.Duration
 	nextDial time.Time
 	seed     bool
@@ -38,6 +55,11 @@
 	failures int
 }
 
+// connectionOpened is the message that a connection is established.
+type connectionOpened struct {
+	address string
+}
+
 // connectionEnded is the message that a connection has ended or could not be
 // opened.
 type connectionEnded struct {
@@ -52,8 +74,12 @@
 	hello     frame.Hello
 	handlers  stream.Handlers
 	logEvent  func(event.Name, ...event.Field)
+	logState  func(event.Note)
 	ring      *ring.Ring[any]
 	endpoints map[string]*endpoint
+	// dialsLeft is how many addresses that never answered may be dialed before the next
+	// tick.
+	dialsLeft int
 	// shouldDial reports whether this process opens the connection to an address.
 	shouldDial func(address string) bool
 }
@@ -73,9 +99,11 @@
 		hello:      b.hello,
 		handlers:   h,
 		logEvent:   b.logEvent,
+		logState:   b.log,
 		ring:       r,
 		endpoints:  map[string]*endpoint{},
 		shouldDial: shouldDial,
+		dialsLeft:  maxDialsPerTick,
 	}
 	for _, a := range seedAddresses(b.settings.seeds, b.settings.advertised) {
 		l.addAddress(a, true)
@@ -114,18 +142,30 @@
 	})
 }
 
-func (l *links) addAddress(address string, seed bool) {
-	if address == "" || address == l.self || !l.shouldDial(address) {
+func (l *links) addAddress(text string, seed bool) {
+	if text == "" {
+		return
+	}
+	a, err := address.Parse(text)
+	if err != nil {
+		l.logState(event.New(event.ValueInvalid, event.F("address", text), event.F("error", err.Error())).About("address " + text))
+		return
+	}
+	if a == l.self || !l.shouldDial(a) {
+		return
+	}
+	p, ok := l.endpoints[a]
+	if !ok && len(l.endpoints) >= maxEndpoints {
+		l.logState(event.New(event.ValueInvalid, event.F("address", a), event.F("known", len(l.endpoints))).About("addresses"))
 		return
 	}
-	p, ok := l.endpoints[address]
 	if !ok {
 		p = &endpoint{
-			address: address,
+			address: a,
 			seed:    seed,
 		}
-		l.endpoints[address] = p
-		l.logEvent(event.EntriesChanged, event.F("address", address), event.F("known", len(l.endpoints)))
+		l.endpoints[a] = p
+		l.logEvent(event.EntriesChanged, event.F("address", a), event.F("known", len(l.endpoints)))
 	}
 	p.lastSeen = time.Now()
 }
@@ -139,6 +179,7 @@
 		case m := <-l.ring.Out():
 			l.receive(m)
 		case <-ticker.C:
+			l.dialsLeft = maxDialsPerTick
 		case <-ctx.Done():
 			return nil
 		}
@@ -151,12 +192,18 @@
 		for _, p := range m.peers {
 			l.addAddress(p.Address(), false)
 		}
+	case connectionOpened:
+		if p, ok := l.endpoints[m.address]; ok {
+			p.open = true
+			p.reached = true
+		}
 	case connectionEnded:
 		p, ok := l.endpoints[m.address]
 		if !ok {
 			return
 		}
 		p.dialing = false
+		p.open = false
 		l.updateBackoff(p, m)
 		p.nextDial = time.Now().Add(p.backoff)
 	}
@@ -182,30 +229,62 @@
 // dial opens the connections that are due and removes expired addresses.
 func (l *links) dial(ctx context.Context) {
 	now := time.Now()
-	addresses := make([]string, 0, len(l.endpoints))
-	for a := range l.endpoints {
-		addresses = append(addresses, a)
-	}
-	sort.Strings(addresses)
-	for _, a := range addresses {
-		p := l.endpoints[a]
-		if p.dialing || now.Before(p.nextDial) {
-			continue
+	var due []*endpoint
+	opening := 0
+	for _, p := range l.endpoints {
+		switch {
+		case p.dialing && !p.open:
+			opening++
+		case p.dialing || now.Before(p.nextDial):
+		case !p.seed && now.Sub(p.lastSeen) > addressTTL:
+			delete(l.endpoints, p.address)
+			l.logEvent(event.EntriesChanged, event.F("forgotten", p.address), event.F("known", len(l.endpoints)))
+		default:
+			due = append(due, p)
 		}
-		if !p.seed && now.Sub(p.lastSeen) > addressTTL {
-			delete(l.endpoints, a)
-			l.logEvent(event.EntriesChanged, event.F("forgotten", a), event.F("known", len(l.endpoints)))
-			continue
+	}
+	sort.Slice(due, func(i, j int) bool { return due[i].before(due[j]) })
+	for _, p := range due[:min(len(due), max(0, maxOpening-opening))] {
+		if !p.known() {
+			if l.dialsLeft == 0 {
+				break
+			}
+			l.dialsLeft--
 		}
 		p.dialing = true
-		go l.connect(ctx, a)
+		go l.connect(ctx, p.address)
+	}
+}
+
+// known reports whether an address is one of the settings or has answered.
+func (p *endpoint) known() bool {
+	return p.seed || p.reached
+}
+
+// before reports whether p is dialed before o: addresses of the settings and those at
+// which an entry answered go first, and then the one that has waited longest.
+func (p *endpoint) before(o *endpoint) bool {
+	if p.known() != o.known() {
+		return p.known()
 	}
+	if !p.nextDial.Equal(o.nextDial) {
+		return p.nextDial.Before(o.nextDial)
+	}
+	return p.address < o.address
 }
 
 // connect opens one connection and serves it until it ends.
 func (l *links) connect(ctx context.Context, address string) {
 	start := time.Now()
-	err := stream.Dial(ctx, address, l.hello, l.handlers)
+	h := l.handlers
+	h.Opened = func(s *stream.Stream, hello frame.Hello) {
+		// If the message is lost, the connection counts as being opened.
+		_ = l.ring.Push(ctx, connectionOpened{
+			address: address,
+		})
+		l.handlers.Opened(s, hello)
+	}
+	err := stream.Dial(ctx, address, l.hello, h)
 	// If this message were lost, the address would never be dialed again.
 	_ = l.ring.Push(ctx, connectionEnded{
 		address: address,
