Follow a target again after an odd start or sequence number

Cause: a report with a start in the future, or with a sequence number far ahead, made all reports that follow count as older ones. The target got no work until it was started again.

A late report of a former start is replaced by the next one of the target as before.

--- a/internal/process/role/executor/target.go
+++ b/internal/process/role/executor/target.go
@@ -145,6 +145,12 @@
 func (s *StateMachine) handleReport(now time.Duration, r Report) {
 	t := &s.target
 	switch {
+	case t.stale:
+		// Nothing was heard of the target for reportTimeout and it runs nothing, so an odd
+		// start or sequence number must not hide the reports that follow.
+		if r.incarnation != t.incarnation {
+			s.resetTarget(now, r)
+		}
 	case t.known && r.incarnation != t.incarnation && r.incarnation.started < t.incarnation.started:
 		return
 	case t.known && r.incarnation == t.incarnation && r.sequence <= t.sequence:
