Leave single odd routes out of a configuration

Cause: a configuration was refused whole for one route that can't be used: its callers kept the previous version, but a new entry had none and served nobody. A slack factor of 1e300 gave a commitment outside the range of a time, which differs between x86-64 and arm64.

Priority, slack factor and commitment are bounded.

--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -299,9 +299,12 @@
 func (e *Entry) applyConfiguration(c frame.Config) {
 	v, err := e.base.deps.Decode(c.Body())
 	if err != nil {
-		e.base.logEvent(event.ConfigInvalid, event.F("error", err.Error()), event.F("bytes", len(c.Body())))
+		e.base.log(event.New(event.ConfigInvalid, event.F("error", err.Error()), event.F("bytes", len(c.Body()))).About("configuration"))
 		return
 	}
+	for _, err := range v.LeftOut() {
+		e.base.log(event.New(event.ValueInvalid, event.F("version", v.Number()), event.F("error", err.Error())).About(err.Error()))
+	}
 	e.handle(dispatch.VersionReceived(v, frame.NewConfig(v.Number(), c.Body())))
 }
 
--- a/internal/version/route/route.go
+++ b/internal/version/route/route.go
@@ -13,6 +13,14 @@
 	"github.com/pkg/errors"
 )
 
+const (
+	// maxPriority and maxSlackFactor bound what a configuration may set.
+	maxPriority    = 1 << 10
+	maxSlackFactor = 1e6
+	// maxCommitment bounds a commitment, so that sums of times do not overflow.
+	maxCommitment = 10 * 365 * 24 * time.Hour
+)
+
 // ErrInvalid reports an invalid configuration.
 var ErrInvalid = errors.New("configuration is invalid")
 
@@ -51,7 +59,7 @@
 // WithPriority returns the route with its priority (0 is the most urgent) and the
 // number of failed runs after which a task fails.
 func (r Route) WithPriority(priority, maxAttempts int) Route {
-	r.priority = priority
+	r.priority = max(0, min(priority, maxPriority))
 	r.maxAttempts = max(maxAttempts, 1)
 	return r
 }
@@ -61,7 +69,7 @@
 // targetDuration.
 func (r Route) WithTiming(timeout time.Duration, slackFactor float64, targetDuration time.Duration) Route {
 	r.timeout = max(timeout, 0)
-	r.slackFactor = max(slackFactor, 1)
+	r.slackFactor = max(1, min(slackFactor, maxSlackFactor))
 	r.targetDuration = max(targetDuration, 0)
 	return r
 }
@@ -97,7 +105,7 @@
 
 // Commitment returns the time within which work of the given length should end.
 func (r Route) Commitment(work time.Duration) time.Duration {
-	return time.Duration(r.slackFactor*float64(work)) + r.targetDuration
+	return time.Duration(min(r.slackFactor*float64(work), float64(maxCommitment))) + r.targetDuration
 }
 
 // Limits bound the requests and connections that the front end accepts.
@@ -143,29 +151,46 @@
 	number int64
 	routes []Route
 	limits Limits
+	// leftOut has the cause for each stored route that is not in routes.
+	leftOut []error
 }
 
-// NewVersion returns a version. Two routes may not share host and prefix. The error
-// wraps ErrInvalid.
+// NewVersion returns a version. Routes that share host and prefix are left out, since
+// none of them can be told to be the valid one. The error wraps ErrInvalid.
 func NewVersion(number int64, routes []Route, limits Limits) (*Version, error) {
 	if number < 1 {
 		return nil, errors.Wrapf(ErrInvalid, "version is %d, want 1 or more", number)
 	}
-	seen := map[string]bool{}
+	count := map[string]int{}
 	for _, r := range routes {
-		key := r.host + r.prefix
-		if seen[key] {
-			return nil, errors.Wrapf(ErrInvalid, "two routes for %s, want one for each host and prefix", key)
-		}
-		seen[key] = true
+		count[r.host+r.prefix]++
 	}
-	sorted := append([]Route(nil), routes...)
-	sort.SliceStable(sorted, func(i, j int) bool { return len(sorted[i].prefix) > len(sorted[j].prefix) })
-	return &Version{
+	v := &Version{
 		number: number,
-		routes: sorted,
 		limits: limits,
-	}, nil
+	}
+	for _, r := range routes {
+		if n := count[r.host+r.prefix]; n > 1 {
+			v.leftOut = append(v.leftOut, errors.Wrapf(ErrInvalid, "route %s: %d routes for %s, want one for each host and prefix", r.name, n, r.host+r.prefix))
+			continue
+		}
+		v.routes = append(v.routes, r)
+	}
+	sort.SliceStable(v.routes, func(i, j int) bool { return len(v.routes[i].prefix) > len(v.routes[j].prefix) })
+	return v, nil
+}
+
+// WithLeftOut returns the version with the causes for which further routes were left
+// out.
+func (v *Version) WithLeftOut(causes []error) *Version {
+	x := *v
+	x.leftOut = append(append([]error(nil), causes...), v.leftOut...)
+	return &x
+}
+
+// LeftOut returns the cause for each stored route that the version does not have.
+func (v *Version) LeftOut() []error {
+	return v.leftOut
 }
 
 // Number returns the number of the version; a higher version replaces a lower one.
