Bound the values of frames where they are decoded

Cause: a frame of another process could hold a progress of -1, by which the entry divided, negative indexes, and times and amounts with which sums overflow.

Change: the decoder limits progress to 0 to 100 (others count as 0), run times to 30 days, other times to 10 years, amounts and counts to 2^40.

Result: TestOddValues and two seeds of FuzzDecode fail without the change of decode.go ("time ns could overflow", "index -1") and pass with it.

--- a/internal/connection/frame/decode.go
+++ b/internal/connection/frame/decode.go
@@ -1,7 +1,6 @@
 package frame
 
 import (
-	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,17 +19,38 @@
 	return protowire.DecodeZigZag(f.value)
 }
 
-// maxMicroseconds bounds decoded durations so that they do not overflow.
-const maxMicroseconds = math.MaxInt64 / int64(time.Microsecond)
-
-// maxPercent is the progress of a run whose work is done.
-const maxPercent = 100
+// The bounds of decoded values, within which sums and differences do not overflow.
+const (
+	maxMicroseconds = 10 * 365 * 24 * int64(time.Hour/time.Microsecond)
+	// maxRunTime bounds run times, which are multiplied by 100.
+	maxRunTime = 30 * 24 * time.Hour
+	// maxAmount bounds amounts of resources and numbers of starts and runs.
+	maxAmount = 1 << 40
+	// maxPercent is the progress of a run whose work is done.
+	maxPercent = 100
+)
 
 func (f field) duration() time.Duration {
 	us := max(-maxMicroseconds, min(f.signed(), maxMicroseconds))
 	return time.Duration(us) * time.Microsecond
 }
 
+// runTime returns a duration that is multiplied in calculations.
+func (f field) runTime() time.Duration {
+	return max(0, min(f.duration(), maxRunTime))
+}
+
+// amount returns the amount of a resource; it is negative where more is queued than
+// free.
+func (f field) amount() int64 {
+	return max(-maxAmount, min(f.signed(), maxAmount))
+}
+
+// count returns a number that counts from 0.
+func (f field) count() int {
+	return int(min(f.value, maxAmount))
+}
+
 func (f field) boolean() bool {
 	return protowire.DecodeBool(f.value)
 }
@@ -157,7 +177,7 @@
 			p.percent = int(x.value)
 		}
 	case 3:
-		p.runTime = x.duration()
+		p.runTime = x.runTime()
 	}
 	return nil
 }
@@ -173,7 +193,7 @@
 	case 4:
 		h.address = string(x.bytes)
 	case 5:
-		h.role = Role(x.value)
+		h.role = Role(x.count())
 	}
 	return nil
 }
@@ -189,11 +209,11 @@
 	case 4:
 		t.labels = append(t.labels, string(x.bytes))
 	case 5:
-		t.milliCores = x.signed()
+		t.milliCores = x.amount()
 	case 6:
-		t.memoryMB = x.signed()
+		t.memoryMB = x.amount()
 	case 7:
-		t.accelerators = x.signed()
+		t.accelerators = x.amount()
 	case 8:
 		t.usable = x.boolean()
 	case 9:
@@ -205,13 +225,13 @@
 func (c *FreeCapacity) setField(x field) error {
 	switch x.number {
 	case 1:
-		c.milliCores = x.signed()
+		c.milliCores = x.amount()
 	case 2:
-		c.memoryMB = x.signed()
+		c.memoryMB = x.amount()
 	case 3:
-		c.accelerators = x.signed()
+		c.accelerators = x.amount()
 	case 4:
-		c.queued = int(x.signed())
+		c.queued = int(x.amount())
 	case 5:
 		c.lastStart = x.value
 	}
@@ -235,19 +255,19 @@
 	case 2:
 		s.job = string(x.bytes)
 	case 3:
-		s.step = int(x.value)
+		s.step = x.count()
 	case 4:
-		s.indexes = append(s.indexes, int(x.value))
+		s.indexes = append(s.indexes, x.count())
 	case 5:
-		s.runs = append(s.runs, int64(x.value))
+		s.runs = append(s.runs, int64(x.count()))
 	case 6:
 		s.spec = string(x.bytes)
 	case 7:
-		s.milliCores = x.signed()
+		s.milliCores = x.amount()
 	case 8:
-		s.memoryMB = x.signed()
+		s.memoryMB = x.amount()
 	case 9:
-		s.accelerators = x.signed()
+		s.accelerators = x.amount()
 	case 10:
 		s.notAfter = x.duration()
 	case 11:
@@ -263,11 +283,11 @@
 	case 1:
 		r.job = string(x.bytes)
 	case 2:
-		r.step = int(x.value)
+		r.step = x.count()
 	case 3:
-		r.index = int(x.value)
+		r.index = x.count()
 	case 4:
-		r.run = int64(x.value)
+		r.run = int64(x.count())
 	}
 	return nil
 }
@@ -277,9 +297,9 @@
 	case 1:
 		return decode(f.bytes, x.id.setField)
 	case 2:
-		x.end = int(f.value)
+		x.end = f.count()
 	case 3:
-		x.runTime = f.duration()
+		x.runTime = f.runTime()
 	}
 	return nil
 }
--- a/internal/connection/frame/frame_test.go
+++ b/internal/connection/frame/frame_test.go
@@ -1,10 +1,13 @@
 package frame_test
 
 import (
+	"bytes"
+	"math"
 	"reflect"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
@@ -60,14 +63,98 @@
 // change when they are encoded again.
 func FuzzDecode(f *testing.F) {
 	f.Add(frame.Encode(fullFrame()))
+	f.Add(frame.Encode(frame.Frame{
+		Clock:    math.MaxInt64,
+		Progress: []frame.Progress{frame.NewProgress(frame.NewRunID("job", -1, -1, -1), -1, math.MaxInt64)},
+		Peers:    []frame.Peer{frame.NewPeer("odd", "127.0.0.1:70000")},
+	}))
+	f.Add(bytes.Repeat([]byte{0x32, 0x7f}, 500))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		x, err := frame.Decode(b)
 		if err != nil {
 			return
 		}
+		if err := checkRanges(x); err != nil {
+			t.Error(err)
+		}
 		y, err := frame.Decode(frame.Encode(x))
 		if err != nil || !reflect.DeepEqual(x, y) {
 			t.Errorf("decoded %+v, after encoding it again got %+v, error %v", x, y, err)
 		}
 	})
 }
+
+// TestOddValues guards against a value of another process that overflows a
+// calculation or divides by zero.
+func TestOddValues(t *testing.T) {
+	id := frame.NewRunID("job", 1, 2, 3)
+	free := frame.NewFreeCapacity(math.MinInt64, math.MaxInt64, math.MaxInt64, math.MaxInt32, 9)
+	target := frame.NewTarget("i", "s", "z", nil, true).WithCapacity(math.MaxInt64, math.MaxInt64, math.MaxInt64).WithWarmUp(math.MaxInt64)
+	tests := map[string]frame.Frame{
+		"percent_negative": {Progress: []frame.Progress{frame.NewProgress(id, -1, time.Second)}},
+		"percent_large":    {Progress: []frame.Progress{frame.NewProgress(id, math.MaxInt64, math.MaxInt64)}},
+		"run_time":         {Ended: []frame.Ended{frame.NewEnded(id, math.MaxInt64, math.MinInt64)}},
+		"clock":            {Clock: math.MaxInt64, Echo: math.MinInt64},
+		"amounts":          {FreeCapacity: &free, Target: &target},
+		"indexes":          {Starts: []frame.Start{frame.NewStart(1, "job", -1, []int{-1}, []int64{-1}, "").WithResources(math.MaxInt64, math.MinInt64, 0).WithTimes(math.MaxInt64, math.MaxInt64, 0)}},
+	}
+	for name, f := range tests {
+		t.Run(name, func(t *testing.T) {
+			Convey("decoded values are in their ranges", t, func() {
+				got, err := frame.Decode(frame.Encode(f))
+				So(err, ShouldBeNil)
+				So(checkRanges(got), ShouldBeNil)
+			})
+		})
+	}
+}
+
+// checkRanges reports a value with which sums of a few, or a product with 100, could
+// overflow, or a progress outside 0 to 100.
+func checkRanges(f frame.Frame) error {
+	times := []time.Duration{f.Clock, f.Echo}
+	var amounts []int64
+	add := func(list ...int64) { amounts = append(amounts, list...) }
+	for _, p := range f.Progress {
+		if p.Percent() < 0 || p.Percent() > 100 {
+			return errors.Errorf("progress %d, want 0 to 100", p.Percent())
+		}
+		times = append(times, p.RunTime()*100)
+		add(p.ID().Run())
+	}
+	for _, e := range f.Ended {
+		times = append(times, e.RunTime()*100)
+		add(e.ID().Run())
+	}
+	if f.Target != nil {
+		times = append(times, f.Target.WarmUp())
+		a, b, c := f.Target.Capacity()
+		add(a, b, c)
+	}
+	if f.FreeCapacity != nil {
+		a, b, c := f.FreeCapacity.Amounts()
+		add(a, b, c, int64(f.FreeCapacity.Queued()))
+	}
+	for _, s := range f.Starts {
+		times = append(times, s.NotAfter(), s.TimeLimit())
+		a, b, c := s.Resources()
+		add(a, b, c)
+		add(s.Runs()...)
+		for _, i := range s.Indexes() {
+			if i < 0 {
+				return errors.Errorf("index %d, want 0 or more", i)
+			}
+		}
+	}
+	for _, d := range times {
+		if d < -math.MaxInt64/4 || d > math.MaxInt64/4 {
+			return errors.Errorf("time %d ns could overflow", d)
+		}
+	}
+	for _, n := range amounts {
+		if n < -1<<40 || n > 1<<40 {
+			return errors.Errorf("amount %d could overflow", n)
+		}
+	}
+	return nil
+}
