--- a/internal/process/role/executor/call.go
+++ b/internal/process/role/executor/call.go
@@ -199,6 +199,16 @@
 	}
 }
 
+func (a ActiveRun) Run() task.Run {
+	return a.run
+}
+
+// Percent returns the percent of the work that is done, UnknownPercent if it can't be
+// read.
+func (a ActiveRun) Percent() int64 {
+	return a.percent
+}
+
 // FinishedRun is a run in the target's list of ended runs.
 type FinishedRun struct {
 	number int64
@@ -242,6 +252,10 @@
 	}
 }
 
+func (f FinishedRun) Run() task.Run {
+	return f.run
+}
+
 // Number returns the number of the end; it counts the ends of an incarnation.
 func (f FinishedRun) Number() int64 {
 	return f.number
