--- a/internal/process/log/journal.go
+++ b/internal/process/log/journal.go
@@ -22,6 +22,8 @@
 	burstLines = 3000
 	// dropReportInterval is the minimum time between two lines about dropped lines.
 	dropReportInterval = time.Second
+	// maxTextBytes bounds the text of one field of a line.
+	maxTextBytes = 1000
 )
 
 // Journal writes the notes of a process as structured lines. It never blocks the
@@ -39,6 +41,7 @@
 	dropped    int64
 	lastReport time.Time
 	reported   int64
+	states     *states
 }
 
 type timedNote struct {
@@ -59,6 +62,7 @@
 		now:        now,
 		tokens:     burstLines,
 		lastRefill: now(),
+		states:     newStates(),
 	}, nil
 }
 
@@ -112,6 +116,9 @@
 }
 
 func (j *Journal) write(s timedNote) {
+	if s.note.Subject() != "" && !j.states.changed(s.at, s.note) {
+		return
+	}
 	j.tokens = min(burstLines, j.tokens+s.at.Sub(j.lastRefill).Seconds()*linesPerSecond)
 	j.lastRefill = s.at
 	if j.tokens < 1 {
--- a/internal/process/log/line.go
+++ b/internal/process/log/line.go
@@ -32,7 +32,7 @@
 func appendValue(b []byte, v any) []byte {
 	switch v := v.(type) {
 	case string:
-		return appendText(b, v)
+		return appendText(b, shorten(v))
 	case int64:
 		return strconv.AppendInt(b, v, 10)
 	case int:
@@ -45,6 +45,11 @@
 	return appendJSON(b, v)
 }
 
+// shorten cuts text that another process may have made long.
+func shorten(text string) string {
+	return text[:min(len(text), maxTextBytes)]
+}
+
 func appendText(b []byte, s string) []byte {
 	for i := range len(s) {
 		if c := s[i]; c < ' ' || c > '~' || c == '"' || c == '\\' {
--- a/internal/process/role/executor/target.go
+++ b/internal/process/role/executor/target.go
@@ -35,6 +35,9 @@
 	// synced is set once a list of the target was empty, so that no run of an earlier
 	// agent is left.
 	synced bool
+	// firstList is when the first list arrived. The call for it showed the target this
+	// agent's fence, so no earlier agent has renewed the lease since.
+	firstList time.Duration
 	// replaced is set once the incarnation has ended, until the target reports again.
 	replaced bool
 	// left is set once the target has deregistered.
@@ -142,6 +145,12 @@
 func (s *StateMachine) handleReport(now time.Duration, r Report) {
 	t := &s.target
 	switch {
+	case t.stale:
+		// Nothing was heard of the target for reportTimeout and it runs nothing, so an odd
+		// start or sequence number must not hide the reports that follow.
+		if r.incarnation != t.incarnation {
+			s.resetTarget(now, r)
+		}
 	case t.known && r.incarnation != t.incarnation && r.incarnation.started < t.incarnation.started:
 		return
 	case t.known && r.incarnation == t.incarnation && r.sequence <= t.sequence:
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -131,7 +131,7 @@
 		return err
 	}
 	if err := b.add("configuration", "Watches the operators' configuration.", nil, func(ctx context.Context) error {
-		return watchConfiguration(ctx, b.deps, b.logEvent, e.configurationRead)
+		return watchConfiguration(ctx, b, e.configurationRead)
 	}); err != nil {
 		return err
 	}
@@ -141,7 +141,7 @@
 		return err
 	}
 	return b.add("entries", "Reads the addresses of the other entries.", nil, func(ctx context.Context) error {
-		return watchEntries(ctx, b.deps.Store, func() bool { return true }, b.logEvent, func(peers []frame.Peer) {
+		return watchEntries(ctx, b, func() bool { return true }, func(peers []frame.Peer) {
 			e.links.addPeers(peers)
 			_ = e.ring.TryPush(entriesFound{
 				peers: peers,
@@ -352,9 +352,12 @@
 func (e *Entry) decodeConfiguration(c frame.Config) []dispatch.Event {
 	v, err := e.base.deps.Decode(c.Body())
 	if err != nil {
-		e.base.logEvent(event.ConfigInvalid, event.F("error", err.Error()), event.F("bytes", len(c.Body())))
+		e.base.log(event.New(event.ConfigInvalid, event.F("error", err.Error()), event.F("bytes", len(c.Body()))).About("configuration"))
 		return nil
 	}
+	for _, err := range v.LeftOut() {
+		e.base.log(event.New(event.ValueInvalid, event.F("version", v.Number()), event.F("error", err.Error())).About(err.Error()))
+	}
 	return []dispatch.Event{dispatch.VersionReceived(v, frame.NewConfig(v.Number(), c.Body()))}
 }
 
