--- a/internal/process/role/dispatch/simulation/cluster_test.go
+++ b/internal/process/role/dispatch/simulation/cluster_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/process/role/dispatch"
 	"greengagedoor.example/greengagedoor/internal/request/task"
 	"greengagedoor.example/greengagedoor/internal/version/route"
@@ -57,14 +58,30 @@
 
 // simJob is a job as its caller sees it.
 type simJob struct {
-	id          string
-	tasks       int
-	length      time.Duration
+	id    string
+	kind  string
+	tasks int
+	// length is the mean run time of a task on a target of factor 1, and taskSpread the
+	// standard deviation of its logarithm over the tasks.
+	length     time.Duration
+	taskSpread float64
+	seed       uint64
+	// estimate is the declared run time, 0 for length. milliCores is the need of a task, 0
+	// for the usual one.
+	estimate    time.Duration
+	milliCores  int64
 	answered    bool
 	answers     []dispatch.State
 	submissions int
 }
 
+func (j *simJob) path() string {
+	if j.kind == "" {
+		return "/" + j.id
+	}
+	return "/" + j.kind + "/" + j.id
+}
+
 type cluster struct {
 	t       *testing.T
 	now     time.Duration
@@ -152,16 +169,33 @@
 	return time.Duration(c.random.IntN(ms*1000)) * time.Microsecond
 }
 
-func (c *cluster) need(string) task.Resources {
-	r, err := task.NewResources(3000, 64, 0)
+func (c *cluster) need(job string) task.Resources {
+	cores := int64(3000)
+	if j := c.jobs[job]; j != nil && j.milliCores > 0 {
+		cores = j.milliCores
+	}
+	r, err := task.NewResources(cores, 64, 0)
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	return r
 }
 
-func (c *cluster) length(job string) time.Duration {
-	return c.jobs[job].length
+// length returns the run time of a run on a target of factor 1.
+func (c *cluster) length(id task.Run) time.Duration {
+	j := c.jobs[id.Job()]
+	if j.taskSpread == 0 {
+		return j.length
+	}
+	random := rand.New(rand.NewPCG(j.seed, uint64(id.Index())))
+	return time.Duration(float64(j.length) * spread(random, j.taskSpread))
+}
+
+// configure passes the version to all entries.
+func (c *cluster) configure() {
+	for _, e := range c.entries {
+		e.handle(dispatch.VersionReceived(c.version, frame.NewConfig(c.version.Number(), []byte("{}"))))
+	}
 }
 
 // submit sends a job to an entry. The caller submits it again after a timeout or an
@@ -180,11 +214,15 @@
 			j.answered = true
 		}
 	}
-	step, err := task.NewStep(j.tasks, c.need(j.id), j.length)
+	estimate := j.length
+	if j.estimate > 0 {
+		estimate = j.estimate
+	}
+	step, err := task.NewStep(j.tasks, c.need(j.id), estimate)
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	e.handle(dispatch.Submitted(dispatch.NewSubmission("", "", "/"+j.id, c.callerTimeout).WithWork("spec", []task.Step{step}).WithRequest(n)))
+	e.handle(dispatch.Submitted(dispatch.NewSubmission("", "", j.path(), c.callerTimeout).WithWork("spec", []task.Step{step}).WithRequest(n)))
 	c.after(c.callerTimeout, func() {
 		if _, open := c.pending[n]; !open {
 			return
--- a/internal/process/role/dispatch/simulation/target_test.go
+++ b/internal/process/role/dispatch/simulation/target_test.go
@@ -157,7 +157,7 @@
 	t.c.oracle.began(t, id)
 	t.served = true
 	t.used = t.used.Add(need)
-	length := time.Duration(float64(t.c.length(id.Job())) * t.factor)
+	length := time.Duration(float64(t.c.length(id)) * t.factor)
 	t.running[id] = &simRun{
 		began:   t.c.now,
 		length:  length,
