Move a run that is probably late while another target can still end it in time

A run on a slow target was moved only once it was certain that it could not end before the deadline.

Now a run that would probably end after the deadline, or within 5% before it, moves from 5% of its work on, if a run on the fastest target would probably end in time with that margin too.

TestOverdue/probably_late failed before (no stop). The row may_end_just_in_time reported 24% after 300 ms, with 900 ms left and a target three times as fast free, and asked that the run stays; this is the case that was wrong. The row now has a run of which 93% are done, which no other target can end in time, and ends_too_late_everywhere and ends_in_time_with_little_slack bound it on both sides.

--- a/internal/process/role/dispatch/progress.go
+++ b/internal/process/role/dispatch/progress.go
@@ -13,6 +13,10 @@
 	// minProgressPercent is the progress from which a run is used to estimate the other
 	// tasks of its job.
 	minProgressPercent = 10
+	// minMovePercent is the progress from which a run is moved because it is probably late.
+	minMovePercent = 5
+	// moveSlack is the relative error of a projected run time.
+	moveSlack = 0.05
 	// moveDelay is the time to stop a run and to start its task elsewhere.
 	moveDelay = 60 * time.Millisecond
 	// progressLag is by how much a reported run time may exceed the time at which the
@@ -35,10 +39,11 @@
 	ran := max(0, p.RunTime()-progressLag)
 	// The percentage is rounded down, so the next percent may be almost done.
 	least := ran * 100 / time.Duration(p.Percent()+1)
+	own := a.speed.value()
 	if now+least-ran <= j.deadline {
+		d.moveIfSafer(now, a, x, p, own)
 		return
 	}
-	own := a.speed.value()
 	best := time.Duration(float64(least) * d.fastestFactor(j.route.Service()) / own)
 	if now+moveDelay+best > j.deadline {
 		d.logOverdue(now, a, x, p, best, "given_up")
@@ -50,6 +55,27 @@
 	d.moveRun(a, x)
 }
 
+// moveIfSafer moves a run that probably ends after the deadline, if another run on the
+// fastest target probably ends before it with time to spare.
+func (d *Dispatch) moveIfSafer(now time.Duration, a *agent, x *attempt, p frame.Progress, own float64) {
+	j := x.task.job
+	if p.Percent() < minMovePercent {
+		return
+	}
+	likely := p.RunTime() * 200 / time.Duration(2*p.Percent()+1)
+	slack := time.Duration(moveSlack * float64(likely))
+	if now+likely-p.RunTime()+slack <= j.deadline {
+		return
+	}
+	best := time.Duration(float64(likely) * d.fastestFactor(j.route.Service()) / own)
+	if now+moveDelay+best+time.Duration(moveSlack*float64(best))+slack > j.deadline {
+		return
+	}
+	x.task.measuredTime = time.Duration(float64(likely) / own)
+	d.logOverdue(now, a, x, p, best, "moved_early")
+	d.moveRun(a, x)
+}
+
 // logOverdue logs the projection for a run that cannot end in time.
 func (d *Dispatch) logOverdue(now time.Duration, a *agent, x *attempt, p frame.Progress, best time.Duration, outcome string) {
 	j := x.task.job
