Time the removal of an entry's key on a virtual clock

TestRegistrationEnds/lingered_store_away failed once, in a run beside many busy processes (load average about 90): the duty ended after 2.40 s, 0.7 s were allowed. The same test passed 15 times at a load average of 100 to 122, so the stall was not reproduced. The duty's waits were one timeout of 0.5 s.

--- a/internal/process/role/server/watch_test.go
+++ b/internal/process/role/server/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -13,21 +14,19 @@
 
 // TestRegistrationEnds guards against an entry that exceeds its grace period because the store does not answer.
 func TestRegistrationEnds(t *testing.T) {
-	// slack is for a machine with other load.
-	const slack = 200 * time.Millisecond
 	tests := map[string]struct {
 		silent   bool
 		lingered bool
 		within   time.Duration
 	}{
-		"stopped":             {within: revokeLimit + slack},
-		"stopped_store_away":  {silent: true, within: revokeLimit + slack},
-		"lingered":            {lingered: true, within: revokeLimit + slack},
-		"lingered_store_away": {lingered: true, silent: true, within: maxStoreBackoff + slack},
+		"stopped":             {within: revokeLimit},
+		"stopped_store_away":  {silent: true, within: revokeLimit},
+		"lingered":            {lingered: true, within: revokeLimit},
+		"lingered_store_away": {lingered: true, silent: true, within: maxStoreBackoff},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			Convey("the key is removed, and the duty ends in time", t, func() {
+			synctest.Test(t, func(t *testing.T) {
 				granted := make(chan struct{}, 1)
 				revoked := make(chan struct{}, 1)
 				s := keyspace.Store{
@@ -61,7 +60,10 @@
 				}
 				<-revoked
 				<-ended
-				So(time.Since(began), ShouldBeLessThan, tt.within)
+				took := time.Since(began)
+				Convey("the key is removed, and the duty ends in time", t, func() {
+					So(took, ShouldBeLessThanOrEqualTo, tt.within)
+				})
 			})
 		})
 	}
