Find the ends of requests without allocations

A header line that arrives whole is parsed in place. The connection keeps CloseWrite, which net/http uses when it answers without reading the whole request.

go test ./internal/process/web -count=1 -run TestFraming -rapid.checks=20000

passes: the same counts as net/http for 20,000 cut sequences of requests.

--- a/internal/process/web/connection.go
+++ b/internal/process/web/connection.go
@@ -71,6 +71,15 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the sending direction; net/http looks for this method when it
+// answers a request without reading all of it.
+func (c *connection) CloseWrite() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
+
 // unanswered returns the number of requests that were read and have no answer.
 func (c *connection) unanswered() int64 {
 	return max(0, c.whole.Load()-c.returned.Load())
--- a/internal/process/web/framing.go
+++ b/internal/process/web/framing.go
@@ -3,13 +3,18 @@
 import (
 	"bytes"
 	"strconv"
-	"strings"
 )
 
 // maxKeptLine bounds the part of a header line that is kept to recognize the fields
 // that give the length of a body.
 const maxKeptLine = 256
 
+var (
+	carriageReturn   = []byte("\r")
+	contentLength    = []byte("Content-Length")
+	transferEncoding = []byte("Transfer-Encoding")
+)
+
 type framingState int
 
 const (
@@ -83,25 +88,28 @@
 	if n >= 0 {
 		part = p[:n]
 	}
+	if n >= 0 && len(f.line) == 0 {
+		f.lineEnded(bytes.TrimSuffix(part, carriageReturn))
+		return p[n+1:]
+	}
 	f.line = append(f.line, part[:min(len(part), maxKeptLine-len(f.line))]...)
 	if n < 0 {
 		return nil
 	}
-	line := string(bytes.TrimSuffix(f.line, []byte("\r")))
+	f.lineEnded(bytes.TrimSuffix(f.line, carriageReturn))
 	f.line = f.line[:0]
-	f.lineEnded(line)
 	return p[n+1:]
 }
 
-func (f *framing) lineEnded(line string) {
+func (f *framing) lineEnded(line []byte) {
 	switch {
 	case f.state == inChunkSize:
 		f.chunkSize(line)
 	case f.state == inTrailer:
-		if line == "" {
+		if len(line) == 0 {
 			f.requestEnded()
 		}
-	case line != "":
+	case len(line) > 0:
 		f.field(line)
 	case f.chunked:
 		f.state = inChunkSize
@@ -112,12 +120,12 @@
 	}
 }
 
-func (f *framing) chunkSize(line string) {
-	if line == "" {
+func (f *framing) chunkSize(line []byte) {
+	if len(line) == 0 {
 		return
 	}
-	digits, _, _ := strings.Cut(line, ";")
-	n, err := strconv.ParseInt(strings.TrimSpace(digits), 16, 64)
+	digits, _, _ := bytes.Cut(line, []byte(";"))
+	n, err := strconv.ParseInt(string(bytes.TrimSpace(digits)), 16, 64)
 	switch {
 	case err != nil || n < 0:
 		f.state = unframed
@@ -129,21 +137,21 @@
 	}
 }
 
-func (f *framing) field(line string) {
-	name, value, ok := strings.Cut(line, ":")
+func (f *framing) field(line []byte) {
+	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok {
 		return
 	}
-	value = strings.TrimSpace(value)
+	value = bytes.TrimSpace(value)
 	switch {
-	case strings.EqualFold(name, "Content-Length"):
-		n, err := strconv.ParseInt(value, 10, 64)
+	case bytes.EqualFold(name, contentLength):
+		n, err := strconv.ParseInt(string(value), 10, 64)
 		if err != nil || n < 0 {
 			f.state = unframed
 			return
 		}
 		f.length = n
-	case strings.EqualFold(name, "Transfer-Encoding"):
-		f.chunked = strings.EqualFold(value, "chunked")
+	case bytes.EqualFold(name, transferEncoding):
+		f.chunked = bytes.EqualFold(value, []byte("chunked"))
 	}
 }
