Write at most as many log lines together as a pipe takes

Lines written together were up to 32 KB. Writes of whole lines up to 4 KB, what a pipe takes at once, are not cut.

--- a/internal/process/log/journal.go
+++ b/internal/process/log/journal.go
@@ -15,8 +15,9 @@
 	journalCapacity = 4096
 	// linesPerSecond limits the volume; an entry writes about four lines per task.
 	linesPerSecond = 1500
-	// maxWrite is the number of bytes from which queued lines are written.
-	maxWrite = 32 << 10
+	// maxWrite bounds the bytes of several lines that are written together. A pipe takes
+	// no more at once, and its reader may get the rest of a longer write separately.
+	maxWrite = 4096
 	// burstLines is the number of lines that may exceed the rate after an idle
 	// period.
 	burstLines = 3000
@@ -87,15 +88,13 @@
 		j.write(n)
 		j.writeQueued()
 	}
-	for j.ring.Depth() > 0 {
-		j.writeQueued()
-	}
+	j.writeQueued()
 	return nil
 }
 
 // writeQueued writes the notes that are queued now.
 func (j *Journal) writeQueued() {
-	for len(j.lines) < maxWrite {
+	for {
 		select {
 		case n := <-j.ring.Out():
 			j.write(n)
@@ -104,10 +103,26 @@
 		}
 		break
 	}
-	if len(j.lines) > 0 {
-		// A closed output must not end the process.
-		_, _ = j.out.Write(j.lines)
-		j.lines = j.lines[:0]
+	j.flush(len(j.lines))
+}
+
+// flush writes the first n bytes of the encoded lines.
+func (j *Journal) flush(n int) {
+	if n == 0 {
+		return
+	}
+	// A closed output must not end the process.
+	_, _ = j.out.Write(j.lines[:n])
+	j.lines = append(j.lines[:0], j.lines[n:]...)
+}
+
+// addLine encodes a note. It writes the lines before it if all together are longer
+// than maxWrite.
+func (j *Journal) addLine(at time.Time, n event.Note) {
+	before := len(j.lines)
+	j.lines = appendLine(j.lines, at, j.process, n)
+	if len(j.lines) > maxWrite {
+		j.flush(before)
 	}
 }
 
@@ -120,7 +135,7 @@
 	}
 	j.tokens--
 	j.reportDropped(s.at)
-	j.lines = appendLine(j.lines, s.at, j.process, s.note)
+	j.addLine(s.at, s.note)
 }
 
 func (j *Journal) reportDropped(at time.Time) {
@@ -128,7 +143,7 @@
 	if total == j.reported || at.Sub(j.lastReport) < dropReportInterval {
 		return
 	}
-	j.lines = appendLine(j.lines, at, j.process, event.New(event.LinesDropped, event.F("count", total-j.reported)))
+	j.addLine(at, event.New(event.LinesDropped, event.F("count", total-j.reported)))
 	j.reported = total
 	j.lastReport = at
 }
--- a/internal/process/log/line_test.go
+++ b/internal/process/log/line_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -76,3 +77,50 @@
 		So(bytes.Count(out.Bytes(), []byte("\n")), ShouldEqual, lines)
 	})
 }
+
+// writes records each call of Write.
+type writes struct {
+	calls [][]byte
+}
+
+func (w *writes) Write(b []byte) (int, error) {
+	w.calls = append(w.calls, bytes.Clone(b))
+	return len(b), nil
+}
+
+// TestWrite guards against lines that a pipe or its reader cuts, because too many are
+// written together.
+func TestWrite(t *testing.T) {
+	tests := map[string]struct {
+		lines  int
+		length int
+		writes int
+	}{
+		"none":             {},
+		"one":              {lines: 1, length: 10, writes: 1},
+		"some":             {lines: 20, length: 10, writes: 1},
+		"many":             {lines: 100, length: 200, writes: 8},
+		"longer_than_pipe": {lines: 3, length: 5000, writes: 3},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			Convey("each write has whole lines and fits a pipe", t, func() {
+				var w writes
+				at := time.Date(2026, 2, 25, 2, 16, 32, 0, time.UTC)
+				j, err := log.NewJournal(&w, "entry_1", func() time.Time { return at })
+				So(err, ShouldBeNil)
+				for range x.lines {
+					j.Note(event.New(event.JobLeft, event.F("job", strings.Repeat("x", x.length))))
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				cancel()
+				So(j.Run(ctx), ShouldBeNil)
+				So(len(w.calls), ShouldEqual, x.writes)
+				for _, b := range w.calls {
+					So(b[len(b)-1], ShouldEqual, '\n')
+					So(len(b) <= 4096 || bytes.Count(b, []byte("\n")) == 1, ShouldBeTrue)
+				}
+			})
+		})
+	}
+}
