Cut any number of connections without blocking the server's duty

Callers saw nothing yet; the process would have been killed at the end of its grace period instead of ending in order.

Cause: the duty of a server cuts connections with http.Server.Close, which calls Close of each connection. That pushes a change into the duty's own ring of 256 messages, which nobody reads meanwhile.

Evidence: TestCutEndsWithManyConnections opens 600 connections with part of a request and stops the server with a limit of 100 ms.

Why it works: the connections are closed beside the duty, which reads the changes until all have ended or CutTime is over.

--- a/internal/process/web/run.go
+++ b/internal/process/web/run.go
@@ -100,13 +100,21 @@
 	for c := range s.connections {
 		s.countUnanswered(c)
 	}
-	_ = s.http.Close()
+	closed := make(chan struct{})
+	// Each connection that is closed sends a change to this duty.
+	go func() {
+		defer close(closed)
+		_ = s.http.Close()
+	}()
 	end := time.NewTimer(CutTime)
 	defer end.Stop()
-	for len(s.connections) > 0 {
+	for closing := true; closing || len(s.connections) > 0; {
 		select {
 		case c := <-s.changes.Out():
 			s.apply(c)
+		case <-closed:
+			closing = false
+			closed = nil
 		case <-end.C:
 			return
 		}
--- a/internal/process/web/stop_test.go
+++ b/internal/process/web/stop_test.go
@@ -82,3 +82,36 @@
 		})
 	}
 }
+
+// TestCutEndsWithManyConnections guards against a server that never ends after it has cut more connections than its ring holds.
+func TestCutEndsWithManyConnections(t *testing.T) {
+	Convey("the server ends soon after its limit", t, func() {
+		const connections = 600
+		l, address, err := web.Listen("127.0.0.1:0")
+		So(err, ShouldBeNil)
+		d, cleanup, err := web.Serve(l, web.ConstantLimit(100*time.Millisecond), "front", "Answers.", http.NotFoundHandler())
+		So(err, ShouldBeNil)
+		table, err := duty.NewTable(d)
+		So(err, ShouldBeNil)
+		_, stop := table.Start(context.Background())
+		for range connections {
+			c, err := net.Dial("tcp", address)
+			So(err, ShouldBeNil)
+			defer func() { _ = c.Close() }()
+			_, err = io.WriteString(c, "GET / HTTP/1.1\r\n")
+			So(err, ShouldBeNil)
+		}
+		time.Sleep(100 * time.Millisecond)
+		stopped := make(chan struct{})
+		go func() {
+			stop()
+			close(stopped)
+		}()
+		select {
+		case <-stopped:
+		case <-time.After(3 * time.Second):
+			t.Error("the server has not ended")
+		}
+		cleanup()
+	})
+}
