Cancel requests that a starting entry holds

What callers saw: a job whose cancelling was answered with 410 ran afterwards. An entry that has just started holds requests for up to 400 ms until it has a configuration and a target. A cancel that came meanwhile found no job, was answered "no_job", and the held request was started when the target appeared. A cancel that another entry passed on was dropped likewise.

Evidence: the cases caller_cancels and cancelled_at_another_entry of TestStartupHoldsRequests; before this change the held request had no answer and its task was started.

Why it works: cancelJob, which both ways of cancelling use, also answers and drops the held requests of the job, and keeps the outcome, so that a resent request does not run either. Without a configuration the id is taken from the path.

--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -341,10 +341,11 @@
 	d.answer(c.request, StateGone, "no_job", 0)
 }
 
+// cancelJob ends a job and reports whether this entry had it.
 func (d *Dispatch) cancelJob(now time.Duration, id string) bool {
 	j, ok := d.jobs[id]
 	if !ok {
-		return false
+		return id != "" && d.cancelHeld(now, id)
 	}
 	d.logEvent(event.JobCancelled, event.F("job", id), event.F("trace", j.trace))
 	d.finish(now, j, StateCancelled, "cancelled")
--- a/internal/process/role/dispatch/startup.go
+++ b/internal/process/role/dispatch/startup.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"path"
 	"slices"
 	"time"
+
+	"greengagedoor.example/greengagedoor/internal/process/event"
 )
 
 const (
@@ -44,3 +47,32 @@
 func (d *Dispatch) releaseHeld(request uint64) {
 	d.held = slices.DeleteFunc(d.held, func(s Submission) bool { return s.request == request })
 }
+
+// cancelHeld answers the held requests for a job that is cancelled. It reports whether
+// there was one.
+func (d *Dispatch) cancelHeld(now time.Duration, id string) bool {
+	held := len(d.held)
+	d.held = slices.DeleteFunc(d.held, func(s Submission) bool {
+		if d.heldID(s) != id {
+			return false
+		}
+		d.logEvent(event.JobCancelled, event.F("job", id), event.F("trace", s.trace))
+		d.answer(s.request, StateCancelled, "cancelled", 0)
+		return true
+	})
+	if len(d.held) == held {
+		return false
+	}
+	d.keepOutcome(now, id, StateCancelled)
+	return true
+}
+
+// heldID returns the job id of a held request. While there is no configuration, that
+// is the last part of its path.
+func (d *Dispatch) heldID(s Submission) string {
+	if d.version == nil {
+		return path.Base(s.path)
+	}
+	_, id, _ := d.findRoute(s.host, s.path)
+	return id
+}
--- a/internal/process/role/dispatch/startup_test.go
+++ b/internal/process/role/dispatch/startup_test.go
@@ -6,10 +6,11 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/process/role/dispatch"
 )
 
-// TestStartupHoldsRequests guards against an entry that has just started and refuses what it can serve a moment later.
+// TestStartupHoldsRequests guards against an entry that has just started and refuses what it can serve a moment later, or runs what was cancelled meanwhile.
 func TestStartupHoldsRequests(t *testing.T) {
 	connect := func(fx *fixture) {
 		fx.version(1, 3)
@@ -59,6 +60,24 @@
 				connect(fx)
 			},
 		},
+		"caller_cancels": {
+			run: func(fx *fixture) {
+				fx.version(1, 3)
+				fx.handle(dispatch.CancelRequested(2, "", "/job"))
+				connect(fx)
+			},
+			state: dispatch.StateCancelled,
+		},
+		"cancelled_at_another_entry": {
+			run: func(fx *fixture) {
+				fx.handle(dispatch.SessionOpened(5, frame.NewHello("entry_2", 1, "zone", "", frame.RoleEntry)))
+				fx.handle(dispatch.FrameReceived(5, frame.Frame{
+					Cancels: []string{"job"},
+				}))
+				connect(fx)
+			},
+			state: dispatch.StateCancelled,
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
