--- a/internal/process/log/journal.go
+++ b/internal/process/log/journal.go
@@ -5,6 +5,8 @@
 	"io"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 )
@@ -31,9 +33,9 @@
 // caller: a note that finds the ring full or exceeds the rate limit, a token
 // bucket, is dropped and counted.
 type Journal struct {
-	out     io.Writer
-	process string
-	// lines are the encoded lines that have not been written yet.
+	out io.Writer
+	// entry encodes each note into lines, which have not been written yet.
+	entry      *logrus.Entry
 	lines      []byte
 	ring       *ring.Ring[timedNote]
 	now        func() time.Time
@@ -56,15 +58,34 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Journal{
+	j := &Journal{
 		out:        w,
-		process:    process,
 		ring:       r,
 		now:        now,
 		tokens:     burstLines,
 		lastRefill: now(),
 		states:     newStates(),
-	}, nil
+	}
+	l := logrus.New()
+	l.SetOutput(lineWriter(j.append))
+	l.SetFormatter(&noteFormatter{
+		process: process,
+	})
+	j.entry = logrus.NewEntry(l)
+	return j, nil
+}
+
+// lineWriter is a function as an io.Writer.
+type lineWriter func([]byte) (int, error)
+
+func (w lineWriter) Write(b []byte) (int, error) {
+	return w(b)
+}
+
+// append adds an encoded line.
+func (j *Journal) append(line []byte) (int, error) {
+	j.lines = append(j.lines, line...)
+	return len(line), nil
 }
 
 // Note queues a note without blocking.
@@ -124,7 +145,9 @@
 // than maxWrite.
 func (j *Journal) addLine(at time.Time, n event.Note) {
 	before := len(j.lines)
-	j.lines = appendLine(j.lines, at, j.process, n)
+	j.entry.Time = at
+	j.entry.Data[noteKey] = n
+	j.entry.Info()
 	if len(j.lines) > maxWrite {
 		j.flush(before)
 	}
--- a/internal/process/log/line.go
+++ b/internal/process/log/line.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"strconv"
-	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"greengagedoor.example/greengagedoor/internal/process/event"
 )
@@ -11,13 +13,28 @@
 // timeFormat is the format of times in lines.
 const timeFormat = "2006-01-02T15:04:05.000Z07:00"
 
-// appendLine appends the JSON line of a note. An entry writes about a thousand lines
-// a second at a load peak, so it is encoded without reflection where possible.
-func appendLine(b []byte, at time.Time, process string, n event.Note) []byte {
+// noteKey is the key of the note in the data of a log entry.
+const noteKey = "note"
+
+// noteFormatter encodes notes as JSON lines. An entry writes about a thousand lines a
+// second at a load peak, so it works without reflection where possible.
+type noteFormatter struct {
+	process string
+}
+
+// Format returns the line of the entry's note.
+func (f *noteFormatter) Format(e *logrus.Entry) ([]byte, error) {
+	n, ok := e.Data[noteKey].(event.Note)
+	if !ok {
+		return nil, errors.Errorf("log entry has no %s", noteKey)
+	}
+	b := e.Buffer.AvailableBuffer()
 	b = append(b, `{"time":"`...)
-	b = at.AppendFormat(b, timeFormat)
-	b = append(b, `","level":"info","process":`...)
-	b = appendText(b, process)
+	b = e.Time.AppendFormat(b, timeFormat)
+	b = append(b, `","level":"`...)
+	b = append(b, e.Level.String()...)
+	b = append(b, `","process":`...)
+	b = appendText(b, f.process)
 	b = append(b, `,"event":`...)
 	b = appendText(b, string(n.Name()))
 	for _, f := range n.Fields() {
@@ -26,7 +43,7 @@
 		b = append(b, ':')
 		b = appendValue(b, f.Value())
 	}
-	return append(b, "}\n"...)
+	return append(b, "}\n"...), nil
 }
 
 func appendValue(b []byte, v any) []byte {
