Keep the runs of a target that answers when another one reports

Cause: a well-formed report of another target with a later start replaced the known one. Its runs counted as ended at once and their tasks were placed elsewhere while they still ran: two runs of a task at once.

Change: while the known target has runs, answers its calls and its lease has not expired, a report of another id is not taken. A target that has ended, left or is silent is replaced as before; one that starts again under its id is, too.

--- a/internal/process/role/executor/target.go
+++ b/internal/process/role/executor/target.go
@@ -151,6 +151,9 @@
 		if r.incarnation != t.incarnation {
 			s.resetTarget(now, r)
 		}
+	case s.isForeign(now, r):
+		// Its runs would count as ended although the target that answers has them.
+		return
 	case t.known && r.incarnation != t.incarnation && r.incarnation.started < t.incarnation.started:
 		return
 	case t.known && r.incarnation == t.incarnation && r.sequence <= t.sequence:
@@ -175,6 +178,14 @@
 	}
 }
 
+// isForeign reports whether a report names another target while the known one has runs
+// and answers.
+func (s *StateMachine) isForeign(now time.Duration, r Report) bool {
+	t := &s.target
+	return t.known && r.incarnation.id != t.incarnation.id && !t.replaced && !t.left &&
+		len(s.runs) > len(s.queue) && t.unanswered == 0 && now <= t.leaseEnd
+}
+
 // resetTarget replaces the target's state for a new incarnation, which runs
 // nothing.
 func (s *StateMachine) resetTarget(now time.Duration, r Report) {
