End an agent only after it refuses starts

Cause: an agent has no linger time, so its drain looks at once whether a run is active. It read a flag that was set by the last event before the stop signal, when the state machine had not yet been told to leave. A start that waited in the ring, or came while the duties stopped, was sent to the target after the decision to end.

Why it works: the state machine counts as drained only once it leaves, from when on it rejects every start, so no run can follow the decision to end.

--- a/internal/process/role/executor/executor.go
+++ b/internal/process/role/executor/executor.go
@@ -228,9 +228,10 @@
 	}
 }
 
-// Idle reports whether no run is queued or active.
-func (s *StateMachine) Idle() bool {
-	return len(s.runs) == 0
+// Drained reports whether the agent was told to shut down, so that it accepts no more
+// starts, and no run is queued or active.
+func (s *StateMachine) Drained() bool {
+	return s.leaving && len(s.runs) == 0
 }
 
 func (s *StateMachine) logEvent(name event.Name, fields ...event.Field) {
--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -41,7 +41,7 @@
 	links     *links
 	streams   map[uint64]*stream.Stream
 	connected atomic.Int64
-	idle      atomic.Bool
+	drained   atomic.Bool
 }
 
 // NewAgent returns an agent and its cleanup function. Serve adds the listener for
@@ -139,7 +139,7 @@
 
 // Run serves until ctx ends and no task runs, or the grace period is over.
 func (a *Agent) Run(ctx context.Context) error {
-	return a.base.run(ctx, a.idle.Load, 0)
+	return a.base.run(ctx, a.drained.Load, 0)
 }
 
 // Push queues an event of the target. It reports false if the ring is full.
@@ -218,5 +218,5 @@
 		}
 	}
 	a.links.addPeers(out.Peers())
-	a.idle.Store(a.executor.Idle())
+	a.drained.Store(a.executor.Drained())
 }
