--- a/internal/process/role/server/links.go
+++ b/internal/process/role/server/links.go
@@ -23,8 +23,9 @@
 	stableAfter = time.Second
 	// addressTTL is how long an address is dialed after it was last announced.
 	addressTTL = 20 * time.Second
-	// dialInterval is how often the table of addresses is checked for due dials.
-	dialInterval = 50 * time.Millisecond
+	// maxDialWait is the longest time between two checks of the table of addresses for
+	// due dials.
+	maxDialWait = time.Second
 )
 
 // The bounds that keep addresses at which no entry answers from taking the processor
@@ -32,9 +33,10 @@
 const (
 	// maxOpening bounds the connections that are being opened.
 	maxOpening = 64
-	// maxDialsPerTick bounds the dials of addresses that never answered, in each
+	// maxDialsPerInterval bounds the dials of addresses that never answered, in each
 	// dialInterval.
-	maxDialsPerTick = 16
+	maxDialsPerInterval = 16
+	dialInterval        = 50 * time.Millisecond
 	// maxEndpoints bounds the addresses that are dialed: those of maxPeers entries and
 	// the seeds.
 	maxEndpoints = 2 * maxPeers
@@ -77,9 +79,10 @@
 	logState  func(event.Note)
 	ring      *ring.Ring[any]
 	endpoints map[string]*endpoint
-	// dialsLeft is how many addresses that never answered may be dialed before the next
-	// tick.
-	dialsLeft int
+	// dialsLeft is how many addresses that never answered may be dialed in the
+	// dialInterval that began at intervalStart.
+	dialsLeft     int
+	intervalStart time.Time
 	// shouldDial reports whether this process opens the connection to an address.
 	shouldDial func(address string) bool
 }
@@ -103,7 +106,6 @@
 		ring:       r,
 		endpoints:  map[string]*endpoint{},
 		shouldDial: shouldDial,
-		dialsLeft:  maxDialsPerTick,
 	}
 	for _, a := range seedAddresses(b.settings.seeds, b.settings.advertised) {
 		l.addAddress(a, true)
@@ -171,15 +173,14 @@
 }
 
 func (l *links) run(ctx context.Context) error {
-	ticker := time.NewTicker(dialInterval)
-	defer ticker.Stop()
+	due := time.NewTimer(maxDialWait)
+	defer due.Stop()
 	for {
-		l.dial(ctx)
+		due.Reset(l.dial(ctx))
 		select {
 		case m := <-l.ring.Out():
 			l.receive(m)
-		case <-ticker.C:
-			l.dialsLeft = maxDialsPerTick
+		case <-due.C:
 		case <-ctx.Done():
 			return nil
 		}
@@ -226,16 +227,24 @@
 	}
 }
 
-// dial opens the connections that are due and removes expired addresses.
-func (l *links) dial(ctx context.Context) {
+// dial opens the connections that are due and removes expired addresses. It returns
+// the time until the next connection is due.
+func (l *links) dial(ctx context.Context) time.Duration {
 	now := time.Now()
+	if now.Sub(l.intervalStart) >= dialInterval {
+		l.intervalStart = now
+		l.dialsLeft = maxDialsPerInterval
+	}
+	wait := time.Duration(maxDialWait)
 	var due []*endpoint
 	opening := 0
 	for _, p := range l.endpoints {
 		switch {
 		case p.dialing && !p.open:
 			opening++
-		case p.dialing || now.Before(p.nextDial):
+		case p.dialing:
+		case now.Before(p.nextDial):
+			wait = min(wait, p.nextDial.Sub(now))
 		case !p.seed && now.Sub(p.lastSeen) > addressTTL:
 			delete(l.endpoints, p.address)
 			l.logEvent(event.EntriesChanged, event.F("forgotten", p.address), event.F("known", len(l.endpoints)))
@@ -244,16 +253,18 @@
 		}
 	}
 	sort.Slice(due, func(i, j int) bool { return due[i].before(due[j]) })
-	for _, p := range due[:min(len(due), max(0, maxOpening-opening))] {
+	for i, p := range due {
+		if i >= maxOpening-opening || !p.known() && l.dialsLeft == 0 {
+			wait = min(wait, dialInterval)
+			break
+		}
 		if !p.known() {
-			if l.dialsLeft == 0 {
-				break
-			}
 			l.dialsLeft--
 		}
 		p.dialing = true
 		go l.connect(ctx, p.address)
 	}
+	return wait
 }
 
 // known reports whether an address is one of the settings or has answered.
--- a/internal/process/role/server/links_test.go
+++ b/internal/process/role/server/links_test.go
@@ -29,7 +29,6 @@
 		ring:       r,
 		endpoints:  map[string]*endpoint{},
 		shouldDial: func(string) bool { return true },
-		dialsLeft:  maxDialsPerTick,
 	}, &notes
 }
 
@@ -80,16 +79,16 @@
 		l.endpoints[fmt.Sprintf("127.1.%d.%d:9", 1, 200)].reached = true
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
-		l.dial(ctx)
+		So(l.dial(ctx), ShouldBeLessThanOrEqualTo, dialInterval)
 		dialed := 0
 		for _, p := range l.endpoints {
 			if p.dialing {
 				dialed++
 			}
 		}
-		So(dialed, ShouldEqual, maxDialsPerTick+2)
+		So(dialed, ShouldEqual, maxDialsPerInterval+2)
 		for range 10 {
-			l.dialsLeft = maxDialsPerTick
+			l.intervalStart = time.Time{}
 			l.dial(ctx)
 		}
 		dialed = 0
@@ -109,7 +108,7 @@
 			address: "127.1.1.200:9",
 			lasted:  time.Millisecond,
 		})
-		l.dialsLeft = maxDialsPerTick
+		l.intervalStart = time.Time{}
 		l.dial(ctx)
 		dialed = 0
 		for _, p := range l.endpoints {
