--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -80,12 +80,19 @@
 	parted    []*agent
 	estimates *estimator
 	fairness  *fairness
+	overload  overload
 	// loads has the load by hardware label, and lowestLoad the lowest of them, 1 if
 	// there is none. They were measured in this pass if loadMeasured is set.
 	loads        map[string]*hardwareLoad
 	lowestLoad   float64
 	loadMeasured bool
-	leaving      bool
+	// held lists the requests that arrived before the entry had a configuration and a
+	// target for them. begun is set by the first event; requests are held until
+	// holdUntil.
+	held      []Submission
+	begun     bool
+	holdUntil time.Duration
+	leaving   bool
 	// lastAnswer is when a leaving entry has answered all callers.
 	lastAnswer time.Duration
 	out        Output
@@ -129,6 +136,7 @@
 		loads:     map[string]*hardwareLoad{},
 		estimates: newEstimator(),
 		fairness:  newFairness(),
+		overload:  newOverload(timing),
 	}
 }
 
@@ -138,11 +146,17 @@
 func (d *Dispatch) Handle(now time.Duration, events ...Event) Output {
 	d.out = Output{}
 	d.loadMeasured = false
+	if !d.begun {
+		d.begun = true
+		d.holdUntil = now + startupWait
+	}
 	d.expireSessions(now)
 	d.estimates.decay(now)
+	d.updateLag(now, events)
 	for _, ev := range events {
 		d.apply(now, ev)
 	}
+	d.submitHeld(now)
 	d.expireJobs(now)
 	d.refuseUnfinishable(now)
 	d.expireLostRuns(now)
@@ -182,7 +196,7 @@
 
 // Idle reports whether the entry holds no job.
 func (d *Dispatch) Idle() bool {
-	return len(d.jobs) == 0
+	return len(d.jobs)+len(d.held) == 0
 }
 
 // Version returns the active configuration, nil if there is none.
--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -95,7 +95,7 @@
 			return err
 		}
 	}
-	if a.links, err = newLinks(b, handlers(a.ring), func(string) bool { return true }); err != nil {
+	if a.links, err = newLinks(b, handlers(a.ring, b.clock), func(string) bool { return true }); err != nil {
 		return err
 	}
 	if err := b.watchSettings(b.deps.Reload, a.links); err != nil {
@@ -160,7 +160,7 @@
 		select {
 		case <-leaving:
 			leaving = nil
-			a.handle(executor.ShutdownRequested())
+			a.handle(executor.ShutdownRequested(a.base.left(drainMargin + runStopTime)))
 		case m := <-a.ring.Out():
 			a.receive(m)
 		case <-ticker.C:
