Prefer the dispatcher's answer at the reply deadline

If the answer and the deadline of a leaving entry come together, the select may choose the deadline, and the caller gets 504 although its job has ended. Found in review; no run shows it.

--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -242,6 +242,11 @@
 	case a := <-reply:
 		return a, nil
 	case <-e.base.replyDeadline:
+		select {
+		case a := <-reply:
+			return a, nil
+		default:
+		}
 		// The dispatcher is too busy to answer by itself.
 		_ = e.ring.TryPush(callerLeft{
 			number: n,
