Print the log of a leaving process when its test fails

TestSignals/entry and three rows of TestLeavingEntryAnswersEveryRequest once exceeded the grace period of 4 s by 0.02 to 1.24 s, side by side, at a load of 100 on 8 cores ("go test -p 2" of twelve packages); alone and beside each other they passed in 14 of 14 further runs at a load of 65 to 140. Their logs were not kept. Now a failure prints them.

TestSecondStopSignal takes the ports of its rows at once: rows that looked for free ports side by side could get the same ones (once in six runs).

--- a/cmd/greengagedoor/platform_test.go
+++ b/cmd/greengagedoor/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -46,13 +47,7 @@
 				So(err, ShouldBeNil)
 				So(cmd.Start(), ShouldBeNil)
 				defer func() { _ = cmd.Process.Kill() }()
-				lines := make(chan string, 100)
-				go func() {
-					defer close(lines)
-					for s := bufio.NewScanner(out); s.Scan(); {
-						lines <- s.Text()
-					}
-				}()
+				lines := readLines(t, out)
 				So(waitForLine(lines, "process_started"), ShouldBeTrue)
 				So(cmd.Process.Signal(syscall.SIGHUP), ShouldBeNil)
 				So(waitForLine(lines, `"cause":"signal"`), ShouldBeTrue)
@@ -85,10 +80,13 @@
 		"interrupted": {second: syscall.SIGINT, atOnce: true},
 		"reloaded":    {second: syscall.SIGHUP},
 	}
+	const portsOfEntry = 4
+	ports := freePorts(t, portsOfEntry*len(tests))
 	for name, tt := range tests {
+		p := ports[:portsOfEntry]
+		ports = ports[portsOfEntry:]
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			p := freePorts(t, 4)
 			cmd := exec.Command(program, "platform", "entry", "--name", "entry_1", "--zone", "a",
 				"--link", fmt.Sprintf("127.0.0.1:%d", p[0]), "--callers", fmt.Sprintf("127.0.0.1:%d", p[1]),
 				"--readiness", fmt.Sprintf("127.0.0.1:%d", p[2]), "--store", fmt.Sprintf("127.0.0.1:%d", p[3]))
@@ -96,17 +94,12 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			cmd.Stderr = os.Stderr
 			if err := cmd.Start(); err != nil {
 				t.Fatal(err)
 			}
 			defer func() { _ = cmd.Process.Kill() }()
-			lines := make(chan string, 100)
-			go func() {
-				defer close(lines)
-				for s := bufio.NewScanner(out); s.Scan(); {
-					lines <- s.Text()
-				}
-			}()
+			lines := readLines(t, out)
 			started := waitForLine(lines, "process_started")
 			signalled := time.Now()
 			first := cmd.Process.Signal(syscall.SIGTERM)
@@ -139,6 +132,28 @@
 	return list
 }
 
+// readLines returns the lines of a process's log. If the test fails, it prints them
+// with the time at which each arrived.
+func readLines(t *testing.T, out io.Reader) <-chan string {
+	lines := make(chan string, 100)
+	done := make(chan []string, 1)
+	go func() {
+		defer close(lines)
+		var all []string
+		for s := bufio.NewScanner(out); s.Scan(); {
+			all = append(all, time.Now().Format("15:04:05.000 ")+s.Text())
+			lines <- s.Text()
+		}
+		done <- all
+	}()
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("log of the process:\n%s", strings.Join(<-done, "\n"))
+		}
+	})
+	return lines
+}
+
 // waitForLine reports whether a line that contains a text arrives within 10 s.
 func waitForLine(lines <-chan string, text string) bool {
 	timeout := time.After(10 * time.Second)
