--- a/internal/process/log/journal.go
+++ b/internal/process/log/journal.go
@@ -5,6 +5,8 @@
 	"io"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 )
@@ -15,22 +17,25 @@
 	journalCapacity = 4096
 	// linesPerSecond limits the volume; an entry writes about four lines per task.
 	linesPerSecond = 1500
-	// maxWrite is the number of bytes from which queued lines are written.
-	maxWrite = 32 << 10
+	// maxWrite bounds the bytes of several lines that are written together. A pipe takes
+	// no more at once, and its reader may get the rest of a longer write separately.
+	maxWrite = 4096
 	// burstLines is the number of lines that may exceed the rate after an idle
 	// period.
 	burstLines = 3000
 	// dropReportInterval is the minimum time between two lines about dropped lines.
 	dropReportInterval = time.Second
+	// maxTextBytes bounds the text of one field of a line.
+	maxTextBytes = 1000
 )
 
 // Journal writes the notes of a process as structured lines. It never blocks the
 // caller: a note that finds the ring full or exceeds the rate limit, a token
 // bucket, is dropped and counted.
 type Journal struct {
-	out     io.Writer
-	process string
-	// lines are the encoded lines that have not been written yet.
+	out io.Writer
+	// entry encodes each note into lines, which have not been written yet.
+	entry      *logrus.Entry
 	lines      []byte
 	ring       *ring.Ring[timedNote]
 	now        func() time.Time
@@ -39,6 +44,7 @@
 	dropped    int64
 	lastReport time.Time
 	reported   int64
+	states     *states
 }
 
 type timedNote struct {
@@ -52,14 +58,34 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Journal{
+	j := &Journal{
 		out:        w,
-		process:    process,
 		ring:       r,
 		now:        now,
 		tokens:     burstLines,
 		lastRefill: now(),
-	}, nil
+		states:     newStates(),
+	}
+	l := logrus.New()
+	l.SetOutput(lineWriter(j.append))
+	l.SetFormatter(&noteFormatter{
+		process: process,
+	})
+	j.entry = logrus.NewEntry(l)
+	return j, nil
+}
+
+// lineWriter is a function as an io.Writer.
+type lineWriter func([]byte) (int, error)
+
+func (w lineWriter) Write(b []byte) (int, error) {
+	return w(b)
+}
+
+// append adds an encoded line.
+func (j *Journal) append(line []byte) (int, error) {
+	j.lines = append(j.lines, line...)
+	return len(line), nil
 }
 
 // Note queues a note without blocking.
@@ -87,15 +113,13 @@
 		j.write(n)
 		j.writeQueued()
 	}
-	for j.ring.Depth() > 0 {
-		j.writeQueued()
-	}
+	j.writeQueued()
 	return nil
 }
 
 // writeQueued writes the notes that are queued now.
 func (j *Journal) writeQueued() {
-	for len(j.lines) < maxWrite {
+	for {
 		select {
 		case n := <-j.ring.Out():
 			j.write(n)
@@ -104,14 +128,35 @@
 		}
 		break
 	}
-	if len(j.lines) > 0 {
-		// A closed output must not end the process.
-		_, _ = j.out.Write(j.lines)
-		j.lines = j.lines[:0]
+	j.flush(len(j.lines))
+}
+
+// flush writes the first n bytes of the encoded lines.
+func (j *Journal) flush(n int) {
+	if n == 0 {
+		return
+	}
+	// A closed output must not end the process.
+	_, _ = j.out.Write(j.lines[:n])
+	j.lines = append(j.lines[:0], j.lines[n:]...)
+}
+
+// addLine encodes a note. It writes the lines before it if all together are longer
+// than maxWrite.
+func (j *Journal) addLine(at time.Time, n event.Note) {
+	before := len(j.lines)
+	j.entry.Time = at
+	j.entry.Data[noteKey] = n
+	j.entry.Info()
+	if len(j.lines) > maxWrite {
+		j.flush(before)
 	}
 }
 
 func (j *Journal) write(s timedNote) {
+	if s.note.Subject() != "" && !j.states.changed(s.at, s.note) {
+		return
+	}
 	j.tokens = min(burstLines, j.tokens+s.at.Sub(j.lastRefill).Seconds()*linesPerSecond)
 	j.lastRefill = s.at
 	if j.tokens < 1 {
@@ -120,7 +165,7 @@
 	}
 	j.tokens--
 	j.reportDropped(s.at)
-	j.lines = appendLine(j.lines, s.at, j.process, s.note)
+	j.addLine(s.at, s.note)
 }
 
 func (j *Journal) reportDropped(at time.Time) {
@@ -128,7 +173,7 @@
 	if total == j.reported || at.Sub(j.lastReport) < dropReportInterval {
 		return
 	}
-	j.lines = appendLine(j.lines, at, j.process, event.New(event.LinesDropped, event.F("count", total-j.reported)))
+	j.addLine(at, event.New(event.LinesDropped, event.F("count", total-j.reported)))
 	j.reported = total
 	j.lastReport = at
 }
