Name the lists and limits of the dispatcher plainly, group the fields of the start

No change of behaviour; from the review: lists of disconnected agents and of candidates, constants at the top of their files, one name for each refusal reason.

--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -11,6 +11,16 @@
 	"greengagedoor.example/greengagedoor/internal/request/task"
 )
 
+// The limits of agents.
+const (
+	// maxReports is the number of reports of free capacity that all agents together
+	// send in a second.
+	maxReports = 800
+	// agentRetention is how long a disconnected agent is kept, together with the
+	// estimates of its target.
+	agentRetention = 30 * time.Second
+)
+
 // agent is the known state of an agent and its target.
 type agent struct {
 	name         string
@@ -112,10 +122,6 @@
 	return now-a.lastSent >= interval
 }
 
-// maxReports is the number of reports of free capacity that all agents together send
-// in a second.
-const maxReports = 800
-
 // reportInterval returns the interval at which each agent may report free capacity,
 // so that the reports of a large site do not take the processor time of its smallest
 // entries. Reports that come faster than the entry handles them are of no use to it.
@@ -221,7 +227,7 @@
 	delete(d.sessions, number)
 	d.connected = slices.DeleteFunc(d.connected, func(x *agent) bool { return x == a })
 	a.session = 0
-	d.part(a)
+	d.addDisconnected(a)
 	a.starts = nil
 	a.stops = nil
 	for _, x := range a.runs {
@@ -235,6 +241,7 @@
 		event.F("silent_ms", (now-a.lastSeen).Milliseconds()), event.F("runs", len(a.runs)))
 }
 
+// hasLostRuns reports whether a run of an earlier session may not have ended.
 func (a *agent) hasLostRuns() bool {
 	for _, x := range a.runs {
 		if x.state == attemptLost {
@@ -244,18 +251,18 @@
 	return false
 }
 
-// part adds an agent to the list of those that expireLostRuns examines.
-func (d *Dispatch) part(a *agent) {
-	at, listed := slices.BinarySearchFunc(d.parted, a, func(x, y *agent) int { return strings.Compare(x.name, y.name) })
+// addDisconnected adds an agent to the list of those that expireLostRuns examines.
+func (d *Dispatch) addDisconnected(a *agent) {
+	at, listed := slices.BinarySearchFunc(d.disconnected, a, func(x, y *agent) int { return strings.Compare(x.name, y.name) })
 	if !listed {
-		d.parted = slices.Insert(d.parted, at, a)
+		d.disconnected = slices.Insert(d.disconnected, at, a)
 	}
 }
 
 // expireLostRuns retries the tasks of lost runs that have certainly ended, and
 // removes agents that have been disconnected for agentRetention.
 func (d *Dispatch) expireLostRuns(now time.Duration) {
-	d.parted = slices.DeleteFunc(d.parted, func(a *agent) bool {
+	d.disconnected = slices.DeleteFunc(d.disconnected, func(a *agent) bool {
 		for _, x := range a.lostAttempts(func(x *attempt) bool { return now >= x.endedBy }) {
 			d.endAttempt(now, a, x, task.EndLost, 0)
 		}
@@ -271,10 +278,6 @@
 	})
 }
 
-// agentRetention is how long a disconnected agent is kept, together with the
-// estimates of its target.
-const agentRetention = 30 * time.Second
-
 func (d *Dispatch) receive(now time.Duration, message received) {
 	if p, ok := d.peers[message.session]; ok {
 		p.lastSeen = now
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -63,10 +63,10 @@
 	jobs      map[string]*job
 	requests  map[uint64]*job
 	queue     []*job
-	// open and scratch are reused: the agents that can get work in this pass, and a copy
-	// of the queue while it changes.
-	open    []*agent
-	scratch []*job
+	// candidates and scratch are reused: the agents that can get work in this pass, and
+	// a copy of the queue while it changes.
+	candidates []*agent
+	scratch    []*job
 	// nextReview is when the queue is reviewed again.
 	nextReview time.Duration
 	// running has the current attempt of each task that may be running, by task name.
@@ -76,23 +76,18 @@
 	finishedOrder []string
 	// nextDeadline is at or before the earliest deadline of the jobs.
 	nextDeadline time.Duration
-	// parted lists the agents that have no session or have lost runs, by name.
-	parted    []*agent
-	estimates *estimator
-	fairness  *fairness
-	overload  overload
+	// disconnected lists the agents that have no session or have lost runs, by name.
+	disconnected []*agent
+	estimates    *estimator
+	fairness     *fairness
+	overload     overload
 	// loads has the load by hardware label, and lowestLoad the lowest of them, 1 if
 	// there is none. They were measured in this pass if loadMeasured is set.
 	loads        map[string]*hardwareLoad
 	lowestLoad   float64
 	loadMeasured bool
-	// held lists the requests that arrived before the entry had a configuration and a
-	// target for them. begun is set by the first event; requests are held until
-	// holdUntil.
-	held      []Submission
-	begun     bool
-	holdUntil time.Duration
-	leaving   bool
+	startup      startup
+	leaving      bool
 	// lastAnswer is when a leaving entry has answered all callers.
 	lastAnswer time.Duration
 	out        Output
@@ -146,10 +141,7 @@
 func (d *Dispatch) Handle(now time.Duration, events ...Event) Output {
 	d.out = Output{}
 	d.loadMeasured = false
-	if !d.begun {
-		d.begun = true
-		d.holdUntil = now + startupWait
-	}
+	d.startup.begin(now)
 	d.expireSessions(now)
 	d.estimates.decay(now)
 	d.updateLag(now, events)
@@ -196,7 +188,7 @@
 
 // Idle reports whether the entry holds no job.
 func (d *Dispatch) Idle() bool {
-	return len(d.jobs)+len(d.held) == 0
+	return len(d.jobs)+len(d.startup.held) == 0
 }
 
 // Version returns the active configuration, nil if there is none.
--- a/internal/process/role/dispatch/invariant_test.go
+++ b/internal/process/role/dispatch/invariant_test.go
@@ -246,7 +246,7 @@
 			waiting[r] = true
 		}
 	}
-	for _, s := range x.d.held {
+	for _, s := range x.d.startup.held {
 		waiting[s.request] = true
 	}
 	for n := range x.jobOf {
@@ -291,11 +291,11 @@
 
 func (x *scenario) checkAgents() {
 	d := x.d
-	parted := map[*agent]bool{}
-	for i, a := range d.parted {
-		parted[a] = true
-		if i > 0 && d.parted[i-1].name >= a.name {
-			x.t.Fatalf("parted agents are out of order at %s", a.name)
+	disconnected := map[*agent]bool{}
+	for i, a := range d.disconnected {
+		disconnected[a] = true
+		if i > 0 && d.disconnected[i-1].name >= a.name {
+			x.t.Fatalf("disconnected agents are out of order at %s", a.name)
 		}
 	}
 	connected := 0
@@ -303,8 +303,8 @@
 		if a.session != 0 {
 			connected++
 		}
-		if (a.session == 0 || a.hasLostRuns()) && !parted[a] {
-			x.t.Fatalf("agent %s is not listed as parted", a.name)
+		if (a.session == 0 || a.hasLostRuns()) && !disconnected[a] {
+			x.t.Fatalf("agent %s is not listed as disconnected", a.name)
 		}
 	}
 	if connected != len(d.connected) || connected != len(d.sessions) {
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -19,6 +19,9 @@
 	maxJobs = 4096
 )
 
+// reasonNoConfiguration is the reason while no configuration is known.
+const reasonNoConfiguration = "no_configuration"
+
 // reasonCallersLeft is the reason of a job that no caller waits for any more.
 const reasonCallersLeft = "callers_left"
 
@@ -131,7 +134,7 @@
 func (d *Dispatch) submit(now time.Duration, s Submission) {
 	if d.version == nil {
 		if !d.hold(now, s) {
-			d.refuse(s, s.path, StateRefused, "no_configuration", defaultRetryAfter)
+			d.refuse(s, s.path, StateRefused, reasonNoConfiguration, defaultRetryAfter)
 		}
 		return
 	}
@@ -208,7 +211,7 @@
 		d.cutTimes(j)
 	}
 	if d.endsTooSoon(now, j) {
-		d.refuse(s, work.ID(), StateRefused, reasonLeaving, d.retryAfter())
+		d.refuse(s, work.ID(), StateRefused, ReasonLeaving, d.retryAfter())
 		return
 	}
 	if d.unlikelyInTime(now, j) {
@@ -320,7 +323,7 @@
 // to all entries and agents.
 func (d *Dispatch) cancel(now time.Duration, c Cancel) {
 	if d.version == nil {
-		d.answer(c.request, StateRefused, "no_configuration", defaultRetryAfter)
+		d.answer(c.request, StateRefused, reasonNoConfiguration, defaultRetryAfter)
 		return
 	}
 	_, id, ok := d.findRoute(c.host, c.path)
--- a/internal/process/role/dispatch/crest_bench_test.go
+++ b/internal/process/role/dispatch/peak_bench_test.go
@@ -11,25 +11,25 @@
 	"greengagedoor.example/greengagedoor/internal/version/route"
 )
 
-// The load of crestLoad: more jobs than the targets can run.
+// The load of peakLoad: more jobs than the targets can run.
 const (
-	crestAgents   = 64
-	crestCores    = 4000
-	crestJobEvery = 5 * ms
-	crestFrames   = 25 * ms
+	peakAgents   = 64
+	peakCores    = 4000
+	peakJobEvery = 5 * ms
+	peakFrames   = 25 * ms
 )
 
-// crestRun is a run on one of the targets of crestLoad.
-type crestRun struct {
+// peakRun is a run on one of the targets of peakLoad.
+type peakRun struct {
 	id   frame.RunID
 	ends time.Duration
 	ran  time.Duration
 	need int64
 }
 
-// crestLoad simulates the targets of an entry at a load peak. Targets end their runs
-// on time, and report free capacity every crestFrames.
-type crestLoad struct {
+// peakLoad simulates the targets of an entry at a load peak. Targets end their runs
+// on time, and report free capacity every peakFrames.
+type peakLoad struct {
 	d        *dispatch.Dispatch
 	now      time.Duration
 	nextJob  time.Duration
@@ -38,19 +38,19 @@
 	agents   int
 	free     []int64
 	last     []uint64
-	runs     [][]crestRun
+	runs     [][]peakRun
 	nextSent []time.Duration
 }
 
-func newCrestLoad(tb testing.TB, agents int) *crestLoad {
-	l := &crestLoad{
+func newPeakLoad(tb testing.TB, agents int) *peakLoad {
+	l := &peakLoad{
 		d:        dispatch.New(frame.NewHello("entry", 1, "zone", "", frame.RoleEntry), dispatch.NewTiming(500*ms, 1178*ms, 200*ms)),
 		now:      time.Minute,
 		nextJob:  time.Minute,
 		agents:   agents,
 		free:     make([]int64, agents),
 		last:     make([]uint64, agents),
-		runs:     make([][]crestRun, agents),
+		runs:     make([][]peakRun, agents),
 		nextSent: make([]time.Duration, agents),
 	}
 	r, err := route.NewRoute("kind", "", "/", "service")
@@ -63,11 +63,11 @@
 	}
 	l.handle(dispatch.VersionReceived(v, frame.NewConfig(1, []byte("{}"))))
 	for n := range agents {
-		l.free[n] = crestCores
-		l.nextSent[n] = l.now + crestFrames*time.Duration(n)/time.Duration(agents)
+		l.free[n] = peakCores
+		l.nextSent[n] = l.now + peakFrames*time.Duration(n)/time.Duration(agents)
 		l.handle(dispatch.SessionOpened(uint64(n)+1, frame.NewHello(fmt.Sprintf("agent_%d", n), 1, "zone", "", frame.RoleAgent)))
-		t := frame.NewTarget(fmt.Sprintf("target_%d", n), "service", "zone", []string{[]string{"a", "b", "c", "d"}[n%4]}, true).WithCapacity(crestCores, 32768, 0)
-		f := frame.NewFreeCapacity(crestCores, 32768, 0, 0, 0)
+		t := frame.NewTarget(fmt.Sprintf("target_%d", n), "service", "zone", []string{[]string{"a", "b", "c", "d"}[n%4]}, true).WithCapacity(peakCores, 32768, 0)
+		f := frame.NewFreeCapacity(peakCores, 32768, 0, 0, 0)
 		l.handle(dispatch.FrameReceived(uint64(n)+1, frame.Frame{
 			Clock:        l.now,
 			Target:       &t,
@@ -77,7 +77,7 @@
 	return l
 }
 
-func (l *crestLoad) handle(events ...dispatch.Event) {
+func (l *peakLoad) handle(events ...dispatch.Event) {
 	out := l.d.Handle(l.now, events...)
 	for _, f := range out.Frames() {
 		n := int(f.Session() - 1)
@@ -90,7 +90,7 @@
 					ran *= 2
 				}
 				l.free[n] -= cores
-				l.runs[n] = append(l.runs[n], crestRun{
+				l.runs[n] = append(l.runs[n], peakRun{
 					id:   frame.NewRunID(s.Job(), s.Step(), index, s.Runs()[i]),
 					ends: l.now + ran,
 					ran:  ran,
@@ -102,11 +102,11 @@
 }
 
 // advance moves the time by a millisecond and returns the events of it.
-func (l *crestLoad) advance(tb testing.TB) []dispatch.Event {
+func (l *peakLoad) advance(tb testing.TB) []dispatch.Event {
 	l.now += ms
 	var events []dispatch.Event
 	if l.now >= l.nextJob {
-		l.nextJob += crestJobEvery
+		l.nextJob += peakJobEvery
 		l.jobs++
 		need, err := task.NewResources(1300, 64, 0)
 		if err != nil {
@@ -135,7 +135,7 @@
 		if len(ended) == 0 && l.now < l.nextSent[n] {
 			continue
 		}
-		l.nextSent[n] = l.now + crestFrames
+		l.nextSent[n] = l.now + peakFrames
 		c := frame.NewFreeCapacity(l.free[n], 32768, 0, 0, l.last[n])
 		events = append(events, dispatch.FrameReceived(uint64(n)+1, frame.Frame{
 			Clock:        l.now,
@@ -146,9 +146,9 @@
 	return events
 }
 
-// BenchmarkCrest measures the processor time of an entry for a second at a load
+// BenchmarkPeak measures the processor time of an entry for a second at a load
 // peak, by the number of agents and by how many events it handles at once.
-func BenchmarkCrest(b *testing.B) {
+func BenchmarkPeak(b *testing.B) {
 	tests := map[string]struct {
 		agents int
 		batch  int
@@ -159,7 +159,7 @@
 	}
 	for name, s := range tests {
 		b.Run(name, func(b *testing.B) {
-			l := newCrestLoad(b, s.agents)
+			l := newPeakLoad(b, s.agents)
 			second := func() (events int) {
 				for range 1000 {
 					rest := l.advance(b)
--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -75,7 +75,7 @@
 	if len(d.queue) == 0 {
 		return
 	}
-	d.findOpen(now)
+	d.findCandidates(now)
 	d.scratch = append(d.scratch[:0], d.queue...)
 	blocked := 0
 	for _, j := range d.scratch {
@@ -91,12 +91,12 @@
 	}
 }
 
-// findOpen lists the agents that can get work in this pass.
-func (d *Dispatch) findOpen(now time.Duration) {
-	d.open = d.open[:0]
+// findCandidates lists the agents that can get work in this pass.
+func (d *Dispatch) findCandidates(now time.Duration) {
+	d.candidates = d.candidates[:0]
 	for _, a := range d.connected {
 		if a.usable() && now >= a.backoffUntil && now-a.lastSeen <= maxReportAge && a.clock != 0 && a.health.admits(now, len(a.runs)) {
-			d.open = append(d.open, a)
+			d.candidates = append(d.candidates, a)
 		}
 	}
 }
@@ -132,7 +132,7 @@
 	lengthKnown := t.measuredTime > 0 || t.job.observedRatio.count > 0
 	var best *agent
 	var bestCost float64
-	for _, a := range d.open {
+	for _, a := range d.candidates {
 		if !a.fits(t, s) || lengthKnown && now+d.expectedTime(a, s, base) > t.job.deadline {
 			continue
 		}
@@ -165,7 +165,7 @@
 // agent, which starts first what it accepted first.
 func (d *Dispatch) chooseQueue(now time.Duration, t *jobTask, s task.Step, base time.Duration) *agent {
 	var best *agent
-	for _, a := range d.open {
+	for _, a := range d.candidates {
 		if !a.eligible(t, s) || a.queuedStarts >= maxQueuedStarts || now+d.expectedTime(a, s, base) > t.job.deadline {
 			continue
 		}
--- a/internal/process/role/dispatch/query.go
+++ b/internal/process/role/dispatch/query.go
@@ -3,7 +3,7 @@
 // query answers a caller that asks for the state of a job or of a queue.
 func (d *Dispatch) query(q Query) {
 	if d.version == nil {
-		d.answer(q.request, StateRefused, "no_configuration", defaultRetryAfter)
+		d.answer(q.request, StateRefused, reasonNoConfiguration, defaultRetryAfter)
 		return
 	}
 	r, id, ok := d.findRoute(q.host, q.path)
--- a/internal/process/role/dispatch/shutdown.go
+++ b/internal/process/role/dispatch/shutdown.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-const (
-	// minShareLeaving is the share of a job's chance of a useful answer that the end of
-	// the entry must leave it; otherwise its caller does better at another entry.
-	minShareLeaving = 0.9
-	reasonLeaving   = "leaving"
-)
+// ReasonLeaving is the reason of a request that the end of the entry leaves no time for.
+const ReasonLeaving = "leaving"
+
+// minShareLeaving is the share of a job's chance of a useful answer that the end of
+// the entry must leave it; otherwise its caller does better at another entry.
+const minShareLeaving = 0.9
 
 // shutDown bounds the deadlines of all jobs by the time in which the entry still
 // answers.
@@ -60,7 +60,7 @@
 	}
 	for _, j := range append([]*job(nil), d.queue...) {
 		if d.endsTooSoon(now, j) {
-			d.finish(now, j, StateRefused, reasonLeaving)
+			d.finish(now, j, StateRefused, ReasonLeaving)
 		}
 	}
 }
@@ -68,7 +68,7 @@
 // expiryReason returns why a job at its deadline ends.
 func (j *job) expiryReason() string {
 	if j.cut {
-		return reasonLeaving
+		return ReasonLeaving
 	}
 	return "deadline"
 }
--- a/internal/process/role/dispatch/startup.go
+++ b/internal/process/role/dispatch/startup.go
@@ -17,27 +17,43 @@
 	maxHeld = 512
 )
 
+// startup keeps the requests that arrive before an entry has a configuration and a
+// target for them.
+type startup struct {
+	held []Submission
+	// begun is set by the first event. Requests are held until the time until.
+	begun bool
+	until time.Duration
+}
+
+func (s *startup) begin(now time.Duration) {
+	if !s.begun {
+		s.begun = true
+		s.until = now + startupWait
+	}
+}
+
 // hold keeps a request until the entry can decide on it. It reports false if the
 // entry has to decide now.
 func (d *Dispatch) hold(now time.Duration, s Submission) bool {
-	if now >= d.holdUntil || d.leaving || len(d.held) >= maxHeld {
+	if now >= d.startup.until || d.leaving || len(d.startup.held) >= maxHeld {
 		return false
 	}
 	if s.arrived == 0 {
 		s.arrived = now
 	}
-	d.held = append(d.held, s)
+	d.startup.held = append(d.startup.held, s)
 	return true
 }
 
 // submitHeld submits the held requests again. Those that still have to wait are held
 // once more.
 func (d *Dispatch) submitHeld(now time.Duration) {
-	if len(d.held) == 0 {
+	if len(d.startup.held) == 0 {
 		return
 	}
-	held := d.held
-	d.held = nil
+	held := d.startup.held
+	d.startup.held = nil
 	for _, s := range held {
 		d.submit(now, s)
 	}
@@ -45,14 +61,14 @@
 
 // releaseHeld drops a held request whose caller has left.
 func (d *Dispatch) releaseHeld(request uint64) {
-	d.held = slices.DeleteFunc(d.held, func(s Submission) bool { return s.request == request })
+	d.startup.held = slices.DeleteFunc(d.startup.held, func(s Submission) bool { return s.request == request })
 }
 
 // cancelHeld answers the held requests for a job that is cancelled. It reports whether
 // there was one.
 func (d *Dispatch) cancelHeld(now time.Duration, id string) bool {
-	held := len(d.held)
-	d.held = slices.DeleteFunc(d.held, func(s Submission) bool {
+	held := len(d.startup.held)
+	d.startup.held = slices.DeleteFunc(d.startup.held, func(s Submission) bool {
 		if d.heldID(s) != id {
 			return false
 		}
@@ -60,7 +76,7 @@
 		d.answer(s.request, StateCancelled, "cancelled", 0)
 		return true
 	})
-	if len(d.held) == held {
+	if len(d.startup.held) == held {
 		return false
 	}
 	d.keepOutcome(now, id, StateCancelled)
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -225,7 +225,7 @@
 
 func (e *Entry) call(ctx context.Context, ev func(uint64) dispatch.Event) (dispatch.Answer, error) {
 	if closed(e.base.replyDeadline) {
-		return e.refuse("leaving", 0), nil
+		return e.refuse(dispatch.ReasonLeaving, 0), nil
 	}
 	e.waiting.Add(1)
 	defer e.waiting.Add(-1)
