--- a/internal/process/role/server/server.go
+++ b/internal/process/role/server/server.go
@@ -162,15 +162,14 @@
 		return nil, err
 	}
 	b := &base{
-		observer: o,
-		settings: s,
-		deps:     deps,
-		hello:    frame.NewHello(s.name, rand.Uint64()|1, s.zone, address, role),
-		clock:    clock,
-		journal:  j,
-		leaving:  make(chan struct{}),
-		lingered: make(chan struct{}),
-
+		observer:      o,
+		settings:      s,
+		deps:          deps,
+		hello:         frame.NewHello(s.name, rand.Uint64()|1, s.zone, address, role),
+		clock:         clock,
+		journal:       j,
+		leaving:       make(chan struct{}),
+		lingered:      make(chan struct{}),
 		replyDeadline: make(chan struct{}),
 	}
 	if err := b.add("journal", "Writes the log.", j.Ring, j.Run); err != nil {
--- a/internal/process/role/server/watch.go
+++ b/internal/process/role/server/watch.go
@@ -146,6 +146,7 @@
 	}
 	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxStoreBackoff)
 	defer cancel()
+	// Once the process ends, less time is left than the backoff.
 	defer context.AfterFunc(ctx, func() { time.AfterFunc(revokeLimit, cancel) })()
 	// If the call fails, the key expires with its lease.
 	h.update(s.Revoke(end, lease))
