Log the way of a configuration and the bytes that wait between processes

The logs could not tell the three hypotheses of the incident apart: copies that fill the links, an entry short of processor time, and answers of the store that do not get through. Now config_changed has source, size and the times of reading, decoding and waiting; config_behind and config_caught_up tell when an entry knows of a newer version than its own; sent_bytes counts what is sent by content, and unsent_age_ms with send_delayed tells how long frames wait to be written. No decision is changed.

--- a/internal/connection/frame/frame.go
+++ b/internal/connection/frame/frame.go
@@ -254,3 +254,30 @@
 	// Cancels lists the ids of jobs to cancel.
 	Cancels []string
 }
+
+// Content names what a frame mainly carries, for counters and logs.
+type Content string
+
+// The contents of frames, in the order in which one counts as the main one.
+const (
+	ContentConfiguration Content = "configuration"
+	ContentPeers         Content = "peers"
+	ContentStarts        Content = "starts"
+	ContentReports       Content = "reports"
+	ContentOther         Content = "other"
+)
+
+// Content returns what the frame mainly carries.
+func (f Frame) Content() Content {
+	switch {
+	case f.Config != nil:
+		return ContentConfiguration
+	case len(f.Peers) > 0:
+		return ContentPeers
+	case len(f.Starts)+len(f.Stops)+len(f.Cancels) > 0:
+		return ContentStarts
+	case f.FreeCapacity != nil:
+		return ContentReports
+	}
+	return ContentOther
+}
--- a/internal/connection/stream/stream.go
+++ b/internal/connection/stream/stream.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -33,6 +34,8 @@
 	Received func(*Stream, frame.Frame)
 	// Closed is called after the last frame.
 	Closed func(*Stream)
+	// Sent receives each frame that was written, with its encoded size; nil for none.
+	Sent func(content frame.Content, bytes int)
 }
 
 // lastNumber is the number of the last stream that the program opened.
@@ -41,11 +44,25 @@
 // Stream is an open connection to another process.
 type Stream struct {
 	number    uint64
-	sendQueue *ring.Ring[[]byte]
-	ctx       context.Context
-	cancel    context.CancelFunc
+	peer      string
+	sendQueue *ring.Ring[queued]
+	// unsentSince is when the frame was queued that is being written, in ns since
+	// started; 0 while none is.
+	unsentSince atomic.Int64
+	ctx         context.Context
+	cancel      context.CancelFunc
 }
 
+// queued is an encoded frame that waits to be written.
+type queued struct {
+	body    []byte
+	content frame.Content
+	at      time.Duration
+}
+
+// started is the origin of the times at which frames were queued.
+var started = time.Now()
+
 // pipe is the sending and receiving end of one gRPC call.
 type pipe struct {
 	send func([]byte) error
@@ -53,7 +70,7 @@
 }
 
 func newStream(ctx context.Context) (*Stream, error) {
-	sendQueue, err := ring.New[[]byte]("stream", sendQueueSize)
+	sendQueue, err := ring.New[queued]("stream", sendQueueSize)
 	if err != nil {
 		return nil, err
 	}
@@ -71,16 +88,35 @@
 	return s.number
 }
 
+// Peer returns the name of the process at the other end.
+func (s *Stream) Peer() string {
+	return s.peer
+}
+
 // Send queues a frame. If the queue is full because the peer does not read, Send
 // closes the stream and returns an error.
 func (s *Stream) Send(f frame.Frame) error {
-	err := s.sendQueue.TryPush(frame.Encode(f))
+	err := s.sendQueue.TryPush(queued{
+		body:    frame.Encode(f),
+		content: f.Content(),
+		at:      time.Since(started),
+	})
 	if err != nil {
 		s.cancel()
 	}
 	return err
 }
 
+// UnsentAge returns how long ago the oldest frame was queued that is not written yet,
+// 0 if there is none. A frame counts as written once the connection has taken it.
+func (s *Stream) UnsentAge() time.Duration {
+	since := s.unsentSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return time.Since(started) - time.Duration(since)
+}
+
 // Close ends the stream and drops frames that are still queued.
 func (s *Stream) Close() {
 	s.cancel()
@@ -101,10 +137,11 @@
 	if f.Hello == nil {
 		return ErrNoHello
 	}
+	s.peer = f.Hello.Name()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		s.write(p)
+		s.write(p, h)
 	}()
 	h.Opened(s, *f.Hello)
 	err = s.read(p, h)
@@ -132,15 +169,20 @@
 	return frame.Decode(b)
 }
 
-func (s *Stream) write(p pipe) {
+func (s *Stream) write(p pipe, h Handlers) {
 	for {
-		b, err := s.sendQueue.Pop(s.ctx)
+		q, err := s.sendQueue.Pop(s.ctx)
 		if err != nil {
 			return
 		}
-		if p.send(b) != nil {
+		s.unsentSince.Store(int64(max(q.at, 1)))
+		if p.send(q.body) != nil {
 			s.cancel()
 			return
 		}
+		s.unsentSince.Store(0)
+		if h.Sent != nil {
+			h.Sent(q.content, len(q.body))
+		}
 	}
 }
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -46,6 +46,10 @@
 
 	ConfigChanged    Name = "config_changed"
 	ConfigInvalid    Name = "config_invalid"
+	ConfigBehind     Name = "config_behind"
+	ConfigCaughtUp   Name = "config_caught_up"
+	SendDelayed      Name = "send_delayed"
+	SendResumed      Name = "send_resumed"
 	EntriesChanged   Name = "entries_changed"
 	ConnectionFailed Name = "connection_failed"
 	StoreLost        Name = "store_lost"
@@ -83,7 +87,11 @@
 	TargetLost:       "A target left, or stopped responding and its lease expired.",
 	TargetSuspect:    "A target is ejected: it gets no work because its runs failed or made no progress.",
 	TargetTrusted:    "An ejected target gets work again.",
-	ConfigChanged:    "A configuration version became active in this process.",
+	ConfigChanged:    "A configuration version became active in this process; the line has its source and size, and how long it was read, decoded and waiting.",
+	ConfigBehind:     "This process learned of a newer configuration version than the one it has.",
+	ConfigCaughtUp:   "This process has the newest configuration version that it knows of again; the line has how long it was behind.",
+	SendDelayed:      "Frames to another process wait to be written; the line has the process and the age of the oldest.",
+	SendResumed:      "Frames to other processes are written without delay again; the line has the highest age.",
 	ConfigInvalid:    "A stored configuration is invalid; the previous one stays active.",
 	EntriesChanged:   "The set of known entries changed.",
 	ConnectionFailed: "A connection to an entry could not be opened or was closed immediately; logged after 1, 2, 4 and so on consecutive failures.",
--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -282,7 +282,8 @@
 	if p, ok := d.peers[message.session]; ok {
 		p.lastSeen = now
 		p.knownConfig = max(p.knownConfig, message.frame.ConfigVersion)
-		d.forwardConfig(message.frame)
+		d.hearVersion(now, message.frame.ConfigVersion, p.name)
+		d.forwardConfig(message.frame, p.name)
 		for _, job := range message.frame.Cancels {
 			d.cancelJob(now, job)
 		}
@@ -298,7 +299,8 @@
 	a.clock = max(a.clock, f.Clock)
 	a.leaving = f.Leaving
 	a.knownConfig = max(a.knownConfig, f.ConfigVersion)
-	d.forwardConfig(f)
+	d.hearVersion(now, f.ConfigVersion, a.name)
+	d.forwardConfig(f, a.name)
 	if f.Target != nil {
 		d.updateTarget(a, *f.Target)
 	}
@@ -327,9 +329,12 @@
 
 // forwardConfig adds a newer configuration of another process to the output. The
 // other process may reach the store when this one does not.
-func (d *Dispatch) forwardConfig(f frame.Frame) {
+func (d *Dispatch) forwardConfig(f frame.Frame, source string) {
 	if f.Config != nil && f.Config.Number() > d.config.Number() {
-		d.out.configs = append(d.out.configs, *f.Config)
+		d.out.configs = append(d.out.configs, ReceivedConfig{
+			config:  *f.Config,
+			arrival: NewArrival(source, 0, 0),
+		})
 	}
 }
 
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -28,6 +28,7 @@
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/request/task"
+	"greengagedoor.example/greengagedoor/internal/version/freshness"
 	"greengagedoor.example/greengagedoor/internal/version/route"
 )
 
@@ -51,12 +52,14 @@
 
 // Dispatch is the state machine of an entry.
 type Dispatch struct {
-	timing   Timing
-	hello    frame.Hello
-	version  *route.Version
-	config   frame.Config
-	agents   map[string]*agent
-	sessions map[uint64]*agent
+	timing  Timing
+	hello   frame.Hello
+	version *route.Version
+	config  frame.Config
+	// freshness compares version with those that other processes have.
+	freshness freshness.Freshness
+	agents    map[string]*agent
+	sessions  map[uint64]*agent
 	// connected lists the agents of sessions, sorted by session number.
 	connected []*agent
 	peers     map[uint64]*peer
@@ -175,7 +178,7 @@
 	case ev.query != nil:
 		d.query(*ev.query)
 	case ev.version != nil:
-		d.updateVersion(ev.version, ev.config)
+		d.updateVersion(now, ev)
 	case ev.shutdown != nil:
 		d.shutDown(now, *ev.shutdown)
 	}
@@ -196,13 +199,31 @@
 	return d.version
 }
 
-func (d *Dispatch) updateVersion(v *route.Version, c frame.Config) {
+func (d *Dispatch) updateVersion(now time.Duration, ev Event) {
+	v := ev.version
 	if d.version != nil && v.Number() <= d.version.Number() {
 		return
 	}
 	d.version = v
-	d.config = c
-	d.logEvent(event.ConfigChanged, event.F("version", v.Number()), event.F("routes", len(v.Routes())))
+	d.config = ev.config
+	waited := time.Duration(0)
+	if ev.queued > 0 {
+		waited = now - ev.queued
+	}
+	d.logEvent(event.ConfigChanged, event.F("version", v.Number()), event.F("routes", len(v.Routes())), event.F("bytes", len(ev.config.Body())),
+		event.F("source", ev.arrival.source), event.F("read_ms", ev.arrival.read.Milliseconds()),
+		event.F("decode_ms", ev.arrival.decoded.Milliseconds()), event.F("waited_ms", waited.Milliseconds()))
+	age, _, _ := d.freshness.Behind(now)
+	if d.freshness.Applied(v.Number()) {
+		d.logEvent(event.ConfigCaughtUp, event.F("version", v.Number()), event.F("behind_ms", age.Milliseconds()))
+	}
+}
+
+// hearVersion records that another process has a version.
+func (d *Dispatch) hearVersion(now time.Duration, number int64, source string) {
+	if number > 0 && d.freshness.Heard(number, now, source) {
+		d.logEvent(event.ConfigBehind, event.F("version", d.config.Number()), event.F("newest", number), event.F("source", source))
+	}
 }
 
 func (d *Dispatch) usableAgents() int {
--- a/internal/process/role/dispatch/event.go
+++ b/internal/process/role/dispatch/event.go
@@ -21,6 +21,7 @@
 	query      *Query
 	version    *route.Version
 	config     frame.Config
+	arrival    Arrival
 	// shutdown is how long an entry that was told to shut down still answers.
 	shutdown *time.Duration
 	// queued is when the event was queued for the state machine, 0 if it is not known.
@@ -149,6 +150,42 @@
 	}
 }
 
+// Arrival describes how a configuration reached this process, for its log.
+type Arrival struct {
+	source  string
+	read    time.Duration
+	decoded time.Duration
+}
+
+// NewArrival returns the arrival of a configuration from a source, with the time from
+// the begin of its answer or transfer to its last byte, and the time of its decoding.
+func NewArrival(source string, read, decoded time.Duration) Arrival {
+	return Arrival{
+		source:  source,
+		read:    read,
+		decoded: decoded,
+	}
+}
+
+// Source returns the process that the configuration came from, or StoreSource.
+func (a Arrival) Source() string {
+	return a.source
+}
+
+// Read returns how long the configuration was being read or received.
+func (a Arrival) Read() time.Duration {
+	return a.read
+}
+
+// Arrived returns the event of a configuration with its arrival.
+func (e Event) Arrived(a Arrival) Event {
+	e.arrival = a
+	return e
+}
+
+// StoreSource is the source of a configuration that was read from the store.
+const StoreSource = "store"
+
 // Query is a request for the state of a job, or of the queue if the path names no
 // job.
 type Query struct {
@@ -292,7 +329,7 @@
 	answers         []Answer
 	frames          []OutgoingFrame
 	sessionsToClose []uint64
-	configs         []frame.Config
+	configs         []ReceivedConfig
 	notes           []event.Note
 }
 
@@ -310,10 +347,25 @@
 }
 
 // Configs returns the newer configurations that were received from other processes.
-func (o Output) Configs() []frame.Config {
+func (o Output) Configs() []ReceivedConfig {
 	return o.configs
 }
 
+// ReceivedConfig is a configuration of another process that is to be decoded.
+type ReceivedConfig struct {
+	config  frame.Config
+	arrival Arrival
+}
+
+func (r ReceivedConfig) Config() frame.Config {
+	return r.config
+}
+
+// Arrival returns how the configuration reached this process; it is not decoded yet.
+func (r ReceivedConfig) Arrival() Arrival {
+	return r.arrival
+}
+
 // Notes returns the events to log.
 func (o Output) Notes() []event.Note {
 	return o.notes
--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -95,7 +95,7 @@
 			return err
 		}
 	}
-	if a.links, err = newLinks(b, handlers(a.ring, b.clock), func(string) bool { return true }); err != nil {
+	if a.links, err = newLinks(b, handlers(a.ring, b), func(string) bool { return true }); err != nil {
 		return err
 	}
 	if err := b.watchSettings(b.deps.Reload, a.links); err != nil {
@@ -165,6 +165,7 @@
 			a.receive(m)
 		case <-ticker.C:
 			a.handle(executor.Tick())
+			a.base.watchUnsent(a.streams)
 		case <-ctx.Done():
 			return nil
 		}
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -55,6 +55,14 @@
 	number uint64
 }
 
+// configurationRead is the message that a configuration was read from the store.
+type configurationRead struct {
+	body []byte
+	// took is how long the store's answer was under way, and at when it was complete.
+	took time.Duration
+	at   time.Duration
+}
+
 // entriesFound is the message that the list of entries was read from the store.
 type entriesFound struct {
 	peers []frame.Peer
@@ -108,7 +116,7 @@
 
 func (e *Entry) assemble() error {
 	b := e.base
-	h := handlers(e.ring, b.clock)
+	h := handlers(e.ring, b)
 	if err := b.add("dispatch", "Assigns tasks to targets and answers callers.", func() (int, int, int64) {
 		return e.ring.Depth(), e.ring.Size(), e.ring.Rejected()
 	}, e.run); err != nil {
@@ -126,7 +134,13 @@
 		return err
 	}
 	if err := b.add("configuration", "Watches the operators' configuration.", nil, func(ctx context.Context) error {
-		return watchConfiguration(ctx, b, e.configurationRead)
+		return watchConfiguration(ctx, b, func(ctx context.Context, body []byte, took time.Duration) {
+			_ = e.ring.Push(ctx, configurationRead{
+				body: body,
+				took: took,
+				at:   b.clock(),
+			})
+		})
 	}); err != nil {
 		return err
 	}
@@ -147,7 +161,7 @@
 
 // handlers returns stream handlers that push each event into a ring. A push blocks
 // while the ring is full, which delays only its own stream.
-func handlers(r *ring.Ring[any], clock func() time.Duration) stream.Handlers {
+func handlers(r *ring.Ring[any], b *base) stream.Handlers {
 	ctx := context.Background()
 	return stream.Handlers{
 		Opened: func(s *stream.Stream, hello frame.Hello) {
@@ -160,7 +174,7 @@
 			_ = r.Push(ctx, frameReceived{
 				stream: s,
 				frame:  f,
-				at:     clock(),
+				at:     b.clock(),
 			})
 		},
 		Closed: func(s *stream.Stream) {
@@ -168,6 +182,7 @@
 				stream: s,
 			})
 		},
+		Sent: b.observer.countSent,
 	}
 }
 
@@ -260,8 +275,3 @@
 	e.base.logEvent(event.JobRefused, event.F("reason", reason), event.F("retry_after_ms", retryAfter.Milliseconds()))
 	return dispatch.Refused(reason, retryAfter)
 }
-
-// configurationRead passes a stored configuration to the duty.
-func (e *Entry) configurationRead(ctx context.Context, body []byte) {
-	_ = e.ring.Push(ctx, frame.NewConfig(0, body))
-}
--- a/internal/process/role/server/entryloop.go
+++ b/internal/process/role/server/entryloop.go
@@ -38,6 +38,7 @@
 			e.handle(e.takeAll(m)...)
 		case <-ticker.C:
 			e.handle(dispatch.Tick())
+			e.base.watchUnsent(e.streams)
 		case <-ctx.Done():
 			return nil
 		}
@@ -85,8 +86,8 @@
 		delete(e.streams, m.stream.Number())
 		delete(e.roles, m.stream.Number())
 		return []dispatch.Event{dispatch.SessionClosed(m.stream.Number())}
-	case frame.Config:
-		return e.decodeConfiguration(m)
+	case configurationRead:
+		return e.decodeConfiguration(m.body, dispatch.NewArrival(dispatch.StoreSource, m.took, 0), m.at)
 	case entriesFound:
 		e.peers = m.peers
 		for _, s := range e.streams {
@@ -108,16 +109,18 @@
 
 // decodeConfiguration returns the event of a stored configuration. An invalid one is
 // logged and ignored.
-func (e *Entry) decodeConfiguration(c frame.Config) []dispatch.Event {
-	v, err := e.base.deps.Decode(c.Body())
+func (e *Entry) decodeConfiguration(body []byte, a dispatch.Arrival, received time.Duration) []dispatch.Event {
+	began := e.base.clock()
+	v, err := e.base.deps.Decode(body)
 	if err != nil {
-		e.base.log(event.New(event.ConfigInvalid, event.F("error", err.Error()), event.F("bytes", len(c.Body()))).About("configuration"))
+		e.base.log(event.New(event.ConfigInvalid, event.F("error", err.Error()), event.F("bytes", len(body))).About("configuration"))
 		return nil
 	}
 	for _, err := range v.LeftOut() {
 		e.base.log(event.New(event.ValueInvalid, event.F("version", v.Number()), event.F("error", err.Error())).About(err.Error()))
 	}
-	return []dispatch.Event{dispatch.VersionReceived(v, frame.NewConfig(v.Number(), c.Body()))}
+	a = dispatch.NewArrival(a.Source(), a.Read(), e.base.clock()-began)
+	return []dispatch.Event{dispatch.VersionReceived(v, frame.NewConfig(v.Number(), body)).Arrived(a).QueuedAt(received)}
 }
 
 // handle passes events to the dispatcher and carries out its output.
@@ -145,7 +148,7 @@
 		}
 	}
 	for _, c := range out.Configs() {
-		e.handle(e.decodeConfiguration(c)...)
+		e.handle(e.decodeConfiguration(c.Config().Body(), c.Arrival(), e.base.clock())...)
 	}
 	e.ready.Store(e.dispatch.Ready())
 	e.idle.Store(e.dispatch.Idle())
--- a/internal/process/role/server/observe.go
+++ b/internal/process/role/server/observe.go
@@ -9,6 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/labstack/echo/v4"
 
+	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/process/dump"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
@@ -38,7 +39,11 @@
 	events *expvar.Map
 	// servers has the counters of each HTTP server, by its name and the counter's.
 	servers *expvar.Map
-	ring    *ring.Ring[event.Note]
+	// sentBytes has the bytes written to other processes, by the content of the frames.
+	sentBytes *expvar.Map
+	// unsentAge is the age of the oldest frame that waits to be written, in ms.
+	unsentAge *expvar.Int
+	ring      *ring.Ring[event.Note]
 }
 
 func newObserver() (*observer, error) {
@@ -47,13 +52,17 @@
 		return nil, err
 	}
 	o := &observer{
-		vars:    new(expvar.Map).Init(),
-		events:  new(expvar.Map).Init(),
-		servers: new(expvar.Map).Init(),
-		ring:    r,
+		vars:      new(expvar.Map).Init(),
+		events:    new(expvar.Map).Init(),
+		servers:   new(expvar.Map).Init(),
+		sentBytes: new(expvar.Map).Init(),
+		unsentAge: new(expvar.Int),
+		ring:      r,
 	}
 	o.vars.Set("events", o.events)
 	o.vars.Set("servers", o.servers)
+	o.vars.Set("sent_bytes", o.sentBytes)
+	o.vars.Set("unsent_age_ms", o.unsentAge)
 	o.vars.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
 	o.vars.Set("heap_bytes", expvar.Func(func() any {
 		var m runtime.MemStats
@@ -76,6 +85,11 @@
 	o.servers.Add(server+"_"+string(c), 1)
 }
 
+// countSent counts the bytes of a frame that was written to another process.
+func (o *observer) countSent(c frame.Content, bytes int) {
+	o.sentBytes.Add(string(c), int64(bytes))
+}
+
 // quantiles is the published summary of a histogram.
 type quantiles struct {
 	Count int64 `json:"count"`
@@ -171,5 +185,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return dump.New(process, duties, events)
+	sent, err := dump.NewSection("sent", "The bytes written to other processes by content, and the age of the oldest frame that waits.", func() []string {
+		lines := []string{"unsent_age_ms " + b.observer.unsentAge.String()}
+		b.observer.sentBytes.Do(func(kv expvar.KeyValue) { lines = append(lines, kv.Key+" "+kv.Value.String()) })
+		return lines
+	})
+	if err != nil {
+		return nil, err
+	}
+	return dump.New(process, duties, events, sent)
 }
--- a/internal/process/role/server/server.go
+++ b/internal/process/role/server/server.go
@@ -133,6 +133,7 @@
 	clock    func() time.Duration
 	journal  *log.Journal
 	observer *observer
+	unsent   unsent
 	duties   []duty.Duty
 	cleanups []func()
 	// graceEnd is when the grace period ends; nil before the stop signal.
--- a/internal/process/role/server/watch.go
+++ b/internal/process/role/server/watch.go
@@ -58,23 +58,25 @@
 }
 
 // watchConfiguration watches the operators' configuration and passes each version to
-// onRead.
-func watchConfiguration(ctx context.Context, b *base, onRead func(context.Context, []byte)) error {
+// onRead, with the time that the call took; a watch may have waited for most of it.
+func watchConfiguration(ctx context.Context, b *base, onRead func(ctx context.Context, body []byte, took time.Duration)) error {
 	h := &storeHealth{
 		call:     "configuration",
 		logEvent: b.logEvent,
 	}
+	began := b.clock()
 	onItem := func(i keyspace.Item) {
 		switch {
 		case i.Invalid() != nil:
 			b.log(invalidItem(i, i.Invalid()))
 		case i.Key() == b.deps.ConfigurationKey:
-			onRead(ctx, i.Value())
+			onRead(ctx, i.Value(), b.clock()-began)
 		}
 	}
 	backoff := minStoreBackoff
 	after := int64(0)
 	for ctx.Err() == nil {
+		began = b.clock()
 		next, err := pollConfiguration(ctx, b.deps, after, onItem)
 		h.update(err)
 		if err != nil {
