Reproduce the collapse after a large configuration in a simulation

The simulation gets links of bounded capacity, connections between entries and a store that entries watch.

--- a/internal/process/role/dispatch/simulation/cluster_test.go
+++ b/internal/process/role/dispatch/simulation/cluster_test.go
@@ -100,9 +100,28 @@
 	trace []string
 	// callerTimeout is how long callers wait.
 	callerTimeout time.Duration
+	// network carries the frames; nil for links without a bound.
+	network *simNetwork
+	// store has the configuration that entries read; nil if entries are given theirs.
+	store *simStore
 }
 
 func newCluster(t *testing.T, seed uint64, entries, agents int, limit time.Duration) *cluster {
+	c := emptyCluster(t, seed, limit)
+	r, err := route.NewRoute("kind", "", "/", "service")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.version, err = route.NewVersion(1, []route.Route{r.WithPriority(0, 4).WithTiming(limit, 1.6, 60*time.Millisecond)}, route.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.addProcesses(entries, agents)
+	return c
+}
+
+// emptyCluster returns a cluster without processes.
+func emptyCluster(t *testing.T, seed uint64, limit time.Duration) *cluster {
 	c := &cluster{
 		callerTimeout: limit,
 		t:             t,
@@ -116,26 +135,39 @@
 		running: map[string]*simTarget{},
 		runs:    map[string]int{},
 	}
-	r, err := route.NewRoute("kind", "", "/", "service")
-	if err != nil {
-		t.Fatal(err)
-	}
-	c.version, err = route.NewVersion(1, []route.Route{r.WithPriority(0, 4).WithTiming(limit, 1.6, 60*time.Millisecond)}, route.Limits{})
-	if err != nil {
-		t.Fatal(err)
+	return c
+}
+
+// emptyConfigurationCluster returns a cluster whose entries read their configuration
+// from a store without one, over links of which only those of the first two entries are
+// large.
+func emptyConfigurationCluster(t *testing.T, seed uint64, entries, agents int, limit time.Duration) *cluster {
+	c := emptyCluster(t, seed, limit)
+	c.network = newSimNetwork(c, map[string]int{})
+	c.store = newSimStore(c)
+	for i := 2; i < entries; i++ {
+		c.network.rates[entryName(i)] = smallLink
 	}
+	c.addProcesses(entries, agents)
+	return c
+}
+
+func entryName(i int) string {
+	return fmt.Sprintf("entry_%d", i)
+}
+
+func (c *cluster) addProcesses(entries, agents int) {
 	for i := range agents {
 		c.agents = append(c.agents, newSimAgent(c, fmt.Sprintf("agent_%d", i)))
 	}
 	for i := range entries {
 		e := &simEntry{
 			c:    c,
-			name: fmt.Sprintf("entry_%d", i),
+			name: entryName(i),
 		}
 		e.start()
 		c.entries = append(c.entries, e)
 	}
-	return c
 }
 
 func (c *cluster) after(d time.Duration, do func()) {
--- a/internal/process/role/dispatch/simulation/link_test.go
+++ b/internal/process/role/dispatch/simulation/link_test.go
@@ -1,7 +1,6 @@
 package simulation_test
 
 import (
-	"testing"
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
@@ -48,21 +47,31 @@
 }
 
 func (l *simLink) toAgent(f frame.Frame) {
-	f = transcode(l.c.t, f)
-	l.c.after(l.arrival(&l.lastToAgent), func() {
+	f = l.c.transcode(f)
+	deliver := func() {
 		if l.agentOpen {
 			l.a.handle(executor.FrameReceived(l.number, f))
 		}
-	})
+	}
+	if l.c.network != nil {
+		l.c.network.send(l.e.name, l.a.name, l.number, frameBytes(f), func() bool { return l.agentOpen && l.entryOpen }, deliver)
+		return
+	}
+	l.c.after(l.arrival(&l.lastToAgent), deliver)
 }
 
 func (l *simLink) toEntry(f frame.Frame) {
-	f = transcode(l.c.t, f)
-	l.c.after(l.arrival(&l.lastToEntry), func() {
+	f = l.c.transcode(f)
+	deliver := func() {
 		if l.entryOpen {
 			l.e.handle(dispatch.FrameReceived(l.number, f))
 		}
-	})
+	}
+	if l.c.network != nil {
+		l.c.network.send(l.a.name, l.e.name, l.number, frameBytes(f), func() bool { return l.agentOpen && l.entryOpen }, deliver)
+		return
+	}
+	l.c.after(l.arrival(&l.lastToEntry), deliver)
 }
 
 // close closes one end of the connection. The other end is notified unless a
@@ -95,11 +104,15 @@
 	})
 }
 
-// transcode encodes and decodes a frame.
-func transcode(t *testing.T, f frame.Frame) frame.Frame {
+// transcode encodes and decodes a frame. The frames that wait in a network would take
+// much memory, so they share their contents.
+func (c *cluster) transcode(f frame.Frame) frame.Frame {
+	if c.network != nil {
+		return f
+	}
 	x, err := frame.Decode(frame.Encode(f))
 	if err != nil {
-		t.Fatal(err)
+		c.t.Fatal(err)
 	}
 	return x
 }
--- a/internal/process/role/dispatch/simulation/process_test.go
+++ b/internal/process/role/dispatch/simulation/process_test.go
@@ -44,6 +44,7 @@
 	incarnation uint64
 	d           *dispatch.Dispatch
 	links       map[uint64]*simLink
+	peerLinks   map[uint64]*simPeerLink
 	requests    map[uint64]*simJob
 	// passCost and eventCost are the time that a pass of the dispatcher and each of its
 	// events take. Events wait meanwhile.
@@ -51,6 +52,8 @@
 	eventCost time.Duration
 	busy      bool
 	waiting   []dispatch.Event
+	// decoderFree is when the decoder is free again.
+	decoderFree time.Duration
 	// sessionsLost counts the sessions that ended.
 	sessionsLost int
 }
@@ -60,8 +63,14 @@
 	e.d = dispatch.New(frame.NewHello(e.name, e.incarnation, "zone", e.name, frame.RoleEntry),
 		dispatch.NewTiming(sessionTimeout, executor.NewTiming(lease, sessionTimeout, heartbeatInterval).RunsEndWithin(), heartbeatInterval))
 	e.links = map[uint64]*simLink{}
+	e.peerLinks = map[uint64]*simPeerLink{}
 	e.requests = map[uint64]*simJob{}
-	e.handle(dispatch.VersionReceived(e.c.version, frame.NewConfig(1, []byte("{}"))))
+	if e.c.store == nil {
+		e.handle(dispatch.VersionReceived(e.c.version, frame.NewConfig(1, []byte("{}"))))
+	} else {
+		e.followStore(e.incarnation)
+		e.dialPeers(e.incarnation)
+	}
 	e.tick(e.incarnation)
 }
 
@@ -78,6 +87,9 @@
 	for _, l := range sortedLinks(e.links) {
 		l.close(true)
 	}
+	for _, l := range e.sortedPeerLinks() {
+		l.close()
+	}
 	e.c.dropRequests(e)
 	e.d = nil
 	e.delayed = nil
@@ -146,11 +158,20 @@
 		if l, ok := e.links[f.Session()]; ok {
 			l.toAgent(f.Frame())
 		}
+		if l, ok := e.peerLinks[f.Session()]; ok {
+			l.send(e, f.Frame())
+		}
 	}
 	for _, n := range out.SessionsToClose() {
 		if l, ok := e.links[n]; ok {
 			l.close(true)
 		}
+		if l, ok := e.peerLinks[n]; ok {
+			l.close()
+		}
+	}
+	for _, r := range out.Configs() {
+		e.decode(r.Config())
 	}
 }
 
