Decode configurations on a duty of their own

The duty versions now unpacks, decodes and packs, and passes only the result on; a content with the digest of the last one is not decoded again. A version of another process that can't be used is reported to the dispatcher, which does not ask for it again.

TestDecodingStallsNoRequest holds the decoder, and a request is answered meanwhile; on the former code the same hold stalled the dispatcher, which is how TestStalledEntryLeaves stalled it. That test now stalls the passes of the dispatcher themselves, by a function field that is called before each; what it checks is unchanged.

--- a/internal/connection/transfer/exchange.go
+++ b/internal/connection/transfer/exchange.go
@@ -50,6 +50,18 @@
 	return age, x.freshness.Applied(c.Number()) && behind
 }
 
+// Refuted records the newest stored version when a read of the store began. A higher
+// version that was heard of before does not exist.
+func (x *Exchange) Refuted(newest int64, readBegan time.Duration) {
+	x.freshness.Refuted(newest, readBegan)
+}
+
+// Unusable records a version that the process can't use, so that it does not fetch it
+// again and does not count as behind it.
+func (x *Exchange) Unusable(number int64) {
+	x.freshness.Invalid(number)
+}
+
 // Announce adds to a frame which versions the process has and knows of.
 func (x *Exchange) Announce(now time.Duration, f frame.Frame) frame.Frame {
 	f.ConfigVersion = x.held.Number()
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -179,6 +179,10 @@
 		d.query(*ev.query)
 	case ev.version != nil:
 		d.updateVersion(now, ev)
+	case ev.storeRead != nil:
+		d.configuration.Refuted(ev.storeRead.newest, ev.storeRead.began)
+	case ev.unusable != 0:
+		d.configuration.Unusable(ev.unusable)
 	case ev.shutdown != nil:
 		d.shutDown(now, *ev.shutdown)
 	}
--- a/internal/process/role/dispatch/event.go
+++ b/internal/process/role/dispatch/event.go
@@ -22,6 +22,8 @@
 	version    *route.Version
 	config     frame.Config
 	arrival    Arrival
+	storeRead  *storeRead
+	unusable   int64
 	// shutdown is how long an entry that was told to shut down still answers.
 	shutdown *time.Duration
 	// queued is when the event was queued for the state machine, 0 if it is not known.
@@ -183,6 +185,31 @@
 	return e
 }
 
+// storeRead is the result of a read of the store.
+type storeRead struct {
+	newest int64
+	began  time.Duration
+}
+
+// StoreRead is the event of a version that was the newest stored one when a read of the
+// store began.
+func StoreRead(newest int64, began time.Duration) Event {
+	return Event{
+		storeRead: &storeRead{
+			newest: newest,
+			began:  began,
+		},
+	}
+}
+
+// VersionUnusable is the event of a version of another process that this entry can't
+// decode, so that it keeps its own.
+func VersionUnusable(number int64) Event {
+	return Event{
+		unusable: number,
+	}
+}
+
 // StoreSource is the source of a configuration that was read from the store.
 const StoreSource = "store"
 
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -55,14 +55,6 @@
 	number uint64
 }
 
-// configurationRead is the message that a configuration was read from the store.
-type configurationRead struct {
-	body []byte
-	// took is how long the store's answer was under way, and at when it was complete.
-	took time.Duration
-	at   time.Duration
-}
-
 // entriesFound is the message that the list of entries was read from the store.
 type entriesFound struct {
 	peers []frame.Peer
@@ -74,6 +66,7 @@
 	dispatch *dispatch.Dispatch
 	ring     *ring.Ring[any]
 	links    *links
+	decoder  *decoder
 	streams  map[uint64]*stream.Stream
 	roles    map[uint64]frame.Role
 	replies  map[uint64]chan dispatch.Answer
@@ -133,13 +126,14 @@
 	if err := b.watchSettings(b.deps.Reload, e.links); err != nil {
 		return err
 	}
+	if e.decoder, err = newDecoder(b, func(ctx context.Context, ev dispatch.Event) {
+		_ = e.ring.Push(ctx, ev)
+	}); err != nil {
+		return err
+	}
 	if err := b.add("configuration", "Watches the operators' configuration.", nil, func(ctx context.Context) error {
-		return watchConfiguration(ctx, b, func(ctx context.Context, body []byte, took time.Duration) {
-			_ = e.ring.Push(ctx, configurationRead{
-				body: body,
-				took: took,
-				at:   b.clock(),
-			})
+		return watchConfiguration(ctx, b, func(ctx context.Context, u undecoded) {
+			_ = e.decoder.ring.Push(ctx, u)
 		})
 	}); err != nil {
 		return err
--- a/internal/process/role/server/entryloop.go
+++ b/internal/process/role/server/entryloop.go
@@ -7,10 +7,7 @@
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/connection/stream"
-	"greengagedoor.example/greengagedoor/internal/connection/transfer"
-	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/role/dispatch"
-	"greengagedoor.example/greengagedoor/internal/version/route"
 )
 
 // maxBatch bounds the events of one pass of the dispatcher, so that answers and
@@ -88,8 +85,6 @@
 		delete(e.streams, m.stream.Number())
 		delete(e.roles, m.stream.Number())
 		return []dispatch.Event{dispatch.SessionClosed(m.stream.Number())}
-	case configurationRead:
-		return e.decodeConfiguration(m.body, nil, dispatch.NewArrival(dispatch.StoreSource, m.took, 0), m.at)
 	case entriesFound:
 		e.peers = m.peers
 		for _, s := range e.streams {
@@ -109,43 +104,11 @@
 	})
 }
 
-// decodeConfiguration returns the event of a stored configuration, which is given in its
-// stored form or packed. An invalid one is logged and ignored.
-func (e *Entry) decodeConfiguration(body, packed []byte, a dispatch.Arrival, received time.Duration) []dispatch.Event {
-	began := e.base.clock()
-	v, packed, err := decodeVersion(e.base.deps.Decode, body, packed)
-	if err != nil {
-		e.base.log(event.New(event.ConfigInvalid, event.F("error", err.Error()), event.F("bytes", len(body))).About("configuration"))
-		return nil
-	}
-	for _, err := range v.LeftOut() {
-		e.base.log(event.New(event.ValueInvalid, event.F("version", v.Number()), event.F("error", err.Error())).About(err.Error()))
-	}
-	a = dispatch.NewArrival(a.Source(), a.Read(), e.base.clock()-began)
-	return []dispatch.Event{dispatch.VersionReceived(v, frame.NewConfig(v.Number(), packed)).Arrived(a).QueuedAt(received)}
-}
-
-// decodeVersion returns the version with its packed form, from its stored form or, if
-// that is nil, from its packed form.
-func decodeVersion(decode Decode, body, packed []byte) (*route.Version, []byte, error) {
-	var err error
-	if body == nil {
-		if body, err = transfer.Unpack(packed); err != nil {
-			return nil, nil, err
-		}
-	}
-	v, err := decode(body)
-	if err != nil {
-		return nil, nil, err
-	}
-	if packed == nil {
-		packed, err = transfer.Pack(body)
-	}
-	return v, packed, err
-}
-
 // handle passes events to the dispatcher and carries out its output.
 func (e *Entry) handle(events ...dispatch.Event) {
+	if e.base.deps.OnPass != nil {
+		e.base.deps.OnPass()
+	}
 	out := e.dispatch.Handle(e.base.clock(), events...)
 	for _, n := range out.Notes() {
 		e.base.log(n)
@@ -169,7 +132,13 @@
 		}
 	}
 	for _, c := range out.Configs() {
-		e.handle(e.decodeConfiguration(nil, c.Config().Body(), c.Arrival(), e.base.clock())...)
+		// If the ring is full, the configuration is fetched again unless a newer one is
+		// active by then.
+		_ = e.decoder.ring.TryPush(undecoded{
+			packed:  c.Config(),
+			arrival: c.Arrival(),
+			at:      e.base.clock(),
+		})
 	}
 	e.ready.Store(e.dispatch.Ready())
 	e.idle.Store(e.dispatch.Idle())
--- a/internal/process/role/server/server.go
+++ b/internal/process/role/server/server.go
@@ -119,6 +119,8 @@
 	// ConfigurationKey is the store key of the operators' configuration.
 	ConfigurationKey string
 	Decode           Decode
+	// OnPass is called before each pass of an entry's dispatcher; nil for nothing.
+	OnPass func()
 	// Out receives the log; nil means standard output.
 	Out *os.File
 	// Reload reloads the settings; the zero value disables reloading.
--- a/internal/process/role/server/watch.go
+++ b/internal/process/role/server/watch.go
@@ -12,6 +12,7 @@
 	"greengagedoor.example/greengagedoor/internal/process/duty"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/keyspace"
+	"greengagedoor.example/greengagedoor/internal/process/role/dispatch"
 	"greengagedoor.example/greengagedoor/internal/version/route"
 )
 
@@ -59,22 +60,30 @@
 
 // watchConfiguration watches the operators' configuration and passes each version to
 // onRead, with the time that the call took; a watch may have waited for most of it.
-func watchConfiguration(ctx context.Context, b *base, onRead func(ctx context.Context, body []byte, took time.Duration)) error {
+func watchConfiguration(ctx context.Context, b *base, onRead func(context.Context, undecoded)) error {
 	h := &storeHealth{
 		call:     "configuration",
 		logEvent: b.logEvent,
 	}
 	began := b.clock()
+	after := int64(0)
 	onItem := func(i keyspace.Item) {
 		switch {
 		case i.Invalid() != nil:
 			b.log(invalidItem(i, i.Invalid()))
 		case i.Key() == b.deps.ConfigurationKey:
-			onRead(ctx, i.Value(), b.clock()-began)
+			u := undecoded{
+				stored:  i.Value(),
+				arrival: dispatch.NewArrival(dispatch.StoreSource, b.clock()-began, 0),
+				at:      b.clock(),
+			}
+			if after == 0 {
+				u.readBegan = began
+			}
+			onRead(ctx, u)
 		}
 	}
 	backoff := minStoreBackoff
-	after := int64(0)
 	for ctx.Err() == nil {
 		began = b.clock()
 		next, err := pollConfiguration(ctx, b.deps, after, onItem)
