Refuse jobs at an entry that knows of a configuration that it lacks

Callers were served by a configuration that had been replaced up to 13 s before, also by entries that could have known: version numbers travel in every frame. An entry now refuses new jobs with 503 and leaves readiness once it has known for half of config_apply_ms (bounds.configApplyMs on the platform) of a newer version, as long as that version can be had from the store or from a connected process; while it is behind at all, an unknown route is refused with 503 in place of 404, since it may be new. An entry that can get the version from nowhere serves by the one that it has. After 1.2 s it reads the store anew, since a watch may be deaf; a read that shows a lower version refutes what others said.

The watch of the configuration reads on from the last revision after a failed call; it read the whole value again before, at the time when the link had no room for it.

--- a/cmd/greengagedoor/platform.go
+++ b/cmd/greengagedoor/platform.go
@@ -105,7 +105,7 @@
 		}
 		dependencies, cleanup := newDependencies(c, setting.PlatformEntry(), v)
 		defer cleanup()
-		e, cleanup, err := server.NewEntry(s, dependencies)
+		e, cleanup, err := server.NewEntry(s.WithConfigApply(v.Milliseconds("times", "config_apply_ms")), dependencies)
 		if err != nil {
 			return err
 		}
--- a/internal/connection/transfer/fetch.go
+++ b/internal/connection/transfer/fetch.go
@@ -47,6 +47,11 @@
 	}
 }
 
+// Number returns the number of the version that the process has.
+func (s Source) Number() int64 {
+	return s.number
+}
+
 // before reports whether a source is asked rather than another one: the one in the same
 // availability zone, then the one with the newer version.
 func (s Source) before(o Source) bool {
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -48,6 +48,7 @@
 	ConfigInvalid    Name = "config_invalid"
 	ConfigBehind     Name = "config_behind"
 	ConfigKept       Name = "config_kept"
+	ConfigRefusing   Name = "config_refusing"
 	ConfigCaughtUp   Name = "config_caught_up"
 	SendDelayed      Name = "send_delayed"
 	SendResumed      Name = "send_resumed"
@@ -91,6 +92,7 @@
 	ConfigChanged:    "A configuration version became active in this process; the line has its source and size, and how long it was read, decoded and waiting.",
 	ConfigBehind:     "This process learned of a newer configuration version than the one it has.",
 	ConfigKept:       "An agent has a copy of the configuration for entries that can't reach the store; the line has its source and size.",
+	ConfigRefusing:   "An entry refuses new jobs, or accepts them again, since a configuration that must be in force is not.",
 	ConfigCaughtUp:   "This process has the newest configuration version that it knows of again; the line has how long it was behind.",
 	SendDelayed:      "Frames to another process wait to be written; the line has the process and the age of the oldest.",
 	SendResumed:      "Frames to other processes are written without delay again; the line has the highest age.",
--- a/internal/process/role/dispatch/configuration.go
+++ b/internal/process/role/dispatch/configuration.go
@@ -16,6 +16,13 @@
 	// without a configuration.
 	storeAdvantage = 400 * time.Millisecond
 	startAdvantage = 100 * time.Millisecond
+	// refusalShare is the part of the time in which a configuration must be in force after
+	// which an entry that lacks it refuses new jobs. The rest is for the way of the number
+	// from the store to this entry.
+	refusalShare = 2
+	// rereadAge is from when on an entry that is behind reads the store anew: the watch
+	// that was open when it learned of the version has ended without it.
+	rereadAge = 1200 * time.Millisecond
 	// configKeepers is the number of agents that an entry asks to keep a copy of the
 	// configuration, for entries that start while the store is unreachable.
 	configKeepers = 2
@@ -81,6 +88,53 @@
 	return behind && age >= storeAdvantage
 }
 
+// reasonBehind is the reason while the entry lacks a configuration that must be in force.
+const reasonBehind = "configuration_behind"
+
+// updateRefusing decides whether new jobs are refused, since a version that must be in
+// force is not. An entry that can get the version from nowhere serves by the one that it
+// has: the store and all that have the version are lost, and waiting helps no caller.
+func (d *Dispatch) updateRefusing(now time.Duration) {
+	age, source, behind := d.configuration.Behind(now)
+	refusing := behind && d.version != nil && age >= d.timing.configApply/refusalShare && d.newerAvailable()
+	if refusing == d.refusing {
+		return
+	}
+	d.refusing = refusing
+	d.logEvent(event.ConfigRefusing, event.F("refusing", refusing), event.F("version", d.configuration.Held().Number()),
+		event.F("behind_ms", age.Milliseconds()), event.F("source", source))
+}
+
+// newerAvailable reports whether a newer version can be had: from the store, or from a
+// connected process.
+func (d *Dispatch) newerAvailable() bool {
+	if d.storeAnswers {
+		return true
+	}
+	for s := range d.configurationSources {
+		if s.Number() > d.configuration.Held().Number() {
+			return true
+		}
+	}
+	return false
+}
+
+// RereadStore reports whether the entry needs a new read of the store, since its watch
+// has not shown a version that others know of.
+func (d *Dispatch) RereadStore(now time.Duration) bool {
+	age, _, behind := d.configuration.Behind(now)
+	return behind && age >= rereadAge
+}
+
+// unknownRoute returns the answer to a request for a route that this entry does not know. While it is
+// behind, the route may be new, so the caller is told to come back.
+func (d *Dispatch) unknownRoute(now time.Duration) (State, string, time.Duration) {
+	if _, _, behind := d.configuration.Behind(now); behind {
+		return StateRefused, reasonBehind, defaultRetryAfter
+	}
+	return StateUnknown, "no_route", 0
+}
+
 // configurationSources lists the processes with their versions.
 func (d *Dispatch) configurationSources(yield func(transfer.Source) bool) {
 	for _, n := range d.peersWhere(func(*peer) bool { return true }) {
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -37,8 +37,13 @@
 	sessionTimeout    time.Duration
 	runsEndWithin     time.Duration
 	heartbeatInterval time.Duration
+	configApply       time.Duration
 }
 
+// defaultConfigApply is the time in which a confirmed configuration must be in force
+// everywhere, where none is set.
+const defaultConfigApply = 2 * time.Second
+
 // NewTiming returns a Timing from the silence after which the session of a peer
 // ends, the time after an agent's last frame by which all runs of the session have
 // ended, and the longest interval between two frames to a peer.
@@ -47,9 +52,17 @@
 		sessionTimeout:    sessionTimeout,
 		runsEndWithin:     runsEndWithin,
 		heartbeatInterval: heartbeatInterval,
+		configApply:       defaultConfigApply,
 	}
 }
 
+// WithConfigApply returns the Timing with the time in which a confirmed configuration
+// must be in force everywhere.
+func (t Timing) WithConfigApply(d time.Duration) Timing {
+	t.configApply = d
+	return t
+}
+
 // Dispatch is the state machine of an entry.
 type Dispatch struct {
 	timing  Timing
@@ -57,8 +70,12 @@
 	version *route.Version
 	// configuration is the active version in packed form, and what other processes have.
 	configuration transfer.Exchange
-	agents        map[string]*agent
-	sessions      map[uint64]*agent
+	// storeAnswers is set while the store answers this entry.
+	storeAnswers bool
+	// refusing is set while new jobs are refused since the version is too old.
+	refusing bool
+	agents   map[string]*agent
+	sessions map[uint64]*agent
 	// connected lists the agents of sessions, sorted by session number.
 	connected []*agent
 	peers     map[uint64]*peer
@@ -149,8 +166,10 @@
 	d.estimates.decay(now)
 	d.updateLag(now, events)
 	for _, ev := range events {
+		d.updateRefusing(now)
 		d.apply(now, ev)
 	}
+	d.updateRefusing(now)
 	d.submitHeld(now)
 	d.expireJobs(now)
 	d.refuseUnfinishable(now)
@@ -176,11 +195,13 @@
 	case ev.closed != 0:
 		d.closeSession(now, ev.closed, "closed")
 	case ev.query != nil:
-		d.query(*ev.query)
+		d.query(now, *ev.query)
 	case ev.version != nil:
 		d.updateVersion(now, ev)
 	case ev.storeRead != nil:
 		d.configuration.Refuted(ev.storeRead.newest, ev.storeRead.began)
+	case ev.storeAnswers != nil:
+		d.storeAnswers = *ev.storeAnswers
 	case ev.unusable != 0:
 		d.configuration.Unusable(ev.unusable)
 	case ev.shutdown != nil:
@@ -190,7 +211,7 @@
 
 // Ready reports whether the entry can serve new callers.
 func (d *Dispatch) Ready() bool {
-	return d.version != nil && !d.leaving && d.usableAgents() > 0
+	return d.version != nil && !d.leaving && d.usableAgents() > 0 && !d.refusing
 }
 
 // Idle reports whether the entry holds no job.
--- a/internal/process/role/dispatch/dispatch_test.go
+++ b/internal/process/role/dispatch/dispatch_test.go
@@ -73,6 +73,19 @@
 	fx.handle(dispatch.VersionReceived(v, frame.NewConfig(number, []byte("{}"))))
 }
 
+// namedVersion brings a version into force whose only route has the prefix /kind/.
+func (fx *fixture) namedVersion(number int64) {
+	r, err := route.NewRoute("kind", "", "/kind/", "service")
+	if err != nil {
+		fx.t.Fatal(err)
+	}
+	v, err := route.NewVersion(number, []route.Route{r.WithPriority(0, 1).WithTiming(1500*ms, 1.6, 60*ms)}, route.Limits{})
+	if err != nil {
+		fx.t.Fatal(err)
+	}
+	fx.handle(dispatch.VersionReceived(v, frame.NewConfig(number, []byte("{}"))))
+}
+
 // agent connects an agent whose target has 30 cores and the given labels.
 func (fx *fixture) agent(session uint64, name string, labels ...string) {
 	fx.handle(dispatch.SessionOpened(session, frame.NewHello(name, 1, "zone", "", frame.RoleAgent)))
--- a/internal/process/role/dispatch/event.go
+++ b/internal/process/role/dispatch/event.go
@@ -24,6 +24,8 @@
 	arrival    Arrival
 	storeRead  *storeRead
 	unusable   int64
+	// storeAnswers is whether the store answers this entry.
+	storeAnswers *bool
 	// shutdown is how long an entry that was told to shut down still answers.
 	shutdown *time.Duration
 	// queued is when the event was queued for the state machine, 0 if it is not known.
@@ -202,6 +204,13 @@
 	}
 }
 
+// StoreAnswers is the event that the store answers this entry, or has stopped to.
+func StoreAnswers(answers bool) Event {
+	return Event{
+		storeAnswers: &answers,
+	}
+}
+
 // VersionUnusable is the event of a version of another process that this entry can't
 // decode, so that it keeps its own.
 func VersionUnusable(number int64) Event {
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -140,7 +140,8 @@
 	}
 	r, id, ok := d.findRoute(s.host, s.path)
 	if !ok {
-		d.refuse(s, s.path, StateUnknown, "no_route", 0)
+		st, reason, retryAfter := d.unknownRoute(now)
+		d.refuse(s, s.path, st, reason, retryAfter)
 		return
 	}
 	if j, ok := d.jobs[id]; ok {
@@ -158,6 +159,8 @@
 		return
 	}
 	switch {
+	case d.refusing:
+		d.refuse(s, id, StateRefused, reasonBehind, defaultRetryAfter)
 	case len(d.jobs) >= maxJobs:
 		d.refuse(s, id, StateRefused, "too_many_jobs", defaultRetryAfter)
 	case d.overload.exceeded():
@@ -328,7 +331,8 @@
 	}
 	_, id, ok := d.findRoute(c.host, c.path)
 	if !ok {
-		d.answer(c.request, StateUnknown, "no_route", 0)
+		st, reason, retryAfter := d.unknownRoute(now)
+		d.answer(c.request, st, reason, retryAfter)
 		return
 	}
 	if d.cancelJob(now, id) {
--- a/internal/process/role/dispatch/query.go
+++ b/internal/process/role/dispatch/query.go
@@ -1,14 +1,21 @@
 package dispatch
 
+import "time"
+
 // query answers a caller that asks for the state of a job or of a queue.
-func (d *Dispatch) query(q Query) {
+func (d *Dispatch) query(now time.Duration, q Query) {
 	if d.version == nil {
 		d.answer(q.request, StateRefused, reasonNoConfiguration, defaultRetryAfter)
 		return
 	}
 	r, id, ok := d.findRoute(q.host, q.path)
 	if !ok {
-		d.answer(q.request, StateUnknown, "no_route", 0)
+		st, reason, retryAfter := d.unknownRoute(now)
+		d.answer(q.request, st, reason, retryAfter)
+		return
+	}
+	if d.refusing && id == "" {
+		d.answer(q.request, StateRefused, reasonBehind, defaultRetryAfter)
 		return
 	}
 	if id == "" {
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -76,6 +76,8 @@
 	lastRequest atomic.Uint64
 	ready       atomic.Bool
 	idle        atomic.Bool
+	// reread is set while the store has to be read anew.
+	reread atomic.Bool
 	// waiting is the number of requests without an answer of the dispatcher.
 	waiting atomic.Int64
 	version atomic.Pointer[route.Version]
@@ -131,11 +133,19 @@
 	}); err != nil {
 		return err
 	}
-	if err := b.add("configuration", "Watches the operators' configuration.", nil, func(ctx context.Context) error {
-		return watchConfiguration(ctx, b, func(ctx context.Context, u undecoded) {
+	w := configurationWatch{
+		deps:  b.deps,
+		clock: b.clock,
+		log:   b.log,
+		read: func(ctx context.Context, u undecoded) {
 			_ = e.decoder.ring.Push(ctx, u)
-		})
-	}); err != nil {
+		},
+		answers: func(ctx context.Context, answers bool) {
+			_ = e.ring.Push(ctx, dispatch.StoreAnswers(answers))
+		},
+		reread: e.reread.Load,
+	}
+	if err := b.add("configuration", "Watches the operators' configuration.", nil, w.run); err != nil {
 		return err
 	}
 	if err := b.add("registration", "Renews the store key that announces this entry's address.", nil, func(ctx context.Context) error {
--- a/internal/process/role/server/entryloop.go
+++ b/internal/process/role/server/entryloop.go
@@ -142,5 +142,6 @@
 	}
 	e.ready.Store(e.dispatch.Ready())
 	e.idle.Store(e.dispatch.Idle())
+	e.reread.Store(e.dispatch.RereadStore(e.base.clock()))
 	e.version.Store(e.dispatch.Version())
 }
--- a/internal/process/role/server/server.go
+++ b/internal/process/role/server/server.go
@@ -63,6 +63,9 @@
 	seeds      []string
 	maxLease   time.Duration
 	grace      time.Duration
+	// configApply is the time in which a confirmed configuration must be in force; 0 for
+	// the dispatcher's default.
+	configApply time.Duration
 }
 
 // NewSettings returns the settings of a process: its name, its availability zone,
@@ -96,6 +99,13 @@
 	return s
 }
 
+// WithConfigApply returns the settings with the time in which a confirmed configuration
+// must be in force everywhere. Zero keeps the default.
+func (s Settings) WithConfigApply(d time.Duration) Settings {
+	s.configApply = d
+	return s
+}
+
 // AdvertisedAt returns the settings of a process that others reach at a different
 // address than the one it listens on. An empty address changes nothing.
 func (s Settings) AdvertisedAt(address string) Settings {
@@ -110,7 +120,11 @@
 }
 
 func (s Settings) dispatchTiming() dispatch.Timing {
-	return dispatch.NewTiming(sessionTimeout, s.executorTiming().RunsEndWithin(), heartbeatInterval)
+	t := dispatch.NewTiming(sessionTimeout, s.executorTiming().RunsEndWithin(), heartbeatInterval)
+	if s.configApply > 0 {
+		t = t.WithConfigApply(s.configApply)
+	}
+	return t
 }
 
 // Dependencies are the parts of a process that its environment provides.
--- a/internal/process/role/server/watch.go
+++ b/internal/process/role/server/watch.go
@@ -58,38 +58,46 @@
 	h.down = err != nil
 }
 
-// watchConfiguration watches the operators' configuration and passes each version to
-// onRead, with the time that the call took; a watch may have waited for most of it.
-func watchConfiguration(ctx context.Context, b *base, onRead func(context.Context, undecoded)) error {
+// configurationWatch is the duty that watches the operators' configuration.
+type configurationWatch struct {
+	deps  Dependencies
+	clock func() time.Duration
+	log   func(event.Note)
+	// read receives each configuration, and answers whether the store answers.
+	read    func(context.Context, undecoded)
+	answers func(context.Context, bool)
+	// reread reports whether the store has to be read anew, since others know of a newer
+	// version than the watch has shown.
+	reread func() bool
+}
+
+func (w configurationWatch) run(ctx context.Context) error {
 	h := &storeHealth{
 		call:     "configuration",
-		logEvent: b.logEvent,
-	}
-	began := b.clock()
-	after := int64(0)
-	onItem := func(i keyspace.Item) {
-		switch {
-		case i.Invalid() != nil:
-			b.log(invalidItem(i, i.Invalid()))
-		case i.Key() == b.deps.ConfigurationKey:
-			u := undecoded{
-				stored:  i.Value(),
-				arrival: dispatch.NewArrival(dispatch.StoreSource, b.clock()-began, 0),
-				at:      b.clock(),
-			}
-			if after == 0 {
-				u.readBegan = began
-			}
-			onRead(ctx, u)
-		}
+		logEvent: func(n event.Name, f ...event.Field) { w.log(event.New(n, f...)) },
 	}
 	backoff := minStoreBackoff
+	answered := false
+	after := int64(0)
+	lastList := time.Duration(0)
 	for ctx.Err() == nil {
-		began = b.clock()
-		next, err := pollConfiguration(ctx, b.deps, after, onItem)
+		began := w.clock()
+		if w.reread() && began-lastList >= watchWait {
+			after = 0
+		}
+		whole := after == 0
+		if whole {
+			lastList = began
+		}
+		next, err := pollConfiguration(ctx, w.deps, after, func(i keyspace.Item) { w.pass(ctx, i, began, whole) })
 		h.update(err)
+		if (err == nil) != answered {
+			answered = err == nil
+			w.answers(ctx, answered)
+		}
 		if err != nil {
-			after = 0
+			// The changes since the last revision are still to be had, so the value that is
+			// known is not read again.
 			if !duty.Pause(ctx, backoff) {
 				break
 			}
@@ -102,6 +110,25 @@
 	return nil
 }
 
+// pass passes an item on. Whole is set if the read shows the newest version.
+func (w configurationWatch) pass(ctx context.Context, i keyspace.Item, began time.Duration, whole bool) {
+	switch {
+	case i.Invalid() != nil:
+		w.log(invalidItem(i, i.Invalid()))
+	case i.Key() == w.deps.ConfigurationKey:
+		now := w.clock()
+		u := undecoded{
+			stored:  i.Value(),
+			arrival: dispatch.NewArrival(dispatch.StoreSource, now-began, 0),
+			at:      now,
+		}
+		if whole {
+			u.readBegan = began
+		}
+		w.read(ctx, u)
+	}
+}
+
 // pollConfiguration reads the configuration if after is 0, and otherwise waits for
 // a change after that revision. It returns the revision for the next call.
 func pollConfiguration(ctx context.Context, s Dependencies, after int64, onItem func(keyspace.Item)) (int64, error) {
--- a/internal/process/role/server/watch_test.go
+++ b/internal/process/role/server/watch_test.go
@@ -68,3 +68,73 @@
 		})
 	}
 }
+
+// TestWatchReadsOnce guards against a failed watch that costs a whole read of a large configuration, and against a watch that shows no newer version although others know of one.
+func TestWatchReadsOnce(t *testing.T) {
+	tests := map[string]struct {
+		// watch has the outcome of each watch by its number; nil is an answer without change.
+		watch  func(n int) error
+		reread bool
+		lists  int
+	}{
+		"no_change":        {watch: func(int) error { return nil }, lists: 1},
+		"watches_fail":     {watch: func(int) error { return keyspace.ErrUnavailable }, lists: 1},
+		"history_is_gone":  {watch: func(n int) error { return compactedOnce(n) }, lists: 2},
+		"newer_is_known":   {watch: func(int) error { return nil }, reread: true, lists: 5},
+		"each_second_fail": {watch: func(n int) error { return failEachSecond(n) }, lists: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				lists, watches, answered := 0, 0, 0
+				start := time.Now()
+				w := configurationWatch{
+					deps: Dependencies{
+						ConfigurationKey: "op/config",
+						Store: keyspace.Store{
+							List: func(context.Context, string) ([]keyspace.Item, int64, error) {
+								lists++
+								return []keyspace.Item{keyspace.NewItem("op/config", []byte("stored"), 3)}, 7, nil
+							},
+							Watch: func(ctx context.Context, _ string, after int64, wait time.Duration) ([]keyspace.Change, int64, error) {
+								watches++
+								if err := tt.watch(watches); err != nil {
+									return nil, after, err
+								}
+								time.Sleep(wait)
+								return nil, after, nil
+							},
+						},
+					},
+					clock:   func() time.Duration { return time.Since(start) + time.Second },
+					log:     func(event.Note) {},
+					read:    func(context.Context, undecoded) {},
+					answers: func(context.Context, bool) { answered++ },
+					reread:  func() bool { return tt.reread },
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), 4500*time.Millisecond)
+				defer cancel()
+				_ = w.run(ctx)
+				Convey("the value is read whole only when it has to be", t, func() {
+					So(lists, ShouldEqual, tt.lists)
+					So(watches, ShouldBeGreaterThan, 3)
+					So(answered, ShouldBeGreaterThan, 0)
+				})
+			})
+		})
+	}
+}
+
+func compactedOnce(n int) error {
+	if n == 2 {
+		return keyspace.ErrCompacted
+	}
+	return nil
+}
+
+func failEachSecond(n int) error {
+	if n%2 == 0 {
+		return keyspace.ErrUnavailable
+	}
+	return nil
+}
--- a/internal/process/setting/platform.go
+++ b/internal/process/setting/platform.go
@@ -26,6 +26,7 @@
 		settings: append(platformCommon(),
 			row("listen", "callers", "callers", "Where callers reach this entry by HTTP.").address(),
 			row("listen", "readiness", "readiness", "Where the load balancer asks whether the entry takes callers.").address(),
+			row("times", "config_apply_ms", "config-apply-ms", "The time in which a confirmed configuration must be in force everywhere. An entry that knows for half of it of a version that it lacks refuses new jobs.").number(2000, 200, 600_000, "ms"),
 		),
 		crossCheck: distinctListeners,
 	}
