--- a/cmd/greengagedoor/platform.go
+++ b/cmd/greengagedoor/platform.go
@@ -57,7 +57,7 @@
 	return server.Dependencies{
 		Store:            s,
 		ConfigurationKey: platform.ConfigurationKey,
-		Decode:           platform.DecodeConfiguration,
+		Decode:           platform.NewConfigurationDecoder().Decode,
 		Out:              os.Stdout,
 		Reload: server.Reload{
 			Path: settingsFile(c),
--- a/internal/process/role/dispatch/configuration.go
+++ b/internal/process/role/dispatch/configuration.go
@@ -38,7 +38,7 @@
 	if ev.queued > 0 {
 		waited = now - ev.queued
 	}
-	d.logEvent(event.ConfigChanged, event.F("version", v.Number()), event.F("routes", len(v.Routes())), event.F("bytes", len(ev.config.Body())),
+	d.logEvent(event.ConfigChanged, event.F("version", v.Number()), event.F("routes", v.Len()), event.F("bytes", len(ev.config.Body())),
 		event.F("source", ev.arrival.source), event.F("read_ms", ev.arrival.read.Milliseconds()),
 		event.F("decode_ms", ev.arrival.decoded.Milliseconds()), event.F("waited_ms", waited.Milliseconds()))
 	if age, caughtUp := d.configuration.Hold(now, ev.config, now-waited, ev.arrival.source); caughtUp {
--- a/internal/version/route/route.go
+++ b/internal/version/route/route.go
@@ -6,7 +6,6 @@
 package route
 
 import (
-	"sort"
 	"strings"
 	"time"
 
@@ -151,6 +150,7 @@
 	number int64
 	routes []Route
 	limits Limits
+	index  index
 	// leftOut has the cause for each stored route that is not in routes.
 	leftOut []error
 }
@@ -161,22 +161,22 @@
 	if number < 1 {
 		return nil, errors.Wrapf(ErrInvalid, "version is %d, want 1 or more", number)
 	}
-	count := map[string]int{}
+	count := make(map[key]int, len(routes))
 	for _, r := range routes {
-		count[r.host+r.prefix]++
+		count[r.key()]++
 	}
 	v := &Version{
 		number: number,
 		limits: limits,
 	}
 	for _, r := range routes {
-		if n := count[r.host+r.prefix]; n > 1 {
+		if n := count[r.key()]; n > 1 {
 			v.leftOut = append(v.leftOut, errors.Wrapf(ErrInvalid, "route %s: %d routes for %s, want one for each host and prefix", r.name, n, r.host+r.prefix))
 			continue
 		}
 		v.routes = append(v.routes, r)
 	}
-	sort.SliceStable(v.routes, func(i, j int) bool { return len(v.routes[i].prefix) > len(v.routes[j].prefix) })
+	v.index = newIndex(v.routes)
 	return v, nil
 }
 
@@ -203,18 +203,22 @@
 	return v.limits
 }
 
-// Routes returns a copy of the routes, the longest prefix first.
+// Routes returns a copy of the routes in the order of the configuration.
 func (v *Version) Routes() []Route {
 	return append([]Route(nil), v.routes...)
 }
 
-// Match returns the route of the host with the longest prefix of path.
+// Len returns the number of routes.
+func (v *Version) Len() int {
+	return len(v.routes)
+}
+
+// Match returns the route of the host with the longest prefix of path. Of two with the
+// same prefix, one for the host and one for any host, the first counts.
 func (v *Version) Match(host, path string) (Route, bool) {
-	host = strings.ToLower(host)
-	for _, r := range v.routes {
-		if (r.host == "" || r.host == host) && strings.HasPrefix(path, r.prefix) {
-			return r, true
-		}
+	i, ok := v.index.find(strings.ToLower(host), path)
+	if !ok {
+		return Route{}, false
 	}
-	return Route{}, false
+	return v.routes[i], true
 }
