Send the list of entries to agents when it changes

Each entry sent the whole list to each agent every 2 s: the same class as the configuration, a list for everyone whether it is news or not, of some 1.6 KB for 40 entries times the agents. An unchanged list now goes out every 7 s at the least, before agents forget the addresses after 20 s; a new connection gets it at once as before.

--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -70,7 +70,9 @@
 	streams  map[uint64]*stream.Stream
 	roles    map[uint64]frame.Role
 	replies  map[uint64]chan dispatch.Answer
-	peers    []frame.Peer
+	// peers are the entries that were sent to all agents at peersSent.
+	peers     []frame.Peer
+	peersSent time.Duration
 	// events is reused by takeAll.
 	events      []dispatch.Event
 	lastRequest atomic.Uint64
--- a/internal/process/role/server/entryloop.go
+++ b/internal/process/role/server/entryloop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime"
+	"slices"
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
@@ -86,14 +87,25 @@
 		delete(e.roles, m.stream.Number())
 		return []dispatch.Event{dispatch.SessionClosed(m.stream.Number())}
 	case entriesFound:
-		e.peers = m.peers
-		for _, s := range e.streams {
-			e.sendPeers(s)
-		}
+		e.entriesFound(m.peers)
 	}
 	return nil
 }
 
+// entriesFound sends a changed list of entries to all agents, and an unchanged one often
+// enough that agents do not forget the addresses.
+func (e *Entry) entriesFound(peers []frame.Peer) {
+	now := e.base.clock()
+	if slices.Equal(peers, e.peers) && now-e.peersSent < addressTTL/3 {
+		return
+	}
+	e.peers = peers
+	e.peersSent = now
+	for _, s := range e.streams {
+		e.sendPeers(s)
+	}
+}
+
 // sendPeers sends the addresses of the known entries to an agent.
 func (e *Entry) sendPeers(s *stream.Stream) {
 	if len(e.peers) == 0 || e.roles[s.Number()] != frame.RoleAgent {
