--- a/internal/process/role/dispatch/simulation/store_test.go
+++ b/internal/process/role/dispatch/simulation/store_test.go
@@ -134,6 +134,7 @@
 		return
 	}
 	if s.unavailable(e.name) {
+		e.handle(dispatch.StoreAnswers(false))
 		e.c.after(retryPause, func() { e.readStore(incarnation, read) })
 		return
 	}
@@ -156,6 +157,7 @@
 				if ended || e.incarnation != incarnation {
 					return
 				}
+				e.handle(dispatch.StoreAnswers(true))
 				e.decode(frame.NewConfig(v.version.Number(), v.body[:len(v.body)/packedShare]))
 				follow(0, v.index)
 			})
--- a/internal/process/standin/forwarder/forwarder.go
+++ b/internal/process/standin/forwarder/forwarder.go
@@ -63,6 +63,10 @@
 	ring     *ring.Ring[func(*state)]
 	// delay is the time between reading bytes and writing them, in ns.
 	delay atomic.Int64
+	// throughput bounds the bytes that each direction carries in a second, 0 for no bound,
+	// and free has when each direction has carried what it has accepted, in ns.
+	throughput atomic.Int64
+	free       map[Direction]*atomic.Int64
 }
 
 // New returns a forwarder that listens at listen for connections to address, and
@@ -80,6 +84,10 @@
 		listener: l,
 		address:  address,
 		ring:     r,
+		free: map[Direction]*atomic.Int64{
+			ClientToServer: new(atomic.Int64),
+			ServerToClient: new(atomic.Int64),
+		},
 	}, func() { _ = l.Close() }, nil
 }
 
@@ -149,7 +157,7 @@
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
-		duty.Pause(ctx, time.Duration(f.delay.Load()))
+		duty.Pause(ctx, time.Duration(f.delay.Load())+f.carry(d, n))
 		dropped := Direction(c.dropped.Load())&d != 0
 		if n > 0 && !dropped {
 			_, werr := to.Write(buffer[:n])
@@ -170,6 +178,30 @@
 	}
 }
 
+// carry adds n bytes to those that a direction carries. It returns the time until they
+// are carried. All connections share the throughput.
+func (f *Forwarder) carry(d Direction, n int) time.Duration {
+	rate := f.throughput.Load()
+	if rate == 0 {
+		return 0
+	}
+	took := int64(n) * int64(time.Second) / rate
+	free := f.free[d]
+	for {
+		now, before := time.Now().UnixNano(), free.Load()
+		after := max(now, before) + took
+		if free.CompareAndSwap(before, after) {
+			return time.Duration(after - now)
+		}
+	}
+}
+
+// SetThroughput bounds the bytes that each direction carries in a second, for all
+// connections together. A throughput of 0 turns this off.
+func (f *Forwarder) SetThroughput(bytesPerSecond int64) {
+	f.throughput.Store(bytesPerSecond)
+}
+
 // SetDelay delays the bytes of both directions and keeps their order. A delay of 0
 // turns this off.
 func (f *Forwarder) SetDelay(d time.Duration) {
