--- a/internal/process/role/dispatch/simulation/link_test.go
+++ b/internal/process/role/dispatch/simulation/link_test.go
@@ -54,7 +54,7 @@
 		}
 	}
 	if l.c.network != nil {
-		l.c.network.send(l.e.name, l.a.name, l.number, frameBytes(f), func() bool { return l.agentOpen && l.entryOpen }, deliver)
+		l.c.network.sendFrame(l.e.name, l.a.name, l.number, f, func() bool { return l.agentOpen && l.entryOpen }, deliver)
 		return
 	}
 	l.c.after(l.arrival(&l.lastToAgent), deliver)
@@ -68,7 +68,7 @@
 		}
 	}
 	if l.c.network != nil {
-		l.c.network.send(l.a.name, l.e.name, l.number, frameBytes(f), func() bool { return l.agentOpen && l.entryOpen }, deliver)
+		l.c.network.sendFrame(l.a.name, l.e.name, l.number, f, func() bool { return l.agentOpen && l.entryOpen }, deliver)
 		return
 	}
 	l.c.after(l.arrival(&l.lastToEntry), deliver)
--- a/internal/process/role/dispatch/simulation/network_test.go
+++ b/internal/process/role/dispatch/simulation/network_test.go
@@ -31,17 +31,29 @@
 	rates map[string]int
 	out   map[string]*pipe
 	in    map[string]*pipe
-	// bytes counts what was sent.
-	bytes int
+	// bytes counts what was sent, and configurationBytes by its sender what of it carried
+	// pieces of configurations or requests for them.
+	bytes              int
+	configurationBytes map[string]int
 }
 
 func newSimNetwork(c *cluster, rates map[string]int) *simNetwork {
 	return &simNetwork{
-		c:     c,
-		rates: rates,
-		out:   map[string]*pipe{},
-		in:    map[string]*pipe{},
+		c:                  c,
+		rates:              rates,
+		out:                map[string]*pipe{},
+		in:                 map[string]*pipe{},
+		configurationBytes: map[string]int{},
+	}
+}
+
+// sendFrame carries a frame of a connection between two processes.
+func (n *simNetwork) sendFrame(from, to string, connection uint64, f frame.Frame, open func() bool, deliver func()) {
+	bytes := frameBytes(f)
+	if f.Content() == frame.ContentConfiguration {
+		n.configurationBytes[from] += bytes
 	}
+	n.send(from, to, connection, bytes, open, deliver)
 }
 
 // send carries a message of a connection between two hosts, unless the connection is
--- a/internal/process/role/dispatch/simulation/store_test.go
+++ b/internal/process/role/dispatch/simulation/store_test.go
@@ -241,7 +241,7 @@
 	if from == l.a {
 		to = l.b
 	}
-	l.c.network.send(from.name, to.name, l.number, frameBytes(f), func() bool { return l.open }, func() {
+	l.c.network.sendFrame(from.name, to.name, l.number, f, func() bool { return l.open }, func() {
 		if l.open {
 			to.handle(dispatch.FrameReceived(l.number, f))
 		}
