Explain which configuration handled a request, and why

From a wrong answer to its cause, explain printed the request alone. It now adds the state of the entry that decided: the last configuration change before, and of the 10 s before it what the entry knew of newer versions, the store, frames that waited, and overload.

--- a/internal/process/explain/example_test.go
+++ b/internal/process/explain/example_test.go
@@ -24,3 +24,27 @@
 	// 2026-01-01T00:00:00.001Z entry_1 job_accepted job=5c0e trace=t1
 	// 2026-01-01T00:00:00.002Z agent_1 run_refused cause=no_room run=5c0e.0.0.1#1
 }
+
+// The request was handled by an old version: its entry knew of a newer one, whose frames
+// waited behind others.
+func ExampleLog_Explain_configuration() {
+	l := explain.New()
+	err := l.Read(strings.NewReader(`
+{"event":"config_changed","process":"entry_1","version":10,"source":"store","bytes":24000,"time":"2026-01-01T00:00:00.001Z"}
+{"event":"config_changed","process":"entry_2","version":12,"source":"store","bytes":24000,"time":"2026-01-01T00:01:00.100Z"}
+{"event":"send_delayed","process":"entry_1","peer":"agent_1","age_ms":260,"time":"2026-01-01T00:01:01.000Z"}
+{"event":"config_behind","process":"entry_1","version":10,"newest":12,"source":"entry_2","time":"2026-01-01T00:01:02.000Z"}
+{"event":"job_accepted","process":"entry_1","job":"5c0e","trace":"t1","version":10,"time":"2026-01-01T00:01:02.500Z"}
+{"event":"config_caught_up","process":"entry_1","version":12,"behind_ms":900,"time":"2026-01-01T00:01:02.900Z"}
+`))
+	fmt.Println(err)
+	for _, s := range l.Explain("t1") {
+		fmt.Println(s)
+	}
+	// Output:
+	// <nil>
+	// 2026-01-01T00:00:00.001Z entry_1 config_changed bytes=24000 source=store version=10
+	// 2026-01-01T00:01:01.000Z entry_1 send_delayed age_ms=260 peer=agent_1
+	// 2026-01-01T00:01:02.000Z entry_1 config_behind newest=12 source=entry_2 version=10
+	// 2026-01-01T00:01:02.500Z entry_1 job_accepted job=5c0e trace=t1 version=10
+}
--- a/internal/process/explain/explain.go
+++ b/internal/process/explain/explain.go
@@ -3,8 +3,10 @@
 // The lines of a request are spread over the logs of several processes: the
 // entry logs the caller's trace and the job, and agents log the runs of the job.
 // The package finds the job of a trace, selects every line that names the job or
-// one of its runs, and sorts them by time. It skips lines without a JSON object
-// and any prefix that a log collector adds.
+// one of its runs, and sorts them by time. Lines about the configuration, the store and
+// the connections of the process that decided on the request, shortly before it, tell
+// which version was in force there and why. It skips lines without a JSON object and any
+// prefix that a log collector adds.
 package explain
 
 import (
@@ -14,12 +16,35 @@
 	"io"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
+
+	"greengagedoor.example/greengagedoor/internal/process/event"
 )
 
-// maxLineBytes limits the length of a log line.
-const maxLineBytes = 1 << 20
+const (
+	// maxLineBytes limits the length of a log line.
+	maxLineBytes = 1 << 20
+	// stateWindow is how long before a decision the state of its process is printed.
+	stateWindow = 10 * time.Second
+)
+
+// stateEvents are the events that tell the state of a process. The last config_changed
+// before a decision is printed whenever it was.
+var stateEvents = map[event.Name]bool{
+	event.ConfigChanged:  true,
+	event.ConfigBehind:   true,
+	event.ConfigCaughtUp: true,
+	event.ConfigRefusing: true,
+	event.ConfigInvalid:  true,
+	event.SendDelayed:    true,
+	event.SendResumed:    true,
+	event.StoreLost:      true,
+	event.StoreRegained:  true,
+	event.OverloadBegan:  true,
+	event.OverloadEnded:  true,
+}
 
 // line is one parsed log line.
 type line struct {
@@ -82,6 +107,7 @@
 			found = append(found, x)
 		}
 	}
+	found = append(found, l.state(found)...)
 	sort.SliceStable(found, func(i, j int) bool { return found[i].time < found[j].time })
 	var lines []string
 	for _, x := range found {
@@ -90,6 +116,42 @@
 	return lines
 }
 
+// state returns the lines that tell the state of the processes that accepted or refused a
+// request, at the time of their decision.
+func (l *Log) state(found []line) []line {
+	var state []line
+	for _, x := range found {
+		if x.event == string(event.JobAccepted) || x.event == string(event.JobRefused) {
+			state = append(state, l.stateBefore(x)...)
+		}
+	}
+	return state
+}
+
+func (l *Log) stateBefore(decision line) []line {
+	at, err := time.Parse(time.RFC3339Nano, decision.time)
+	if err != nil {
+		return nil
+	}
+	var list []line
+	var version *line
+	for _, x := range l.lines {
+		t, err := time.Parse(time.RFC3339Nano, x.time)
+		if err != nil || x.process != decision.process || !stateEvents[event.Name(x.event)] || t.After(at) {
+			continue
+		}
+		if at.Sub(t) <= stateWindow {
+			list = append(list, x)
+		} else if x.event == string(event.ConfigChanged) && (version == nil || x.time > version.time) {
+			version = &x
+		}
+	}
+	if version != nil {
+		list = append(list, *version)
+	}
+	return list
+}
+
 // jobs returns the set of jobs for an id: the id itself, and the jobs of the
 // trace with this id.
 func (l *Log) jobs(id string) map[string]bool {
