--- a/cmd/greengagedoor/platform.go
+++ b/cmd/greengagedoor/platform.go
@@ -57,7 +57,7 @@
 	return server.Dependencies{
 		Store:            s,
 		ConfigurationKey: platform.ConfigurationKey,
-		Decode:           platform.DecodeConfiguration,
+		Decode:           platform.NewConfigurationDecoder().Decode,
 		Out:              os.Stdout,
 		Reload: server.Reload{
 			Path: settingsFile(c),
@@ -105,7 +105,7 @@
 		}
 		dependencies, cleanup := newDependencies(c, setting.PlatformEntry(), v)
 		defer cleanup()
-		e, cleanup, err := server.NewEntry(s, dependencies)
+		e, cleanup, err := server.NewEntry(s.WithConfigApply(v.Milliseconds("times", "config_apply_ms")), dependencies)
 		if err != nil {
 			return err
 		}
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
+	"greengagedoor.example/greengagedoor/internal/connection/transfer"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/request/task"
 	"greengagedoor.example/greengagedoor/internal/version/route"
@@ -36,8 +37,13 @@
 	sessionTimeout    time.Duration
 	runsEndWithin     time.Duration
 	heartbeatInterval time.Duration
+	configApply       time.Duration
 }
 
+// defaultConfigApply is the time in which a confirmed configuration must be in force
+// everywhere, where none is set.
+const defaultConfigApply = 2 * time.Second
+
 // NewTiming returns a Timing from the silence after which the session of a peer
 // ends, the time after an agent's last frame by which all runs of the session have
 // ended, and the longest interval between two frames to a peer.
@@ -46,15 +52,28 @@
 		sessionTimeout:    sessionTimeout,
 		runsEndWithin:     runsEndWithin,
 		heartbeatInterval: heartbeatInterval,
+		configApply:       defaultConfigApply,
 	}
 }
 
+// WithConfigApply returns the Timing with the time in which a confirmed configuration
+// must be in force everywhere.
+func (t Timing) WithConfigApply(d time.Duration) Timing {
+	t.configApply = d
+	return t
+}
+
 // Dispatch is the state machine of an entry.
 type Dispatch struct {
-	timing   Timing
-	hello    frame.Hello
-	version  *route.Version
-	config   frame.Config
+	timing  Timing
+	hello   frame.Hello
+	version *route.Version
+	// configuration is the active version in packed form, and what other processes have.
+	configuration transfer.Exchange
+	// storeAnswers is set while the store answers this entry.
+	storeAnswers bool
+	// refusing is set while new jobs are refused since the version is too old.
+	refusing bool
 	agents   map[string]*agent
 	sessions map[uint64]*agent
 	// connected lists the agents of sessions, sorted by session number.
@@ -97,9 +116,10 @@
 type peer struct {
 	session  uint64
 	name     string
+	zone     string
 	lastSeen time.Duration
 	lastSent time.Duration
-	// knownConfig is the number of the newest configuration that the peer has.
+	// knownConfig is the number of the configuration that the peer has.
 	knownConfig int64
 	// introduced is set once the first frame of the session has been sent.
 	introduced bool
@@ -146,8 +166,10 @@
 	d.estimates.decay(now)
 	d.updateLag(now, events)
 	for _, ev := range events {
+		d.updateRefusing(now)
 		d.apply(now, ev)
 	}
+	d.updateRefusing(now)
 	d.submitHeld(now)
 	d.expireJobs(now)
 	d.refuseUnfinishable(now)
@@ -173,9 +195,15 @@
 	case ev.closed != 0:
 		d.closeSession(now, ev.closed, "closed")
 	case ev.query != nil:
-		d.query(*ev.query)
+		d.query(now, *ev.query)
 	case ev.version != nil:
-		d.updateVersion(ev.version, ev.config)
+		d.updateVersion(now, ev)
+	case ev.storeRead != nil:
+		d.configuration.Refuted(ev.storeRead.newest, ev.storeRead.began)
+	case ev.storeAnswers != nil:
+		d.storeAnswers = *ev.storeAnswers
+	case ev.unusable != 0:
+		d.configuration.Unusable(ev.unusable)
 	case ev.shutdown != nil:
 		d.shutDown(now, *ev.shutdown)
 	}
@@ -183,7 +211,7 @@
 
 // Ready reports whether the entry can serve new callers.
 func (d *Dispatch) Ready() bool {
-	return d.version != nil && !d.leaving && d.usableAgents() > 0
+	return d.version != nil && !d.leaving && d.usableAgents() > 0 && !d.refusing
 }
 
 // Idle reports whether the entry holds no job.
@@ -196,15 +224,6 @@
 	return d.version
 }
 
-func (d *Dispatch) updateVersion(v *route.Version, c frame.Config) {
-	if d.version != nil && v.Number() <= d.version.Number() {
-		return
-	}
-	d.version = v
-	d.config = c
-	d.logEvent(event.ConfigChanged, event.F("version", v.Number()), event.F("routes", len(v.Routes())))
-}
-
 func (d *Dispatch) usableAgents() int {
 	n := 0
 	for _, a := range d.agents {
@@ -227,10 +246,11 @@
 		}
 	}
 	for _, n := range d.peersWhere(func(p *peer) bool {
-		return !p.introduced || len(p.cancels) > 0 || now-p.lastSent >= d.timing.heartbeatInterval || d.config.Number() > p.knownConfig
+		return !p.introduced || len(p.cancels) > 0 || now-p.lastSent >= d.timing.heartbeatInterval
 	}) {
 		d.sendPeer(now, d.peers[n])
 	}
+	d.sendConfiguration(now)
 }
 
 // peersWhere returns the sorted session numbers of the entries for which ok holds.
@@ -246,13 +266,11 @@
 }
 
 func (d *Dispatch) sendPeer(now time.Duration, p *peer) {
-	f := frame.Frame{
-		Clock:         now,
-		ConfigVersion: d.config.Number(),
-		Leaving:       d.leaving,
-		Cancels:       p.cancels,
-	}
-	p.knownConfig = d.attachConfig(&f, p.knownConfig)
+	f := d.configuration.Announce(now, frame.Frame{
+		Clock:   now,
+		Leaving: d.leaving,
+		Cancels: p.cancels,
+	})
 	p.introduced = true
 	p.cancels = nil
 	p.lastSent = now
@@ -262,18 +280,6 @@
 	})
 }
 
-// attachConfig adds the configuration to a frame for a process that knows an older
-// one. It returns the number of the configuration that the process knows after the
-// frame.
-func (d *Dispatch) attachConfig(f *frame.Frame, known int64) int64 {
-	if d.config.Number() <= known {
-		return known
-	}
-	c := d.config
-	f.Config = &c
-	return c.Number()
-}
-
 // resourcesOrZero returns the resources, or none if a value is invalid. A negative
 // value means that queued starts need more than is free.
 func resourcesOrZero(cores, memory, accels int64) task.Resources {
--- a/internal/process/role/dispatch/event.go
+++ b/internal/process/role/dispatch/event.go
@@ -21,6 +21,11 @@
 	query      *Query
 	version    *route.Version
 	config     frame.Config
+	arrival    Arrival
+	storeRead  *storeRead
+	unusable   int64
+	// storeAnswers is whether the store answers this entry.
+	storeAnswers *bool
 	// shutdown is how long an entry that was told to shut down still answers.
 	shutdown *time.Duration
 	// queued is when the event was queued for the state machine, 0 if it is not known.
@@ -140,15 +145,6 @@
 	}
 }
 
-// VersionReceived is the event of a configuration and its stored bytes. It is
-// ignored unless it is newer than the active one.
-func VersionReceived(v *route.Version, c frame.Config) Event {
-	return Event{
-		version: v,
-		config:  c,
-	}
-}
-
 // Query is a request for the state of a job, or of the queue if the path names no
 // job.
 type Query struct {
@@ -292,7 +288,7 @@
 	answers         []Answer
 	frames          []OutgoingFrame
 	sessionsToClose []uint64
-	configs         []frame.Config
+	configs         []ReceivedConfig
 	notes           []event.Note
 }
 
@@ -310,7 +306,7 @@
 }
 
 // Configs returns the newer configurations that were received from other processes.
-func (o Output) Configs() []frame.Config {
+func (o Output) Configs() []ReceivedConfig {
 	return o.configs
 }
 
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -66,15 +66,20 @@
 	dispatch *dispatch.Dispatch
 	ring     *ring.Ring[any]
 	links    *links
+	decoder  *decoder
 	streams  map[uint64]*stream.Stream
 	roles    map[uint64]frame.Role
 	replies  map[uint64]chan dispatch.Answer
-	peers    []frame.Peer
+	// peers are the entries that were sent to all agents at peersSent.
+	peers     []frame.Peer
+	peersSent time.Duration
 	// events is reused by takeAll.
 	events      []dispatch.Event
 	lastRequest atomic.Uint64
 	ready       atomic.Bool
 	idle        atomic.Bool
+	// reread is set while the store has to be read anew.
+	reread atomic.Bool
 	// waiting is the number of requests without an answer of the dispatcher.
 	waiting atomic.Int64
 	version atomic.Pointer[route.Version]
@@ -108,7 +113,7 @@
 
 func (e *Entry) assemble() error {
 	b := e.base
-	h := handlers(e.ring, b.clock)
+	h := handlers(e.ring, b)
 	if err := b.add("dispatch", "Assigns tasks to targets and answers callers.", func() (int, int, int64) {
 		return e.ring.Depth(), e.ring.Size(), e.ring.Rejected()
 	}, e.run); err != nil {
@@ -125,11 +130,26 @@
 	if err := b.watchSettings(b.deps.Reload, e.links); err != nil {
 		return err
 	}
-	if err := b.add("configuration", "Watches the operators' configuration.", nil, func(ctx context.Context) error {
-		return watchConfiguration(ctx, b, e.configurationRead)
+	if e.decoder, err = newDecoder(b, func(ctx context.Context, ev dispatch.Event) {
+		_ = e.ring.Push(ctx, ev)
 	}); err != nil {
 		return err
 	}
+	w := configurationWatch{
+		deps:  b.deps,
+		clock: b.clock,
+		log:   b.log,
+		read: func(ctx context.Context, u undecoded) {
+			_ = e.decoder.ring.Push(ctx, u)
+		},
+		answers: func(ctx context.Context, answers bool) {
+			_ = e.ring.Push(ctx, dispatch.StoreAnswers(answers))
+		},
+		reread: e.reread.Load,
+	}
+	if err := b.add("configuration", "Watches the operators' configuration.", nil, w.run); err != nil {
+		return err
+	}
 	if err := b.add("registration", "Renews the store key that announces this entry's address.", nil, func(ctx context.Context) error {
 		return register(ctx, b.deps.Store, b.settings.name, b.settings.advertised, b.lingered, b.logEvent)
 	}); err != nil {
@@ -147,7 +167,7 @@
 
 // handlers returns stream handlers that push each event into a ring. A push blocks
 // while the ring is full, which delays only its own stream.
-func handlers(r *ring.Ring[any], clock func() time.Duration) stream.Handlers {
+func handlers(r *ring.Ring[any], b *base) stream.Handlers {
 	ctx := context.Background()
 	return stream.Handlers{
 		Opened: func(s *stream.Stream, hello frame.Hello) {
@@ -160,7 +180,7 @@
 			_ = r.Push(ctx, frameReceived{
 				stream: s,
 				frame:  f,
-				at:     clock(),
+				at:     b.clock(),
 			})
 		},
 		Closed: func(s *stream.Stream) {
@@ -168,6 +188,7 @@
 				stream: s,
 			})
 		},
+		Sent: b.observer.countSent,
 	}
 }
 
@@ -260,8 +281,3 @@
 	e.base.logEvent(event.JobRefused, event.F("reason", reason), event.F("retry_after_ms", retryAfter.Milliseconds()))
 	return dispatch.Refused(reason, retryAfter)
 }
-
-// configurationRead passes a stored configuration to the duty.
-func (e *Entry) configurationRead(ctx context.Context, body []byte) {
-	_ = e.ring.Push(ctx, frame.NewConfig(0, body))
-}
--- a/internal/process/role/server/entryloop.go
+++ b/internal/process/role/server/entryloop.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"runtime"
+	"slices"
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/connection/stream"
-	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/role/dispatch"
 )
 
@@ -38,6 +38,7 @@
 			e.handle(e.takeAll(m)...)
 		case <-ticker.C:
 			e.handle(dispatch.Tick())
+			e.base.watchUnsent(e.streams)
 		case <-ctx.Done():
 			return nil
 		}
@@ -85,17 +86,26 @@
 		delete(e.streams, m.stream.Number())
 		delete(e.roles, m.stream.Number())
 		return []dispatch.Event{dispatch.SessionClosed(m.stream.Number())}
-	case frame.Config:
-		return e.decodeConfiguration(m)
 	case entriesFound:
-		e.peers = m.peers
-		for _, s := range e.streams {
-			e.sendPeers(s)
-		}
+		e.entriesFound(m.peers)
 	}
 	return nil
 }
 
+// entriesFound sends a changed list of entries to all agents, and an unchanged one often
+// enough that agents do not forget the addresses.
+func (e *Entry) entriesFound(peers []frame.Peer) {
+	now := e.base.clock()
+	if slices.Equal(peers, e.peers) && now-e.peersSent < addressTTL/3 {
+		return
+	}
+	e.peers = peers
+	e.peersSent = now
+	for _, s := range e.streams {
+		e.sendPeers(s)
+	}
+}
+
 // sendPeers sends the addresses of the known entries to an agent.
 func (e *Entry) sendPeers(s *stream.Stream) {
 	if len(e.peers) == 0 || e.roles[s.Number()] != frame.RoleAgent {
@@ -106,22 +116,11 @@
 	})
 }
 
-// decodeConfiguration returns the event of a stored configuration. An invalid one is
-// logged and ignored.
-func (e *Entry) decodeConfiguration(c frame.Config) []dispatch.Event {
-	v, err := e.base.deps.Decode(c.Body())
-	if err != nil {
-		e.base.log(event.New(event.ConfigInvalid, event.F("error", err.Error()), event.F("bytes", len(c.Body()))).About("configuration"))
-		return nil
-	}
-	for _, err := range v.LeftOut() {
-		e.base.log(event.New(event.ValueInvalid, event.F("version", v.Number()), event.F("error", err.Error())).About(err.Error()))
-	}
-	return []dispatch.Event{dispatch.VersionReceived(v, frame.NewConfig(v.Number(), c.Body()))}
-}
-
 // handle passes events to the dispatcher and carries out its output.
 func (e *Entry) handle(events ...dispatch.Event) {
+	if e.base.deps.OnPass != nil {
+		e.base.deps.OnPass()
+	}
 	out := e.dispatch.Handle(e.base.clock(), events...)
 	for _, n := range out.Notes() {
 		e.base.log(n)
@@ -145,9 +144,16 @@
 		}
 	}
 	for _, c := range out.Configs() {
-		e.handle(e.decodeConfiguration(c)...)
+		// If the ring is full, the configuration is fetched again unless a newer one is
+		// active by then.
+		_ = e.decoder.ring.TryPush(undecoded{
+			packed:  c.Config(),
+			arrival: c.Arrival(),
+			at:      e.base.clock(),
+		})
 	}
 	e.ready.Store(e.dispatch.Ready())
 	e.idle.Store(e.dispatch.Idle())
+	e.reread.Store(e.dispatch.RereadStore(e.base.clock()))
 	e.version.Store(e.dispatch.Version())
 }
