--- a/internal/connection/transfer/exchange.go
+++ b/internal/connection/transfer/exchange.go
@@ -123,11 +123,6 @@
 	return x.supply.Next(now, x.held)
 }
 
-// Active reports whether a piece is to be sent or received.
-func (x *Exchange) Active() bool {
-	return x.supply.Waiting() || x.fetch.waiting
-}
-
 // Closed records that a session has ended.
 func (x *Exchange) Closed(session uint64) {
 	x.fetch.Closed(session)
--- a/internal/process/role/dispatch/configuration.go
+++ b/internal/process/role/dispatch/configuration.go
@@ -16,10 +16,10 @@
 	// without a configuration.
 	storeAdvantage = 400 * time.Millisecond
 	startAdvantage = 100 * time.Millisecond
-	// refusalShare is the part of the time in which a configuration must be in force after
-	// which an entry that lacks it refuses new jobs. The rest is for the way of the number
-	// from the store to this entry.
-	refusalShare = 2
+	// refusalDivisor divides the time in which a configuration must be in force. An entry
+	// that lacks it for longer than the result refuses new jobs. The rest is for the way of
+	// the number from the store to this entry.
+	refusalDivisor = 2
 	// rereadAge is from when on an entry that is behind reads the store anew: the watch
 	// that was open when it learned of the version has ended without it.
 	rereadAge = 1200 * time.Millisecond
@@ -96,7 +96,7 @@
 // has: the store and all that have the version are lost, and waiting helps no caller.
 func (d *Dispatch) updateRefusing(now time.Duration) {
 	age, source, behind := d.configuration.Behind(now)
-	refusing := behind && d.version != nil && age >= d.timing.configApply/refusalShare && d.newerAvailable()
+	refusing := behind && d.version != nil && age >= d.timing.configApply/refusalDivisor && d.newerAvailable()
 	if refusing == d.refusing {
 		return
 	}
