Pass cancellations on from entry to entry, answer agents only when heard

Cause: an entry told all other entries of a cancellation, which ends when entries are connected to few others. And an entry sent each agent a frame each 200 ms although none of the agent's had come since: it echoes the same time, so it tells the agent nothing.

Change: an entry passes on a cancellation that it has not passed on in the last 5 s and whose job it does not have. Frames without content are only answers. TestCancelsArePassedOn fails in other_entrys_job on the former code, which passes nothing on.

--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -110,18 +110,14 @@
 	}
 }
 
-// frameDue reports whether a frame to the agent is due.
+// frameDue reports whether a frame to the agent is due. Without content, a frame is only
+// an answer: it echoes the time of a frame of the agent, which keeps the session. One that
+// echoes the same time again would tell the agent nothing.
 func (a *agent) frameDue(now time.Duration, t Timing) bool {
 	if !a.introduced || len(a.starts)+len(a.stops)+len(a.cancels) > 0 {
 		return true
 	}
-	// An answer to a frame of the agent echoes a recent time, which keeps the session
-	// when frames are late.
-	interval := t.heartbeatInterval
-	if len(a.runs) > 0 || a.heard {
-		interval /= 2
-	}
-	return now-a.lastSent >= interval
+	return a.heard && now-a.lastSent >= t.heartbeatInterval/2
 }
 
 // reportInterval returns the interval at which each agent may report free capacity,
@@ -289,9 +285,7 @@
 		p.lastSeen = now
 		p.knownConfig = max(p.knownConfig, message.frame.ConfigVersion)
 		d.receiveConfiguration(now, message, p.name)
-		for _, job := range message.frame.Cancels {
-			d.cancelJob(now, job)
-		}
+		d.receiveCancels(now, p, message.frame.Cancels)
 		return
 	}
 	a, ok := d.sessions[message.session]
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -106,6 +106,7 @@
 	lowestLoad   float64
 	loadMeasured bool
 	startup      startup
+	passedOn     passedOn
 	leaving      bool
 	// lastAnswer is when a leaving entry has answered all callers.
 	lastAnswer time.Duration
@@ -152,6 +153,7 @@
 		estimates: newEstimator(),
 		fairness:  newFairness(),
 		overload:  newOverload(timing),
+		passedOn:  newPassedOn(),
 	}
 }
 
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -322,43 +322,6 @@
 	d.finish(now, j, StateExpired, reasonCallersLeft)
 }
 
-// cancel ends a job on request. The job of another entry is cancelled by messages
-// to all entries and agents.
-func (d *Dispatch) cancel(now time.Duration, c Cancel) {
-	if d.version == nil {
-		d.answer(c.request, StateRefused, reasonNoConfiguration, defaultRetryAfter)
-		return
-	}
-	_, id, ok := d.findRoute(c.host, c.path)
-	if !ok {
-		st, reason, retryAfter := d.unknownRoute(now)
-		d.answer(c.request, st, reason, retryAfter)
-		return
-	}
-	if d.cancelJob(now, id) {
-		d.answer(c.request, StateCancelled, "cancelled", 0)
-		return
-	}
-	for _, p := range d.peers {
-		p.cancels = append(p.cancels, id)
-	}
-	for _, a := range d.connected {
-		a.cancels = append(a.cancels, id)
-	}
-	d.answer(c.request, StateGone, "no_job", 0)
-}
-
-// cancelJob ends a job and reports whether this entry had it.
-func (d *Dispatch) cancelJob(now time.Duration, id string) bool {
-	j, ok := d.jobs[id]
-	if !ok {
-		return id != "" && d.cancelHeld(now, id)
-	}
-	d.logEvent(event.JobCancelled, event.F("job", id), event.F("trace", j.trace))
-	d.finish(now, j, StateCancelled, "cancelled")
-	return true
-}
-
 // keepOutcome keeps the outcome of a finished job for answerRetention.
 func (d *Dispatch) keepOutcome(now time.Duration, id string, s State) {
 	d.finished[id] = finishedJob{
