Keep 12 connections an agent whatever the number of entries

Change: the links duty of agents dials the entries that subset chooses, 8 of 12 in its own availability zone, and of each two entries the one with the lower address opens a connection if one of them chooses the other (4, 2 of them in the own zone). Entries register their zone beside the address and agents get it with the list; a value without a zone is read as before.

--- a/internal/connection/frame/codec.go
+++ b/internal/connection/frame/codec.go
@@ -184,4 +184,5 @@
 func (p Peer) encode(e *encoder) {
 	e.text(1, p.name)
 	e.text(2, p.address)
+	e.text(3, p.zone)
 }
--- a/internal/connection/frame/decode.go
+++ b/internal/connection/frame/decode.go
@@ -319,6 +319,8 @@
 		p.name = string(x.bytes)
 	case 2:
 		p.address = string(x.bytes)
+	case 3:
+		p.zone = string(x.bytes)
 	}
 	return nil
 }
--- a/internal/connection/frame/frame.go
+++ b/internal/connection/frame/frame.go
@@ -182,6 +182,7 @@
 type Peer struct {
 	name    string
 	address string
+	zone    string
 }
 
 // NewPeer returns a process and the address at which it accepts connections.
@@ -200,6 +201,17 @@
 	return p.address
 }
 
+// InZone returns the peer with its availability zone.
+func (p Peer) InZone(zone string) Peer {
+	p.zone = zone
+	return p
+}
+
+// Zone returns the availability zone, empty if it is not known.
+func (p Peer) Zone() string {
+	return p.zone
+}
+
 // Frame is one message between two processes. Fields with a zero value are absent.
 type Frame struct {
 	Hello        *Hello
--- a/internal/connection/frame/frame_test.go
+++ b/internal/connection/frame/frame_test.go
@@ -41,7 +41,7 @@
 		Started:          []frame.RunID{id},
 		Ended:            []frame.Ended{frame.NewEnded(id, 2, time.Second)},
 		Progress:         []frame.Progress{frame.NewProgress(id, 41, time.Second)},
-		Peers:            []frame.Peer{frame.NewPeer("entry_1", "10.0.0.2:7400")},
+		Peers:            []frame.Peer{frame.NewPeer("entry_1", "10.0.0.2:7400").InZone("zone_a")},
 		Cancels:          []string{"job"},
 	}
 }
--- a/internal/process/role/dispatch/simulation/cluster_test.go
+++ b/internal/process/role/dispatch/simulation/cluster_test.go
@@ -100,6 +100,11 @@
 	trace []string
 	// callerTimeout is how long callers wait.
 	callerTimeout time.Duration
+	// fleet bounds the connections of agents; nil for connections of each to all.
+	fleet *simFleet
+	// frames and frameBytes count what was sent.
+	frames     int
+	frameBytes int
 	// network carries the frames; nil for links without a bound.
 	network *simNetwork
 	// store has the configuration that entries read; nil if entries are given theirs.
@@ -158,12 +163,13 @@
 
 func (c *cluster) addProcesses(entries, agents int) {
 	for i := range agents {
-		c.agents = append(c.agents, newSimAgent(c, fmt.Sprintf("agent_%d", i)))
+		c.agents = append(c.agents, newSimAgent(c, fmt.Sprintf("agent_%d", i), c.zoneOf(i)))
 	}
 	for i := range entries {
 		e := &simEntry{
 			c:    c,
 			name: entryName(i),
+			zone: c.zoneOf(i),
 		}
 		e.start()
 		c.entries = append(c.entries, e)
--- a/internal/process/role/dispatch/simulation/link_test.go
+++ b/internal/process/role/dispatch/simulation/link_test.go
@@ -17,6 +17,8 @@
 	e           *simEntry
 	lastToAgent time.Duration
 	lastToEntry time.Duration
+	openedAt    time.Duration
+	released    bool
 	agentOpen   bool
 	entryOpen   bool
 }
@@ -28,13 +30,14 @@
 		number:    c.session,
 		a:         a,
 		e:         e,
+		openedAt:  c.now,
 		agentOpen: true,
 		entryOpen: true,
 	}
 	a.links[l.number] = l
 	e.links[l.number] = l
-	e.handle(dispatch.SessionOpened(l.number, frame.NewHello(a.name, a.incarnation, "zone", "", frame.RoleAgent)))
-	a.handle(executor.SessionOpened(l.number, frame.NewHello(e.name, e.incarnation, "zone", e.name, frame.RoleEntry)))
+	e.handle(dispatch.SessionOpened(l.number, frame.NewHello(a.name, a.incarnation, a.zone, "", frame.RoleAgent)))
+	a.handle(executor.SessionOpened(l.number, frame.NewHello(e.name, e.incarnation, e.zone, e.name, frame.RoleEntry)))
 }
 
 // arrival returns the delay of something that is sent now. Arrivals keep the order
@@ -110,7 +113,10 @@
 	if c.network != nil {
 		return f
 	}
-	x, err := frame.Decode(frame.Encode(f))
+	b := frame.Encode(f)
+	c.frames++
+	c.frameBytes += len(b)
+	x, err := frame.Decode(b)
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/process/role/dispatch/simulation/process_test.go
+++ b/internal/process/role/dispatch/simulation/process_test.go
@@ -41,6 +41,7 @@
 	process
 	c           *cluster
 	name        string
+	zone        string
 	incarnation uint64
 	d           *dispatch.Dispatch
 	links       map[uint64]*simLink
@@ -60,7 +61,7 @@
 
 func (e *simEntry) start() {
 	e.incarnation++
-	e.d = dispatch.New(frame.NewHello(e.name, e.incarnation, "zone", e.name, frame.RoleEntry),
+	e.d = dispatch.New(frame.NewHello(e.name, e.incarnation, e.zone, e.name, frame.RoleEntry),
 		dispatch.NewTiming(sessionTimeout, executor.NewTiming(lease, sessionTimeout, heartbeatInterval).RunsEndWithin(), heartbeatInterval))
 	e.links = map[uint64]*simLink{}
 	e.peerLinks = map[uint64]*simPeerLink{}
@@ -82,7 +83,18 @@
 	e.c.after(tickInterval, func() { e.tick(incarnation) })
 }
 
+// kill ends the entry, which starts again soon.
 func (e *simEntry) kill() {
+	e.end()
+	e.c.after(300*time.Millisecond+e.c.jitter(500), func() {
+		if e.d == nil && !e.c.lost(e) {
+			e.start()
+		}
+	})
+}
+
+// end ends the entry.
+func (e *simEntry) end() {
 	e.incarnation++
 	for _, l := range sortedLinks(e.links) {
 		l.close(true)
@@ -94,7 +106,6 @@
 	e.d = nil
 	e.delayed = nil
 	e.frozenUntil = 0
-	e.c.after(300*time.Millisecond+e.c.jitter(500), e.start)
 }
 
 // sortedLinks returns links in the order in which they were opened, so that a seed
@@ -179,6 +190,7 @@
 	process
 	c           *cluster
 	name        string
+	zone        string
 	incarnation uint64
 	s           *executor.StateMachine
 	target      *simTarget
@@ -188,10 +200,11 @@
 	partitionedUntil map[string]time.Duration
 }
 
-func newSimAgent(c *cluster, name string) *simAgent {
+func newSimAgent(c *cluster, name, zone string) *simAgent {
 	a := &simAgent{
 		c:                c,
 		name:             name,
+		zone:             zone,
 		target:           newSimTarget(c, name, 32),
 		partitionedUntil: map[string]time.Duration{},
 	}
@@ -235,19 +248,25 @@
 	a.c.after(500*time.Millisecond+a.c.jitter(1000), a.forwardReports)
 }
 
-// dial opens connections to the entries that have none.
+// dial opens connections to the chosen entries that have none.
 func (a *simAgent) dial(incarnation uint64) {
 	if a.incarnation != incarnation {
 		return
 	}
+	chosen := a.choose()
 	for _, e := range a.c.entries {
-		if a.s != nil && e.d != nil && a.c.now >= a.frozenUntil && a.c.now >= e.frozenUntil && a.c.now >= a.partitionedUntil[e.name] && !a.connected(e) {
+		if chosen(e) && a.reaches(e) && !a.connected(e) {
 			newSimLink(a.c, a, e)
 		}
 	}
 	a.c.after(100*time.Millisecond, func() { a.dial(incarnation) })
 }
 
+// reaches reports whether a connection between the two would open.
+func (a *simAgent) reaches(e *simEntry) bool {
+	return a.s != nil && e.d != nil && a.c.now >= a.frozenUntil && a.c.now >= e.frozenUntil && a.c.now >= a.partitionedUntil[e.name]
+}
+
 func (a *simAgent) connected(e *simEntry) bool {
 	for _, l := range a.links {
 		if l.e == e {
--- a/internal/process/role/dispatch/simulation/store_test.go
+++ b/internal/process/role/dispatch/simulation/store_test.go
@@ -212,8 +212,8 @@
 			}
 			e.peerLinks[l.number] = l
 			o.peerLinks[l.number] = l
-			e.handle(dispatch.SessionOpened(l.number, frame.NewHello(o.name, o.incarnation, "zone", o.name, frame.RoleEntry)))
-			o.handle(dispatch.SessionOpened(l.number, frame.NewHello(e.name, e.incarnation, "zone", e.name, frame.RoleEntry)))
+			e.handle(dispatch.SessionOpened(l.number, frame.NewHello(o.name, o.incarnation, o.zone, o.name, frame.RoleEntry)))
+			o.handle(dispatch.SessionOpened(l.number, frame.NewHello(e.name, e.incarnation, e.zone, e.name, frame.RoleEntry)))
 		}
 	}
 	e.c.after(100*time.Millisecond, func() { e.dialPeers(incarnation) })
--- a/internal/process/role/executor/configuration.go
+++ b/internal/process/role/executor/configuration.go
@@ -60,6 +60,6 @@
 func (s *StateMachine) sendConfigurationFrame(now time.Duration, session uint64, f frame.Frame) {
 	f = s.configuration.Announce(now, f)
 	f.Clock = now
-	f.Leaving = s.leaving
+	f.Leaving = s.leaving || s.sessions[session].releasing
 	s.out.frames = append(s.out.frames, NewOutgoingFrame(session, f))
 }
--- a/internal/process/role/executor/event.go
+++ b/internal/process/role/executor/event.go
@@ -15,6 +15,7 @@
 	opened       *Opened
 	received     *Received
 	closed       uint64
+	released     uint64
 	report       *Report
 	left         string
 	commandReply *CommandReply
@@ -62,6 +63,13 @@
 	}
 }
 
+// SessionReleased returns the event that a connection is not needed any more.
+func SessionReleased(session uint64) Event {
+	return Event{
+		released: session,
+	}
+}
+
 // String returns the incarnation as ID@STARTED, for logs and other processes.
 func (i Incarnation) String() string {
 	return i.id + "@" + strconv.FormatInt(i.started, 10)
--- a/internal/process/role/executor/executor.go
+++ b/internal/process/role/executor/executor.go
@@ -226,6 +226,8 @@
 		s.handleFrame(now, *ev.received)
 	case ev.closed != 0:
 		s.closeSession(now, ev.closed, "closed")
+	case ev.released != 0:
+		s.releaseSession(ev.released)
 	case ev.report != nil:
 		s.handleReport(now, *ev.report)
 	case ev.left != "":
--- a/internal/process/role/executor/session.go
+++ b/internal/process/role/executor/session.go
@@ -31,6 +31,11 @@
 	knownConfig int64
 	keepConfig  bool
 	sendNow     bool
+	// releasing is set once the connection is not needed any more.
+	releasing bool
+	// reported is when the last frame was sent that the entry must have processed before
+	// a releasing session is closed, 0 if the end of the session was not announced yet.
+	reported time.Duration
 }
 
 func (s *StateMachine) openSession(now time.Duration, o Opened) {
@@ -118,8 +123,40 @@
 	}
 }
 
+// releaseSession announces to an entry that it gets no more capacity on this connection.
+func (s *StateMachine) releaseSession(number uint64) {
+	if sess, ok := s.sessions[number]; ok && !sess.releasing {
+		sess.releasing = true
+		sess.sendNow = true
+	}
+}
+
+// closeReleased closes the released sessions that nothing depends on any more: no run is
+// left, and the entry has echoed a later time than that of the announcement and of the
+// last end, so that it has processed both and its starts from before have all arrived.
+func (s *StateMachine) closeReleased(now time.Duration) {
+	for _, n := range s.sessionNumbers() {
+		sess := s.sessions[n]
+		if !sess.releasing || sess.reported == 0 || sess.echo <= sess.reported || len(sess.ended) > 0 || s.hasRuns(n) {
+			continue
+		}
+		s.out.sessionsToClose = append(s.out.sessionsToClose, n)
+		s.closeSession(now, n, "released")
+	}
+}
+
+func (s *StateMachine) hasRuns(session uint64) bool {
+	for _, r := range s.runs {
+		if r.session == session {
+			return true
+		}
+	}
+	return false
+}
+
 // flush sends a frame to each entry for which one is due.
 func (s *StateMachine) flush(now time.Duration) {
+	s.closeReleased(now)
 	for _, n := range s.sessionNumbers() {
 		sess := s.sessions[n]
 		sinceSent := now - sess.sent
@@ -136,12 +173,15 @@
 	f := s.configuration.Announce(now, frame.Frame{
 		Clock:            now,
 		EarlierRunsEnded: s.earlierRunsEnded(sess),
-		Leaving:          s.leaving,
+		Leaving:          s.leaving || sess.releasing,
 		FreeCapacity:     &freeCapacity,
 		Started:          sess.started,
 		Ended:            sess.ended,
 		Progress:         sess.progress,
 	})
+	if sess.releasing && (sess.reported == 0 || len(sess.started)+len(sess.ended) > 0) {
+		sess.reported = now
+	}
 	if !sess.targetSent {
 		t := s.target.describe(s.leaving)
 		f.Target = &t
--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -33,13 +33,15 @@
 
 // Agent is the process that controls the target on its host.
 type Agent struct {
-	base      *base
-	executor  *executor.StateMachine
-	ring      *ring.Ring[any]
-	commands  *ring.Ring[executor.Command]
-	renewals  *ring.Ring[executor.Renewal]
-	links     *links
-	streams   map[uint64]*stream.Stream
+	base     *base
+	executor *executor.StateMachine
+	ring     *ring.Ring[any]
+	commands *ring.Ring[executor.Command]
+	renewals *ring.Ring[executor.Renewal]
+	links    *links
+	streams  map[uint64]*stream.Stream
+	// addresses are the addresses of the entries by stream number.
+	addresses map[uint64]string
 	connected atomic.Int64
 	drained   atomic.Bool
 }
@@ -56,8 +58,9 @@
 		// The start time is the first fencing token, since a later process starts at
 		// a later time of day. If the clock was set back, the target rejects the token
 		// and the state machine raises it.
-		executor: executor.New(s.executorTiming(), time.Now().UnixMilli()),
-		streams:  map[uint64]*stream.Stream{},
+		executor:  executor.New(s.executorTiming(), time.Now().UnixMilli()),
+		streams:   map[uint64]*stream.Stream{},
+		addresses: map[uint64]string{},
 	}
 	if err := a.assemble(calls); err != nil {
 		b.cleanup()
@@ -95,7 +98,7 @@
 			return err
 		}
 	}
-	if a.links, err = newLinks(b, handlers(a.ring, b), func(string) bool { return true }); err != nil {
+	if a.links, err = newLinks(b, handlers(a.ring, b), a.ring); err != nil {
 		return err
 	}
 	if err := b.watchSettings(b.deps.Reload, a.links); err != nil {
@@ -179,14 +182,22 @@
 	case streamOpened:
 		a.streams[m.stream.Number()] = m.stream
 		a.connected.Store(int64(len(a.streams)))
-		a.links.addPeers([]frame.Peer{frame.NewPeer(m.hello.Name(), m.hello.Address())})
+		a.addresses[m.stream.Number()] = m.hello.Address()
+		a.links.addPeers([]frame.Peer{frame.NewPeer(m.hello.Name(), m.hello.Address()).InZone(m.hello.Zone())})
 		a.handle(executor.SessionOpened(m.stream.Number(), m.hello))
 	case frameReceived:
 		a.handle(executor.FrameReceived(m.stream.Number(), m.frame))
 	case streamClosed:
 		delete(a.streams, m.stream.Number())
+		delete(a.addresses, m.stream.Number())
 		a.connected.Store(int64(len(a.streams)))
 		a.handle(executor.SessionClosed(m.stream.Number()))
+	case connectionReleased:
+		for n, address := range a.addresses {
+			if address == m.address {
+				a.handle(executor.SessionReleased(n))
+			}
+		}
 	}
 }
 
--- a/internal/process/role/server/entries_test.go
+++ b/internal/process/role/server/entries_test.go
@@ -24,9 +24,14 @@
 		value string
 		cause error
 		want  string
+		zone  string
 	}{
 		"good":              {key: entriesPrefix + "entry_2", value: "10.0.0.2:7400", want: "10.0.0.2:7400"},
 		"other_spelling":    {key: entriesPrefix + "entry_2", value: "[::ffff:10.0.0.2]:7400", want: "10.0.0.2:7400"},
+		"with_zone":         {key: entriesPrefix + "entry_2", value: "10.0.0.2:7400 zone_a", want: "10.0.0.2:7400", zone: "zone_a"},
+		"odd_zone":          {key: entriesPrefix + "entry_2", value: "10.0.0.2:7400 \x00 \xff", want: "10.0.0.2:7400", zone: "\x00 \xff"},
+		"long_zone":         {key: entriesPrefix + "odd", value: "10.0.0.2:7400 " + strings.Repeat("z", 129)},
+		"zone_alone":        {key: entriesPrefix + "odd", value: " zone_a"},
 		"unreadable":        {key: entriesPrefix + "entry_2", cause: errors.New("can't be read")},
 		"no_key":            {value: "10.0.0.2:7400"},
 		"short_key":         {key: "green", value: "10.0.0.2:7400"},
@@ -54,7 +59,7 @@
 					return
 				}
 				So(notes, ShouldBeEmpty)
-				So(peers, ShouldResemble, []frame.Peer{want[0], frame.NewPeer("entry_2", tt.want), want[1]})
+				So(peers, ShouldResemble, []frame.Peer{want[0], frame.NewPeer("entry_2", tt.want).InZone(tt.zone), want[1]})
 			})
 		})
 	}
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -68,7 +68,7 @@
 	links    *links
 	decoder  *decoder
 	streams  map[uint64]*stream.Stream
-	roles    map[uint64]frame.Role
+	hellos   map[uint64]frame.Hello
 	replies  map[uint64]chan dispatch.Answer
 	// peers are the entries that were sent to all agents at peersSent.
 	peers     []frame.Peer
@@ -101,7 +101,7 @@
 		dispatch: dispatch.New(b.hello, s.dispatchTiming()),
 		ring:     r,
 		streams:  map[uint64]*stream.Stream{},
-		roles:    map[uint64]frame.Role{},
+		hellos:   map[uint64]frame.Hello{},
 		replies:  map[uint64]chan dispatch.Answer{},
 	}
 	if err := e.assemble(); err != nil {
@@ -123,8 +123,7 @@
 		return err
 	}
 	var err error
-	// Of two entries, the one with the lower address opens the connection.
-	if e.links, err = newLinks(b, h, func(address string) bool { return address > b.settings.advertised }); err != nil {
+	if e.links, err = newLinks(b, h, e.ring); err != nil {
 		return err
 	}
 	if err := b.watchSettings(b.deps.Reload, e.links); err != nil {
@@ -151,7 +150,7 @@
 		return err
 	}
 	if err := b.add("registration", "Renews the store key that announces this entry's address.", nil, func(ctx context.Context) error {
-		return register(ctx, b.deps.Store, b.settings.name, b.settings.advertised, b.lingered, b.logEvent)
+		return register(ctx, b.deps.Store, b.settings.peer(), b.lingered, b.logEvent)
 	}); err != nil {
 		return err
 	}
--- a/internal/process/role/server/entryloop.go
+++ b/internal/process/role/server/entryloop.go
@@ -9,6 +9,7 @@
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/connection/stream"
 	"greengagedoor.example/greengagedoor/internal/process/role/dispatch"
+	"greengagedoor.example/greengagedoor/internal/process/subset"
 )
 
 // maxBatch bounds the events of one pass of the dispatcher, so that answers and
@@ -77,38 +78,66 @@
 		return []dispatch.Event{m}
 	case streamOpened:
 		e.streams[m.stream.Number()] = m.stream
-		e.roles[m.stream.Number()] = m.hello.Role()
+		e.hellos[m.stream.Number()] = m.hello
 		e.sendPeers(m.stream)
 		return []dispatch.Event{dispatch.SessionOpened(m.stream.Number(), m.hello)}
 	case frameReceived:
 		return []dispatch.Event{dispatch.FrameReceived(m.stream.Number(), m.frame).QueuedAt(m.at)}
 	case streamClosed:
 		delete(e.streams, m.stream.Number())
-		delete(e.roles, m.stream.Number())
+		delete(e.hellos, m.stream.Number())
 		return []dispatch.Event{dispatch.SessionClosed(m.stream.Number())}
 	case entriesFound:
 		e.entriesFound(m.peers)
+	case connectionReleased:
+		e.release(m.address)
 	}
 	return nil
 }
 
-// entriesFound sends a changed list of entries to all agents, and an unchanged one often
-// enough that agents do not forget the addresses.
+// release closes the connection to another entry, which holds no runs.
+func (e *Entry) release(address string) {
+	for n, s := range e.streams {
+		if h := e.hellos[n]; h.Role() == frame.RoleEntry && h.Address() == address {
+			s.Close()
+		}
+	}
+}
+
+// refreshers is the number of entries that send an unchanged list to an agent.
+const refreshers = 3
+
+// entriesFound sends a changed list of entries to all agents. An unchanged one is sent
+// often enough that agents do not forget the addresses, but by few of an agent's entries.
 func (e *Entry) entriesFound(peers []frame.Peer) {
 	now := e.base.clock()
-	if slices.Equal(peers, e.peers) && now-e.peersSent < addressTTL/3 {
+	changed := !slices.Equal(peers, e.peers)
+	if !changed && now-e.peersSent < peersInterval {
 		return
 	}
 	e.peers = peers
 	e.peersSent = now
-	for _, s := range e.streams {
-		e.sendPeers(s)
+	members := make([]subset.Member, 0, len(peers))
+	for _, p := range peers {
+		members = append(members, subset.NewMember(p.Address(), p.Zone()))
+	}
+	for n, s := range e.streams {
+		if changed || e.refreshes(e.hellos[n], members) {
+			e.sendPeers(s)
+		}
 	}
 }
 
+// refreshes reports whether this entry is one of those that repeat the list of entries
+// to an agent.
+func (e *Entry) refreshes(agent frame.Hello, members []subset.Member) bool {
+	s := e.base.settings
+	return subset.Rank(subset.NewMember(agent.Name(), agent.Zone()), subset.NewMember(s.advertised, s.zone), members) < refreshers
+}
+
 // sendPeers sends the addresses of the known entries to an agent.
 func (e *Entry) sendPeers(s *stream.Stream) {
-	if len(e.peers) == 0 || e.roles[s.Number()] != frame.RoleAgent {
+	if len(e.peers) == 0 || e.hellos[s.Number()].Role() != frame.RoleAgent {
 		return
 	}
 	_ = s.Send(frame.Frame{
--- a/internal/process/role/server/links.go
+++ b/internal/process/role/server/links.go
@@ -11,20 +11,21 @@
 	"greengagedoor.example/greengagedoor/internal/connection/stream"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
+	"greengagedoor.example/greengagedoor/internal/process/subset"
 )
 
-// The times of outgoing connections.
+// The numbers of outgoing connections, which do not grow with the fleet.
 const (
-	// minDialBackoff and maxDialBackoff bound the backoff before the next dial.
-	minDialBackoff = 50 * time.Millisecond
-	maxDialBackoff = 150 * time.Millisecond
-	// stableAfter is the lifetime from which a lost connection is dialed again
-	// without backoff.
-	stableAfter = time.Second
-	// addressTTL is how long an address is dialed after it was last announced.
-	addressTTL = 20 * time.Second
-	// maxDialWait is the longest time between two checks of the table of addresses for
-	// due dials.
+	// agentLinks is the number of entries that an agent is connected to, and
+	// agentZoneLinks how many of them are in its own availability zone.
+	agentLinks     = 12
+	agentZoneLinks = 8
+	// entryLinks is the number of other entries that an entry chooses, and entryZoneLinks
+	// how many of them are in its own availability zone. Two entries are connected if one
+	// of them chooses the other.
+	entryLinks     = 4
+	entryZoneLinks = 2
+	// maxDialWait is the longest time between two checks of the table of addresses.
 	maxDialWait = time.Second
 )
 
@@ -42,21 +43,6 @@
 	maxEndpoints = 2 * maxPeers
 )
 
-// endpoint is an entry's address with the state of its connection.
-type endpoint struct {
-	address  string
-	lastSeen time.Time
-	dialing  bool
-	// open reports that the connection is established, reached that one was before.
-	open     bool
-	reached  bool
-	backoff  time.Duration
-	nextDial time.Time
-	seed     bool
-	// failures counts the consecutive connections that ended before stableAfter.
-	failures int
-}
-
 // connectionOpened is the message that a connection is established.
 type connectionOpened struct {
 	address string
@@ -70,21 +56,36 @@
 	lasted  time.Duration
 }
 
-// links is the duty that keeps a connection to each known entry.
+// connectionReleased is the message that a connection to an entry is not needed any
+// more.
+type connectionReleased struct {
+	address string
+}
+
+// links is the duty that keeps connections to the entries that this process chooses.
 type links struct {
-	self      string
-	hello     frame.Hello
-	handlers  stream.Handlers
-	logEvent  func(event.Name, ...event.Field)
-	logState  func(event.Note)
-	ring      *ring.Ring[any]
+	self     subset.Member
+	size     subset.Size
+	hello    frame.Hello
+	handlers stream.Handlers
+	logEvent func(event.Name, ...event.Field)
+	logState func(event.Note)
+	ring     *ring.Ring[any]
+	// owner receives the connections that are released.
+	owner     *ring.Ring[any]
 	endpoints map[string]*endpoint
+	choice    subset.Choice
+	// chosenBy has the entries that choose this one, if that counts. It is computed anew
+	// when the set of entries has changed.
+	chosenBy map[string]bool
+	changed  bool
 	// dialsLeft is how many addresses that never answered may be dialed in the
 	// dialInterval that began at intervalStart.
 	dialsLeft     int
 	intervalStart time.Time
-	// shouldDial reports whether this process opens the connection to an address.
-	shouldDial func(address string) bool
+	// symmetric is set for an entry. It is also connected to the entries that choose it,
+	// and of two entries the one with the lower address opens the connection.
+	symmetric bool
 }
 
 // peersSeen is the message that entries' addresses were announced.
@@ -92,23 +93,29 @@
 	peers []frame.Peer
 }
 
-func newLinks(b *base, h stream.Handlers, shouldDial func(string) bool) (*links, error) {
+func newLinks(b *base, h stream.Handlers, owner *ring.Ring[any]) (*links, error) {
 	r, err := ring.New[any]("links", ringSize)
 	if err != nil {
 		return nil, err
 	}
 	l := &links{
-		self:       b.settings.advertised,
-		hello:      b.hello,
-		handlers:   h,
-		logEvent:   b.logEvent,
-		logState:   b.log,
-		ring:       r,
-		endpoints:  map[string]*endpoint{},
-		shouldDial: shouldDial,
+		self:      subset.NewMember(b.settings.name, b.settings.zone),
+		size:      subset.NewSize(agentZoneLinks, agentLinks),
+		hello:     b.hello,
+		handlers:  h,
+		logEvent:  b.logEvent,
+		logState:  b.log,
+		ring:      r,
+		owner:     owner,
+		endpoints: map[string]*endpoint{},
+	}
+	if b.hello.Role() == frame.RoleEntry {
+		l.self = subset.NewMember(b.settings.advertised, b.settings.zone)
+		l.size = subset.NewSize(entryZoneLinks, entryLinks)
+		l.symmetric = true
 	}
 	for _, a := range seedAddresses(b.settings.seeds, b.settings.advertised) {
-		l.addAddress(a, true)
+		l.addAddress(a, "", true)
 	}
 	return l, b.add("links", "Opens and reopens connections to entries.", func() (int, int, int64) {
 		return r.Depth(), r.Size(), r.Rejected()
@@ -144,7 +151,7 @@
 	})
 }
 
-func (l *links) addAddress(text string, seed bool) {
+func (l *links) addAddress(text, zone string, seed bool) {
 	if text == "" {
 		return
 	}
@@ -153,7 +160,7 @@
 		l.logState(event.New(event.ValueInvalid, event.F("address", text), event.F("error", err.Error())).About("address " + text))
 		return
 	}
-	if a == l.self || !l.shouldDial(a) {
+	if a == l.self.Address() {
 		return
 	}
 	p, ok := l.endpoints[a]
@@ -164,10 +171,16 @@
 	if !ok {
 		p = &endpoint{
 			address: a,
+			member:  subset.NewMember(a, zone),
 			seed:    seed,
 		}
 		l.endpoints[a] = p
-		l.logEvent(event.EntriesChanged, event.F("address", a), event.F("known", len(l.endpoints)))
+		l.changed = true
+		l.logEvent(event.EntriesChanged, event.F("address", a), event.F("zone", zone), event.F("known", len(l.endpoints)))
+	}
+	if zone != "" && zone != p.member.Zone() {
+		p.member = subset.NewMember(a, zone)
+		l.changed = true
 	}
 	p.lastSeen = time.Now()
 }
@@ -191,50 +204,65 @@
 	switch m := m.(type) {
 	case peersSeen:
 		for _, p := range m.peers {
-			l.addAddress(p.Address(), false)
+			l.addAddress(p.Address(), p.Zone(), false)
 		}
 	case connectionOpened:
 		if p, ok := l.endpoints[m.address]; ok {
 			p.open = true
+			p.openedAt = time.Now()
 			p.reached = true
 		}
 	case connectionEnded:
-		p, ok := l.endpoints[m.address]
-		if !ok {
-			return
+		if p, ok := l.endpoints[m.address]; ok {
+			p.ended(time.Now(), m.lasted)
+			l.logFailure(p, m)
 		}
-		p.dialing = false
-		p.open = false
-		l.updateBackoff(p, m)
-		p.nextDial = time.Now().Add(p.backoff)
 	}
 }
 
-// updateBackoff sets the backoff after a connection has ended. Consecutive failures
-// are logged at each power of two, so that a long-lost address does not fill the
-// log.
-func (l *links) updateBackoff(p *endpoint, m connectionEnded) {
-	if m.lasted > stableAfter {
-		p.backoff = 0
-		p.failures = 0
-		return
-	}
-	p.backoff = min(max(2*p.backoff, minDialBackoff), maxDialBackoff)
-	p.failures++
-	if p.failures&(p.failures-1) == 0 && m.err != nil {
+// logFailure logs consecutive failures at each power of two, so that a long-lost
+// address does not fill the log.
+func (l *links) logFailure(p *endpoint, m connectionEnded) {
+	if p.failures > 0 && p.failures&(p.failures-1) == 0 && m.err != nil {
 		l.logEvent(event.ConnectionFailed, event.F("address", p.address), event.F("failures", p.failures),
 			event.F("lasted_ms", m.lasted.Milliseconds()), event.F("error", m.err.Error()))
 	}
 }
 
-// dial opens the connections that are due and removes expired addresses. It returns
-// the time until the next connection is due.
+// choose chooses the entries to be connected to, by the states of the connections.
+func (l *links) choose(now time.Time) {
+	members := make([]subset.Member, 0, len(l.endpoints))
+	for _, p := range l.endpoints {
+		members = append(members, p.member.WithState(p.state(now)))
+	}
+	if l.changed && l.symmetric {
+		l.chosenBy = l.size.ChosenBy(l.self, members)
+	}
+	l.changed = false
+	before := l.choice
+	l.choice = l.size.Choose(l.self, members)
+	if !l.choice.Equal(before) {
+		l.logEvent(event.LinksChosen, event.F("known", len(members)), event.F("chosen", l.choice.Len()), event.F("chosen_by", len(l.chosenBy)))
+	}
+}
+
+// shouldDial reports whether this process opens a connection to an entry.
+func (l *links) shouldDial(p *endpoint) bool {
+	if !l.symmetric {
+		return l.choice.Dial(p.address)
+	}
+	return p.address > l.self.Address() && (l.choice.Dial(p.address) || l.chosenBy[p.address])
+}
+
+// dial opens the connections that are due, releases those that are not needed any more
+// and removes expired addresses. It returns the time until the next connection is due.
 func (l *links) dial(ctx context.Context) time.Duration {
 	now := time.Now()
 	if now.Sub(l.intervalStart) >= dialInterval {
 		l.intervalStart = now
 		l.dialsLeft = maxDialsPerInterval
 	}
+	l.choose(now)
 	wait := time.Duration(maxDialWait)
 	var due []*endpoint
 	opening := 0
@@ -243,11 +271,12 @@
 		case p.dialing && !p.open:
 			opening++
 		case p.dialing:
+			l.release(p)
+		case !p.seed && now.Sub(p.lastSeen) > addressTTL:
+			l.forget(p)
+		case !l.shouldDial(p):
 		case now.Before(p.nextDial):
 			wait = min(wait, p.nextDial.Sub(now))
-		case !p.seed && now.Sub(p.lastSeen) > addressTTL:
-			delete(l.endpoints, p.address)
-			l.logEvent(event.EntriesChanged, event.F("forgotten", p.address), event.F("known", len(l.endpoints)))
 		default:
 			due = append(due, p)
 		}
@@ -267,21 +296,21 @@
 	return wait
 }
 
-// known reports whether an address is one of the settings or has answered.
-func (p *endpoint) known() bool {
-	return p.seed || p.reached
+// release asks the owner of an open connection to close it, if it is not needed any
+// more.
+func (l *links) release(p *endpoint) {
+	if p.released || l.choice.Keep(p.address) || l.chosenBy[p.address] {
+		return
+	}
+	p.released = l.owner.TryPush(connectionReleased{
+		address: p.address,
+	}) == nil
 }
 
-// before reports whether p is dialed before o: addresses of the settings and those at
-// which an entry answered go first, and then the one that has waited longest.
-func (p *endpoint) before(o *endpoint) bool {
-	if p.known() != o.known() {
-		return p.known()
-	}
-	if !p.nextDial.Equal(o.nextDial) {
-		return p.nextDial.Before(o.nextDial)
-	}
-	return p.address < o.address
+func (l *links) forget(p *endpoint) {
+	delete(l.endpoints, p.address)
+	l.changed = true
+	l.logEvent(event.EntriesChanged, event.F("forgotten", p.address), event.F("known", len(l.endpoints)))
 }
 
 // connect opens one connection and serves it until it ends.
--- a/internal/process/role/server/links_test.go
+++ b/internal/process/role/server/links_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"greengagedoor.example/greengagedoor/internal/connection/stream"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
+	"greengagedoor.example/greengagedoor/internal/process/subset"
 )
 
 // newTestLinks returns a duty without a process, at 127.0.0.1:7400.
@@ -20,15 +22,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	owner, err := ring.New[any]("owner", ringSize)
+	if err != nil {
+		t.Fatal(err)
+	}
 	var notes []event.Note
 	return &links{
-		self:       "127.0.0.1:7400",
-		handlers:   stream.Handlers{},
-		logEvent:   func(event.Name, ...event.Field) {},
-		logState:   func(n event.Note) { notes = append(notes, n) },
-		ring:       r,
-		endpoints:  map[string]*endpoint{},
-		shouldDial: func(string) bool { return true },
+		self:      subset.NewMember("127.0.0.1:7400", "zone_a"),
+		size:      subset.NewSize(maxEndpoints, maxEndpoints),
+		handlers:  stream.Handlers{},
+		logEvent:  func(event.Name, ...event.Field) {},
+		logState:  func(n event.Note) { notes = append(notes, n) },
+		ring:      r,
+		owner:     owner,
+		endpoints: map[string]*endpoint{},
 	}, &notes
 }
 
@@ -71,7 +78,7 @@
 		for i := range 3 * maxEndpoints {
 			peers = append(peers, frame.NewPeer("", fmt.Sprintf("127.1.%d.%d:9", i>>8, i&255)))
 		}
-		l.addAddress("127.9.9.9:7400", true)
+		l.addAddress("127.9.9.9:7400", "", true)
 		l.receive(peersSeen{
 			peers: peers,
 		})
@@ -119,3 +126,135 @@
 		So(dialed, ShouldEqual, maxOpening)
 	})
 }
+
+// openLinks opens the connections that are due, until no more are, and reports those for
+// which fails is true as refused.
+func openLinks(l *links, fails func(address string) bool) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 100 {
+		l.intervalStart = time.Time{}
+		l.dial(ctx)
+		for _, p := range l.endpoints {
+			switch {
+			case p.dialing && !p.open && fails(p.address):
+				l.receive(connectionEnded{
+					address: p.address,
+				})
+				p.nextDial = time.Time{}
+			case p.dialing && !p.open:
+				l.receive(connectionOpened{
+					address: p.address,
+				})
+			}
+		}
+	}
+}
+
+func (l *links) openCount() int {
+	n := 0
+	for _, p := range l.endpoints {
+		if p.open {
+			n++
+		}
+	}
+	return n
+}
+
+func testPeers(n int) []frame.Peer {
+	var peers []frame.Peer
+	for i := range n {
+		peers = append(peers, frame.NewPeer("", fmt.Sprintf("10.%d.0.%d:7400", i%5, i)).InZone(fmt.Sprintf("zone_%d", i%5)))
+	}
+	return peers
+}
+
+// TestLinksAreBounded guards against connections whose number grows with the fleet, and
+// against an agent without connections since the entries that it chooses are lost.
+func TestLinksAreBounded(t *testing.T) {
+	zoneLost := func(address string) bool { return strings.HasPrefix(address, "10.0.") }
+	tests := map[string]struct {
+		entries int
+		fails   func(string) bool
+		open    int
+	}{
+		"few_entries":   {entries: 3, fails: func(string) bool { return false }, open: 3},
+		"many_entries":  {entries: 55, fails: func(string) bool { return false }, open: agentLinks},
+		"most_entries":  {entries: 330, fails: func(string) bool { return false }, open: agentLinks},
+		"zone_is_lost":  {entries: 55, fails: zoneLost, open: agentLinks},
+		"few_are_left":  {entries: 55, fails: func(a string) bool { return a > "10.0.0.1" }, open: 1},
+		"none_are_left": {entries: 55, fails: func(string) bool { return true }},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			Convey("the chosen entries are connected, and others in place of those that fail", t, func() {
+				l, _ := newTestLinks(t)
+				l.self = subset.NewMember("agent_1", "zone_0")
+				l.size = subset.NewSize(agentZoneLinks, agentLinks)
+				l.receive(peersSeen{
+					peers: testPeers(tt.entries),
+				})
+				openLinks(l, tt.fails)
+				So(l.openCount(), ShouldEqual, tt.open)
+			})
+		})
+	}
+}
+
+// TestSurplusIsReleased guards against connections that stay open for good after entries
+// that could not be reached have returned, and against one that is closed while its
+// successor may still fail.
+func TestSurplusIsReleased(t *testing.T) {
+	Convey("a replaced connection is released once the others have settled", t, func() {
+		l, _ := newTestLinks(t)
+		l.self = subset.NewMember("agent_1", "zone_0")
+		l.size = subset.NewSize(agentZoneLinks, agentLinks)
+		l.receive(peersSeen{
+			peers: testPeers(55),
+		})
+		lost := func(address string) bool { return strings.HasPrefix(address, "10.0.") }
+		openLinks(l, lost)
+		openLinks(l, func(string) bool { return false })
+		open := l.openCount()
+		So(open, ShouldBeGreaterThanOrEqualTo, agentLinks+agentZoneLinks)
+		So(l.owner.Depth(), ShouldEqual, 0)
+		for _, p := range l.endpoints {
+			p.openedAt = p.openedAt.Add(-settledAfter)
+		}
+		openLinks(l, func(string) bool { return false })
+		So(l.owner.Depth(), ShouldEqual, open-agentLinks)
+		for range open - agentLinks {
+			m, _ := l.owner.Pop(context.Background())
+			So(l.choice.Dial(m.(connectionReleased).address), ShouldBeFalse)
+		}
+	})
+}
+
+// TestEntriesAgree guards against two entries that both open a connection, or neither.
+func TestEntriesAgree(t *testing.T) {
+	Convey("of each two entries one opens the connection, and all are connected", t, func() {
+		peers := testPeers(55)
+		dials := map[string]int{}
+		degree := 0
+		for _, self := range peers {
+			l, _ := newTestLinks(t)
+			l.self = subset.NewMember(self.Address(), self.Zone())
+			l.size = subset.NewSize(entryZoneLinks, entryLinks)
+			l.symmetric = true
+			l.receive(peersSeen{
+				peers: peers,
+			})
+			openLinks(l, func(string) bool { return false })
+			for _, p := range l.endpoints {
+				if p.open {
+					dials[min(self.Address(), p.address)+" "+max(self.Address(), p.address)]++
+					degree++
+				}
+			}
+		}
+		for _, n := range dials {
+			So(n, ShouldEqual, 1)
+		}
+		So(degree, ShouldBeBetween, 55*entryLinks/2, 55*entryLinks+1)
+	})
+}
--- a/internal/process/role/server/server.go
+++ b/internal/process/role/server/server.go
@@ -115,6 +115,11 @@
 	return s
 }
 
+// peer returns the process as others reach it.
+func (s Settings) peer() frame.Peer {
+	return frame.NewPeer(s.name, s.advertised).InZone(s.zone)
+}
+
 func (s Settings) executorTiming() executor.Timing {
 	return executor.NewTiming(s.maxLease, sessionTimeout, heartbeatInterval)
 }
--- a/internal/process/role/server/watch.go
+++ b/internal/process/role/server/watch.go
@@ -39,6 +39,8 @@
 	// maxPeers bounds the entries that are followed, far above the number of hosts. The
 	// list must fit into a frame.
 	maxPeers = 1024
+	// maxZoneBytes bounds the name of an availability zone.
+	maxZoneBytes = 128
 )
 
 // storeHealth logs when a kind of store call starts to fail and when it recovers.
@@ -153,7 +155,7 @@
 
 // register keeps the store key with this entry's address and removes it when the
 // process has lingered or ctx ends.
-func register(ctx context.Context, s keyspace.Store, name, address string, lingered <-chan struct{}, logEvent func(event.Name, ...event.Field)) error {
+func register(ctx context.Context, s keyspace.Store, p frame.Peer, lingered <-chan struct{}, logEvent func(event.Name, ...event.Field)) error {
 	h := &storeHealth{
 		call:     "registration",
 		logEvent: logEvent,
@@ -162,7 +164,7 @@
 	for {
 		var err error
 		if lease == 0 {
-			lease, err = createRegistration(ctx, s, name, address)
+			lease, err = createRegistration(ctx, s, p)
 		} else {
 			err = s.Renew(ctx, lease)
 		}
@@ -207,13 +209,12 @@
 
 // createRegistration writes the entry's key under a new lease. It overwrites a key
 // that a previous process of the same name left.
-func createRegistration(ctx context.Context, s keyspace.Store, name, address string) (int64, error) {
+func createRegistration(ctx context.Context, s keyspace.Store, p frame.Peer) (int64, error) {
 	lease, err := s.Grant(ctx, entryLeaseTTL)
 	if err != nil {
 		return 0, err
 	}
-	key := entriesPrefix + name
-	err = s.Apply(ctx, keyspace.NewWrite(nil, []keyspace.Item{keyspace.NewItem(key, []byte(address), 0)}, nil).WithLease(lease))
+	err = s.Apply(ctx, keyspace.NewWrite(nil, []keyspace.Item{itemFromPeer(p)}, nil).WithLease(lease))
 	if err != nil {
 		return 0, err
 	}
@@ -238,6 +239,14 @@
 	return peers
 }
 
+// itemFromPeer returns the store item of an entry. Its value is the address and the
+// availability zone, separated by a space.
+func itemFromPeer(p frame.Peer) keyspace.Item {
+	return keyspace.NewItem(entriesPrefix+p.Name(), []byte(strings.TrimSpace(p.Address()+" "+p.Zone())), 0)
+}
+
+// peerFromItem returns the entry of a store item. The zone may be missing, since a
+// previous version of the program did not write it.
 func peerFromItem(i keyspace.Item) (frame.Peer, error) {
 	if i.Invalid() != nil {
 		return frame.Peer{}, i.Invalid()
@@ -246,11 +255,15 @@
 	if !ok || name == "" {
 		return frame.Peer{}, errors.Errorf("key %q names no entry", i.Key())
 	}
-	a, err := address.Parse(string(i.Value()))
+	text, zone, _ := strings.Cut(string(i.Value()), " ")
+	a, err := address.Parse(text)
 	if err != nil {
 		return frame.Peer{}, err
 	}
-	return frame.NewPeer(name, a), nil
+	if len(zone) > maxZoneBytes {
+		return frame.Peer{}, errors.Errorf("availability zone has %d bytes, want at most %d", len(zone), maxZoneBytes)
+	}
+	return frame.NewPeer(name, a).InZone(zone), nil
 }
 
 func invalidItem(i keyspace.Item, err error) event.Note {
--- a/internal/process/role/server/watch_test.go
+++ b/internal/process/role/server/watch_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/keyspace"
 )
@@ -49,7 +50,7 @@
 				ended := make(chan struct{})
 				go func() {
 					defer close(ended)
-					_ = register(ctx, s, "entry_1", "address", lingered, func(event.Name, ...event.Field) {})
+					_ = register(ctx, s, frame.NewPeer("entry_1", "address"), lingered, func(event.Name, ...event.Field) {})
 				}()
 				<-granted
 				began := time.Now()
