Connect agents of small services to more entries

An entry without a target of a service refuses its jobs.

Change: entries tell each agent how many agents of its service they have, and agents that hear of fewer than 16 on average, or more than 48, change the number of their connections in proportion, 12 at least, each 3 s.

--- a/internal/connection/frame/codec.go
+++ b/internal/connection/frame/codec.go
@@ -108,6 +108,7 @@
 	if f.ConfigPiece != nil {
 		e.message(22, f.ConfigPiece.encode)
 	}
+	e.varint(23, uint64(f.ServiceAgents))
 	return e.b
 }
 
--- a/internal/connection/frame/decode.go
+++ b/internal/connection/frame/decode.go
@@ -183,6 +183,8 @@
 	case 22:
 		f.ConfigPiece = &ConfigPiece{}
 		return decode(x.bytes, f.ConfigPiece.setField)
+	case 23:
+		f.ServiceAgents = x.count()
 	}
 	return nil
 }
--- a/internal/connection/frame/frame.go
+++ b/internal/connection/frame/frame.go
@@ -233,6 +233,9 @@
 	// NewestAge is how long ago that configuration was confirmed, as far as the sender
 	// knows; 0 if that is too long ago to matter.
 	NewestAge time.Duration
+	// ServiceAgents is the number of agents that the sender is connected to and whose
+	// targets run the service of the receiver's target.
+	ServiceAgents int
 	// KeepConfig asks the receiver to keep a copy of the sender's configuration.
 	KeepConfig bool
 	// ReportInterval is the minimum time between two frames of the receiver that report
--- a/internal/connection/frame/frame_test.go
+++ b/internal/connection/frame/frame_test.go
@@ -36,6 +36,7 @@
 		ReportInterval:   70 * time.Millisecond,
 		EarlierRunsEnded: true,
 		Leaving:          true,
+		ServiceAgents:    52,
 		Starts:           []frame.Start{frame.NewStart(1, "job", 0, []int{0, 5}, []int64{1, 2}, "spec").WithResources(1, 2, 3).WithTimes(4, 5*time.Second, -6)},
 		Stops:            []frame.RunID{id},
 		Started:          []frame.RunID{id},
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -54,6 +54,7 @@
 	SendResumed      Name = "send_resumed"
 	EntriesChanged   Name = "entries_changed"
 	LinksChosen      Name = "links_chosen"
+	LinksResized     Name = "links_resized"
 	ConnectionFailed Name = "connection_failed"
 	StoreLost        Name = "store_lost"
 	StoreRegained    Name = "store_regained"
@@ -99,6 +100,7 @@
 	SendResumed:      "Frames to other processes are written without delay again; the line has the highest age.",
 	ConfigInvalid:    "A stored configuration is invalid; the previous one stays active.",
 	EntriesChanged:   "The set of known entries changed.",
+	LinksResized:     "An agent keeps connections to more or fewer entries, since those that it is connected to have few or many agents of its service.",
 	LinksChosen:      "The process chose other entries to be connected to; the line has how many it knows and chose, and by how many entries it is chosen.",
 	ConnectionFailed: "A connection to an entry could not be opened or was closed immediately; logged after 1, 2, 4 and so on consecutive failures.",
 	StoreLost:        "The store does not respond to this process.",
--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -135,6 +135,7 @@
 		Stops:          a.stops,
 		Cancels:        a.cancels,
 		KeepConfig:     a.keepsConfig,
+		ServiceAgents:  d.serviceAgents[a.target.Service()],
 	})
 	for _, s := range a.starts {
 		f.Starts = append(f.Starts, *s)
@@ -195,6 +196,7 @@
 	at := sort.Search(len(d.connected), func(i int) bool { return d.connected[i].session > a.session })
 	d.connected = slices.Insert(d.connected, at, a)
 	d.chooseKeepers()
+	d.countServices()
 	d.logEvent(event.SessionOpened, event.F("agent", name), event.F("session", o.session), event.F("boot", a.incarnation))
 }
 
@@ -229,6 +231,7 @@
 	d.connected = slices.DeleteFunc(d.connected, func(x *agent) bool { return x == a })
 	a.session = 0
 	d.chooseKeepers()
+	d.countServices()
 	d.addDisconnected(a)
 	a.starts = nil
 	a.stops = nil
@@ -243,6 +246,16 @@
 		event.F("silent_ms", (now-a.lastSeen).Milliseconds()), event.F("runs", len(a.runs)))
 }
 
+// countServices counts the connected agents by the service of their target.
+func (d *Dispatch) countServices() {
+	clear(d.serviceAgents)
+	for _, a := range d.connected {
+		if service := a.target.Service(); service != "" {
+			d.serviceAgents[service]++
+		}
+	}
+}
+
 // hasLostRuns reports whether a run of an earlier session may not have ended.
 func (a *agent) hasLostRuns() bool {
 	for _, x := range a.runs {
@@ -330,7 +343,11 @@
 		a.health = health{}
 		d.logEvent(event.TargetSeen, event.F("agent", a.name), event.F("target", t.Incarnation()), event.F("service", t.Service()), event.F("usable", t.Usable()))
 	}
+	sameService := a.target.Service() == t.Service()
 	a.target = t
+	if !sameService {
+		d.countServices()
+	}
 	a.size = resourcesOrZero(t.Capacity())
 	a.speed = d.estimates.speed(a.label(), a.name)
 	a.load = d.loadOf(a.label())
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -78,10 +78,12 @@
 	sessions map[uint64]*agent
 	// connected lists the agents of sessions, sorted by session number.
 	connected []*agent
-	peers     map[uint64]*peer
-	jobs      map[string]*job
-	requests  map[uint64]*job
-	queue     []*job
+	// serviceAgents is the number of connected agents by the service of their target.
+	serviceAgents map[string]int
+	peers         map[uint64]*peer
+	jobs          map[string]*job
+	requests      map[uint64]*job
+	queue         []*job
 	// candidates and scratch are reused: the agents that can get work in this pass, and
 	// a copy of the queue while it changes.
 	candidates []*agent
@@ -140,20 +142,21 @@
 // New returns the state machine of an entry that introduces itself with hello.
 func New(hello frame.Hello, timing Timing) *Dispatch {
 	return &Dispatch{
-		timing:    timing,
-		hello:     hello,
-		agents:    map[string]*agent{},
-		sessions:  map[uint64]*agent{},
-		peers:     map[uint64]*peer{},
-		jobs:      map[string]*job{},
-		requests:  map[uint64]*job{},
-		running:   map[string]*attempt{},
-		finished:  map[string]finishedJob{},
-		loads:     map[string]*hardwareLoad{},
-		estimates: newEstimator(),
-		fairness:  newFairness(),
-		overload:  newOverload(timing),
-		passedOn:  newPassedOn(),
+		timing:        timing,
+		hello:         hello,
+		agents:        map[string]*agent{},
+		sessions:      map[uint64]*agent{},
+		serviceAgents: map[string]int{},
+		peers:         map[uint64]*peer{},
+		jobs:          map[string]*job{},
+		requests:      map[uint64]*job{},
+		running:       map[string]*attempt{},
+		finished:      map[string]finishedJob{},
+		loads:         map[string]*hardwareLoad{},
+		estimates:     newEstimator(),
+		fairness:      newFairness(),
+		overload:      newOverload(timing),
+		passedOn:      newPassedOn(),
 	}
 }
 
--- a/internal/process/role/dispatch/simulation/fleet_test.go
+++ b/internal/process/role/dispatch/simulation/fleet_test.go
@@ -13,19 +13,16 @@
 	"greengagedoor.example/greengagedoor/internal/version/route"
 )
 
-// The connections of an agent, as in package server, and the times of the list of
-// entries: a lost entry stays in it for its lease, and a connection settles.
+// The times of the list of entries: a lost entry stays in it for its lease, and a
+// connection settles.
 const (
-	agentLinks     = 12
-	agentZoneLinks = 8
-	registryDelay  = 5 * time.Second
-	settledAfter   = 5 * time.Second
+	registryDelay = 5 * time.Second
+	settledAfter  = 5 * time.Second
 )
 
 // simFleet is a fleet in which each agent is connected to the entries that it chooses.
 type simFleet struct {
 	zones int
-	size  subset.Size
 	// lostAt has the entries that are lost for good, with the time.
 	lostAt map[string]time.Duration
 	// released counts the connections that were closed on purpose.
@@ -36,7 +33,6 @@
 	c := emptyCluster(t, seed, limit)
 	c.fleet = &simFleet{
 		zones:  zones,
-		size:   subset.NewSize(agentZoneLinks, agentLinks),
 		lostAt: map[string]time.Duration{},
 	}
 	r, err := route.NewRoute("kind", "", "/", "service")
@@ -92,7 +88,7 @@
 		}
 		members = append(members, subset.NewMember(e.name, e.zone).WithState(state))
 	}
-	choice := a.c.fleet.size.Choose(subset.NewMember(a.name, a.zone), members)
+	choice := subset.NewSize(a.wantedLinks*2/3, a.wantedLinks).Choose(subset.NewMember(a.name, a.zone), members)
 	for _, l := range sortedLinks(a.links) {
 		if !l.released && !choice.Keep(l.e.name) {
 			l.released = true
@@ -182,14 +178,14 @@
 			c := newFleet(t, 1, tt.entries, tt.agents, 5, 1500*time.Millisecond)
 			c.run(c.now + 3*time.Second)
 			least, most, ofAgent := c.linkCounts()
-			links := tt.agents * min(agentLinks, tt.entries)
+			links := tt.agents * min(executor.MinLinks, tt.entries)
 			c.frames = 0
 			c.frameBytes = 0
 			c.run(c.now + 2*time.Second)
 			t.Logf("%d to %d agents of an entry; %.1f frames and %.0f bytes a second of an idle connection",
 				least, most, float64(c.frames)/float64(links)/2, float64(c.frameBytes)/float64(links)/2)
 			Convey("connections are bounded and spread, and an idle one costs its heartbeats", t, func() {
-				So(ofAgent, ShouldEqual, min(agentLinks, tt.entries))
+				So(ofAgent, ShouldEqual, min(executor.MinLinks, tt.entries))
 				So(least, ShouldBeGreaterThanOrEqualTo, links/tt.entries/2)
 				So(most, ShouldBeLessThanOrEqualTo, 2*links/tt.entries)
 				So(float64(c.frames)/float64(links)/2, ShouldBeLessThanOrEqualTo, idleFrames)
@@ -235,3 +231,30 @@
 		})
 	}
 }
+
+// TestFewTargets guards against entries that are connected to no target of a service
+// that few run, so that they refuse its jobs although targets have room.
+func TestFewTargets(t *testing.T) {
+	tests := map[string]struct {
+		entries int
+		agents  int
+		least   int
+	}{
+		"3_agents":   {entries: 30, agents: 3, least: 3},
+		"20_agents":  {entries: 40, agents: 20, least: 8},
+		"100_agents": {entries: 55, agents: 100, least: 8},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			Convey("each entry gets enough agents", t, func() {
+				c := newFleet(t, 1, tt.entries, tt.agents, 5, 1500*time.Millisecond)
+				c.run(c.now + 12*time.Second)
+				least, most, ofAgent := c.linkCounts()
+				t.Logf("%d to %d agents of an entry, at most %d entries of an agent", least, most, ofAgent)
+				So(least, ShouldBeGreaterThanOrEqualTo, tt.least)
+				So(most, ShouldBeLessThanOrEqualTo, 48)
+			})
+		})
+	}
+}
--- a/internal/process/role/dispatch/simulation/process_test.go
+++ b/internal/process/role/dispatch/simulation/process_test.go
@@ -198,6 +198,8 @@
 	fence       int64
 	// partitionedUntil is when the partition from an entry ends, by name of the entry.
 	partitionedUntil map[string]time.Duration
+	// wantedLinks is the number of entries that it is to be connected to.
+	wantedLinks int
 }
 
 func newSimAgent(c *cluster, name, zone string) *simAgent {
@@ -219,6 +221,7 @@
 	a.fence++
 	a.s = executor.New(executor.NewTiming(lease, sessionTimeout, heartbeatInterval), a.fence)
 	a.links = map[uint64]*simLink{}
+	a.wantedLinks = executor.MinLinks
 	if a.target.up {
 		a.handle(executor.TargetReported(a.target.report()))
 	}
@@ -305,6 +308,9 @@
 				l.toEntry(f.Frame())
 			}
 		}
+		if n := out.Links(); n > 0 {
+			a.wantedLinks = n
+		}
 		for _, n := range out.SessionsToClose() {
 			if l, ok := a.links[n]; ok {
 				l.close(false)
--- a/internal/process/role/executor/event.go
+++ b/internal/process/role/executor/event.go
@@ -202,6 +202,7 @@
 	renewals        []Renewal
 	sessionsToClose []uint64
 	peers           []frame.Peer
+	links           int
 	notes           []event.Note
 }
 
@@ -229,6 +230,12 @@
 	return o.peers
 }
 
+// Links returns the number of entries that the agent is to be connected to, 0 if that was
+// not examined.
+func (o Output) Links() int {
+	return o.links
+}
+
 // Notes returns the events to log.
 func (o Output) Notes() []event.Note {
 	return o.notes
--- a/internal/process/role/executor/executor.go
+++ b/internal/process/role/executor/executor.go
@@ -167,6 +167,7 @@
 	// configuration is the copy of the configuration that the agent keeps if an entry asks
 	// for it. All agents pass on the numbers of the versions that they hear of.
 	configuration transfer.Exchange
+	links         links
 	out           Output
 }
 
@@ -178,6 +179,9 @@
 		sessions: map[uint64]*session{},
 		runs:     map[task.Run]*run{},
 		byTask:   map[string]*run{},
+		links: links{
+			wanted: MinLinks,
+		},
 		target: target{
 			fence: fence,
 		},
@@ -203,6 +207,7 @@
 	if was != s.target.usable() {
 		s.usabilityChanged()
 	}
+	s.reviewLinks(now)
 	s.flush(now)
 	return s.out
 }
--- a/internal/process/role/executor/session.go
+++ b/internal/process/role/executor/session.go
@@ -29,8 +29,11 @@
 	// knownConfig is the version of the configuration that the entry has, and keepConfig
 	// whether it asked this agent to keep a copy.
 	knownConfig int64
-	keepConfig  bool
-	sendNow     bool
+	// serviceAgents is how many agents of the target's service the entry has, 0 if it has
+	// not said so.
+	serviceAgents int
+	keepConfig    bool
+	sendNow       bool
 	// releasing is set once the connection is not needed any more.
 	releasing bool
 	// reported is when the last frame was sent that the entry must have processed before
@@ -101,6 +104,9 @@
 	if f.ReportInterval > 0 {
 		sess.reportInterval = min(max(f.ReportInterval, capacityInterval), s.timing.heartbeatInterval)
 	}
+	if f.ServiceAgents > 0 {
+		sess.serviceAgents = f.ServiceAgents
+	}
 	for _, st := range f.Starts {
 		s.handleStart(now, sess, st)
 	}
--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -230,5 +230,8 @@
 		}
 	}
 	a.links.addPeers(out.Peers())
+	if n := out.Links(); n > 0 {
+		a.links.resize(n)
+	}
 	a.drained.Store(a.executor.Drained())
 }
--- a/internal/process/role/server/links.go
+++ b/internal/process/role/server/links.go
@@ -11,15 +11,16 @@
 	"greengagedoor.example/greengagedoor/internal/connection/stream"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
+	"greengagedoor.example/greengagedoor/internal/process/role/executor"
 	"greengagedoor.example/greengagedoor/internal/process/subset"
 )
 
 // The numbers of outgoing connections, which do not grow with the fleet.
 const (
-	// agentLinks is the number of entries that an agent is connected to, and
-	// agentZoneLinks how many of them are in its own availability zone.
-	agentLinks     = 12
-	agentZoneLinks = 8
+	// An agent has zoneNumerator/zoneDenominator of its connections in its own availability
+	// zone.
+	zoneNumerator   = 2
+	zoneDenominator = 3
 	// entryLinks is the number of other entries that an entry chooses, and entryZoneLinks
 	// how many of them are in its own availability zone. Two entries are connected if one
 	// of them chooses the other.
@@ -88,6 +89,11 @@
 	symmetric bool
 }
 
+// linksResized is the message that an agent is to be connected to a number of entries.
+type linksResized struct {
+	total int
+}
+
 // peersSeen is the message that entries' addresses were announced.
 type peersSeen struct {
 	peers []frame.Peer
@@ -100,7 +106,7 @@
 	}
 	l := &links{
 		self:      subset.NewMember(b.settings.name, b.settings.zone),
-		size:      subset.NewSize(agentZoneLinks, agentLinks),
+		size:      agentSize(executor.MinLinks),
 		hello:     b.hello,
 		handlers:  h,
 		logEvent:  b.logEvent,
@@ -122,6 +128,19 @@
 	}, l.run)
 }
 
+// agentSize returns the size of an agent's choice with a number of connections.
+func agentSize(total int) subset.Size {
+	return subset.NewSize(total*zoneNumerator/zoneDenominator, total)
+}
+
+// resize passes the number of an agent's connections to the duty. It is repeated, so a
+// full ring may drop it.
+func (l *links) resize(total int) {
+	_ = l.ring.TryPush(linksResized{
+		total: total,
+	})
+}
+
 // seedAddresses returns the seeds with the port of the process's own address,
 // since all processes of an installation use the same port.
 func seedAddresses(seeds []string, own string) []string {
@@ -206,6 +225,8 @@
 		for _, p := range m.peers {
 			l.addAddress(p.Address(), p.Zone(), false)
 		}
+	case linksResized:
+		l.size = agentSize(m.total)
 	case connectionOpened:
 		if p, ok := l.endpoints[m.address]; ok {
 			p.open = true
--- a/internal/process/role/server/links_test.go
+++ b/internal/process/role/server/links_test.go
@@ -13,6 +13,7 @@
 	"greengagedoor.example/greengagedoor/internal/connection/stream"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
+	"greengagedoor.example/greengagedoor/internal/process/role/executor"
 	"greengagedoor.example/greengagedoor/internal/process/subset"
 )
 
@@ -179,9 +180,9 @@
 		open    int
 	}{
 		"few_entries":   {entries: 3, fails: func(string) bool { return false }, open: 3},
-		"many_entries":  {entries: 55, fails: func(string) bool { return false }, open: agentLinks},
-		"most_entries":  {entries: 330, fails: func(string) bool { return false }, open: agentLinks},
-		"zone_is_lost":  {entries: 55, fails: zoneLost, open: agentLinks},
+		"many_entries":  {entries: 55, fails: func(string) bool { return false }, open: executor.MinLinks},
+		"most_entries":  {entries: 330, fails: func(string) bool { return false }, open: executor.MinLinks},
+		"zone_is_lost":  {entries: 55, fails: zoneLost, open: executor.MinLinks},
 		"few_are_left":  {entries: 55, fails: func(a string) bool { return a > "10.0.0.1" }, open: 1},
 		"none_are_left": {entries: 55, fails: func(string) bool { return true }},
 	}
@@ -190,7 +191,7 @@
 			Convey("the chosen entries are connected, and others in place of those that fail", t, func() {
 				l, _ := newTestLinks(t)
 				l.self = subset.NewMember("agent_1", "zone_0")
-				l.size = subset.NewSize(agentZoneLinks, agentLinks)
+				l.size = agentSize(executor.MinLinks)
 				l.receive(peersSeen{
 					peers: testPeers(tt.entries),
 				})
@@ -208,7 +209,7 @@
 	Convey("a replaced connection is released once the others have settled", t, func() {
 		l, _ := newTestLinks(t)
 		l.self = subset.NewMember("agent_1", "zone_0")
-		l.size = subset.NewSize(agentZoneLinks, agentLinks)
+		l.size = agentSize(executor.MinLinks)
 		l.receive(peersSeen{
 			peers: testPeers(55),
 		})
@@ -216,14 +217,14 @@
 		openLinks(l, lost)
 		openLinks(l, func(string) bool { return false })
 		open := l.openCount()
-		So(open, ShouldBeGreaterThanOrEqualTo, agentLinks+agentZoneLinks)
+		So(open, ShouldBeGreaterThanOrEqualTo, executor.MinLinks+executor.MinLinks*2/3)
 		So(l.owner.Depth(), ShouldEqual, 0)
 		for _, p := range l.endpoints {
 			p.openedAt = p.openedAt.Add(-settledAfter)
 		}
 		openLinks(l, func(string) bool { return false })
-		So(l.owner.Depth(), ShouldEqual, open-agentLinks)
-		for range open - agentLinks {
+		So(l.owner.Depth(), ShouldEqual, open-executor.MinLinks)
+		for range open - executor.MinLinks {
 			m, _ := l.owner.Pop(context.Background())
 			So(l.choice.Dial(m.(connectionReleased).address), ShouldBeFalse)
 		}
