Show which connections a process keeps, and why

The dump has a section links with the reason, the state and the age of each connection to an entry; links counts what became of them and sent_frames the frames by content. explain prints links_chosen and links_resized of the process that decided.

--- a/internal/process/explain/explain.go
+++ b/internal/process/explain/explain.go
@@ -44,6 +44,8 @@
 	event.StoreRegained:  true,
 	event.OverloadBegan:  true,
 	event.OverloadEnded:  true,
+	event.LinksChosen:    true,
+	event.LinksResized:   true,
 }
 
 // line is one parsed log line.
--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -104,9 +104,12 @@
 	if err := b.watchSettings(b.deps.Reload, a.links); err != nil {
 		return err
 	}
-	return b.add("entries", "Reads the entries' addresses from the store while no entry is connected.", nil, func(ctx context.Context) error {
+	if err := b.add("entries", "Reads the entries' addresses from the store while no entry is connected.", nil, func(ctx context.Context) error {
 		return watchEntries(ctx, b, func() bool { return a.connected.Load() == 0 }, a.links.addPeers)
-	})
+	}); err != nil {
+		return err
+	}
+	return b.serveMetrics()
 }
 
 func ringGauge[T any](r *ring.Ring[T]) func() (int, int, int64) {
--- a/internal/process/role/server/endpoint.go
+++ b/internal/process/role/server/endpoint.go
@@ -75,6 +75,27 @@
 	return p.address < o.address
 }
 
+// linkCounter names what becomes of a connection to an entry, for metrics.
+type linkCounter string
+
+const (
+	linkOpened   linkCounter = "opened"
+	linkReleased linkCounter = "closed_on_purpose"
+	linkLost     linkCounter = "lost"
+	linkFailed   linkCounter = "failed"
+)
+
+// endCounter returns the counter for the end of the connection.
+func (p *endpoint) endCounter() linkCounter {
+	switch {
+	case !p.open:
+		return linkFailed
+	case p.released:
+		return linkReleased
+	}
+	return linkLost
+}
+
 // ended records the end of the connection and sets the backoff.
 func (p *endpoint) ended(now time.Time, lasted time.Duration) {
 	p.dialing = false
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -154,14 +154,17 @@
 	}); err != nil {
 		return err
 	}
-	return b.add("entries", "Reads the addresses of the other entries.", nil, func(ctx context.Context) error {
+	if err := b.add("entries", "Reads the addresses of the other entries.", nil, func(ctx context.Context) error {
 		return watchEntries(ctx, b, func() bool { return true }, func(peers []frame.Peer) {
 			e.links.addPeers(peers)
 			_ = e.ring.TryPush(entriesFound{
 				peers: peers,
 			})
 		})
-	})
+	}); err != nil {
+		return err
+	}
+	return b.serveMetrics()
 }
 
 // handlers returns stream handlers that push each event into a ring. A push blocks
--- a/internal/process/role/server/links.go
+++ b/internal/process/role/server/links.go
@@ -71,7 +71,9 @@
 	handlers stream.Handlers
 	logEvent func(event.Name, ...event.Field)
 	logState func(event.Note)
-	ring     *ring.Ring[any]
+	// count counts connections by what becomes of them.
+	count func(linkCounter)
+	ring  *ring.Ring[any]
 	// owner receives the connections that are released.
 	owner     *ring.Ring[any]
 	endpoints map[string]*endpoint
@@ -111,6 +113,7 @@
 		handlers:  h,
 		logEvent:  b.logEvent,
 		logState:  b.log,
+		count:     func(c linkCounter) { b.observer.links.Add(string(c), 1) },
 		ring:      r,
 		owner:     owner,
 		endpoints: map[string]*endpoint{},
@@ -123,6 +126,11 @@
 	for _, a := range seedAddresses(b.settings.seeds, b.settings.advertised) {
 		l.addAddress(a, "", true)
 	}
+	section, err := l.section()
+	if err != nil {
+		return nil, err
+	}
+	b.sections = append(b.sections, section)
 	return l, b.add("links", "Opens and reopens connections to entries.", func() (int, int, int64) {
 		return r.Depth(), r.Size(), r.Rejected()
 	}, l.run)
@@ -225,6 +233,8 @@
 		for _, p := range m.peers {
 			l.addAddress(p.Address(), p.Zone(), false)
 		}
+	case linksAsked:
+		m.reply <- l.lines(time.Now())
 	case linksResized:
 		l.size = agentSize(m.total)
 	case connectionOpened:
@@ -232,9 +242,11 @@
 			p.open = true
 			p.openedAt = time.Now()
 			p.reached = true
+			l.count(linkOpened)
 		}
 	case connectionEnded:
 		if p, ok := l.endpoints[m.address]; ok {
+			l.count(p.endCounter())
 			p.ended(time.Now(), m.lasted)
 			l.logFailure(p, m)
 		}
--- a/internal/process/role/server/links_test.go
+++ b/internal/process/role/server/links_test.go
@@ -33,6 +33,7 @@
 		size:      subset.NewSize(maxEndpoints, maxEndpoints),
 		handlers:  stream.Handlers{},
 		logEvent:  func(event.Name, ...event.Field) {},
+		count:     func(linkCounter) {},
 		logState:  func(n event.Note) { notes = append(notes, n) },
 		ring:      r,
 		owner:     owner,
@@ -259,3 +260,31 @@
 		So(degree, ShouldBeBetween, 55*entryLinks/2, 55*entryLinks+1)
 	})
 }
+
+// TestDumpOfLinks guards against a dump that does not say which entries a process is
+// connected to, and why.
+func TestDumpOfLinks(t *testing.T) {
+	Convey("each known entry has a line with the reason", t, func() {
+		l, _ := newTestLinks(t)
+		l.self = subset.NewMember("agent_1", "zone_0")
+		l.size = agentSize(executor.MinLinks)
+		l.receive(peersSeen{
+			peers: testPeers(55),
+		})
+		openLinks(l, func(address string) bool { return address == "10.0.0.0:7400" })
+		reply := make(chan []string, 1)
+		l.receive(linksAsked{
+			reply: reply,
+		})
+		lines := <-reply
+		So(lines, ShouldHaveLength, 55)
+		reasons := map[string]int{}
+		for _, x := range lines {
+			_, rest, _ := strings.Cut(x, " reason=")
+			reason, state, _ := strings.Cut(rest, " ")
+			reasons[reason+" "+strings.FieldsFunc(state, func(r rune) bool { return r == '=' || r == ' ' })[0]]++
+		}
+		So(reasons["chosen open_ms"], ShouldEqual, executor.MinLinks)
+		So(reasons["not_chosen closed"]+reasons["chosen_failing closed"], ShouldEqual, 55-executor.MinLinks)
+	})
+}
--- a/internal/process/role/server/observe.go
+++ b/internal/process/role/server/observe.go
@@ -41,6 +41,10 @@
 	servers *expvar.Map
 	// sentBytes has the bytes written to other processes, by the content of the frames.
 	sentBytes *expvar.Map
+	// sentFrames counts the frames written, by their content.
+	sentFrames *expvar.Map
+	// links counts connections to entries by what became of them.
+	links *expvar.Map
 	// unsentAge is the age of the oldest frame that waits to be written, in ms.
 	unsentAge *expvar.Int
 	ring      *ring.Ring[event.Note]
@@ -52,16 +56,20 @@
 		return nil, err
 	}
 	o := &observer{
-		vars:      new(expvar.Map).Init(),
-		events:    new(expvar.Map).Init(),
-		servers:   new(expvar.Map).Init(),
-		sentBytes: new(expvar.Map).Init(),
-		unsentAge: new(expvar.Int),
-		ring:      r,
+		vars:       new(expvar.Map).Init(),
+		events:     new(expvar.Map).Init(),
+		servers:    new(expvar.Map).Init(),
+		sentBytes:  new(expvar.Map).Init(),
+		sentFrames: new(expvar.Map).Init(),
+		links:      new(expvar.Map).Init(),
+		unsentAge:  new(expvar.Int),
+		ring:       r,
 	}
 	o.vars.Set("events", o.events)
 	o.vars.Set("servers", o.servers)
 	o.vars.Set("sent_bytes", o.sentBytes)
+	o.vars.Set("sent_frames", o.sentFrames)
+	o.vars.Set("links", o.links)
 	o.vars.Set("unsent_age_ms", o.unsentAge)
 	o.vars.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
 	o.vars.Set("heap_bytes", expvar.Func(func() any {
@@ -88,6 +96,7 @@
 // countSent counts the bytes of a frame that was written to another process.
 func (o *observer) countSent(c frame.Content, bytes int) {
 	o.sentBytes.Add(string(c), int64(bytes))
+	o.sentFrames.Add(string(c), 1)
 }
 
 // quantiles is the published summary of a histogram.
@@ -193,5 +202,6 @@
 	if err != nil {
 		return nil, err
 	}
-	return dump.New(process, duties, events, sent)
+	sections := []dump.Section{process, duties, events, sent}
+	return dump.New(append(sections, b.sections...)...)
 }
--- a/internal/process/role/server/server.go
+++ b/internal/process/role/server/server.go
@@ -22,6 +22,7 @@
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/connection/stream"
+	"greengagedoor.example/greengagedoor/internal/process/dump"
 	"greengagedoor.example/greengagedoor/internal/process/duty"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/keyspace"
@@ -157,6 +158,8 @@
 	unsent   unsent
 	duties   []duty.Duty
 	cleanups []func()
+	// sections are parts of the dump beside those of each process.
+	sections []dump.Section
 	// graceEnd is when the grace period ends; nil before the stop signal.
 	graceEnd atomic.Pointer[time.Time]
 	// leaving is closed at the stop signal, lingered when the linger time is over.
@@ -197,7 +200,7 @@
 	if err := b.add("journal", "Writes the log.", j.Ring, j.Run); err != nil {
 		return nil, err
 	}
-	return b, b.serveMetrics()
+	return b, nil
 }
 
 // serveMetrics adds the duty that keeps histograms and, if there is an address for
