--- a/internal/process/role/dispatch/simulation/cluster_test.go
+++ b/internal/process/role/dispatch/simulation/cluster_test.go
@@ -71,6 +71,8 @@
 	estimate    time.Duration
 	milliCores  int64
 	answered    bool
+	submittedAt time.Duration
+	answeredAt  time.Duration
 	answers     []dispatch.State
 	submissions int
 }
@@ -239,11 +241,15 @@
 // submit sends a job to an entry. The caller submits it again after a timeout or an
 // expired job.
 func (c *cluster) submit(j *simJob, e *simEntry) {
+	if j.submittedAt == 0 {
+		j.submittedAt = c.now
+	}
 	j.submissions++
 	c.request++
 	n := c.request
 	c.pending[n] = func(a dispatch.Answer) {
 		j.answers = append(j.answers, a.State())
+		j.answeredAt = c.now
 		c.record("%s: %v", j.id, a.State())
 		switch a.State() {
 		case dispatch.StateExpired:
--- a/internal/process/role/dispatch/simulation/fleet_test.go
+++ b/internal/process/role/dispatch/simulation/fleet_test.go
@@ -23,6 +23,8 @@
 // simFleet is a fleet in which each agent is connected to the entries that it chooses.
 type simFleet struct {
 	zones int
+	// links is the number of connections of an agent; 0 if each agent decides.
+	links int
 	// lostAt has the entries that are lost for good, with the time.
 	lostAt map[string]time.Duration
 	// released counts the connections that were closed on purpose.
@@ -88,7 +90,11 @@
 		}
 		members = append(members, subset.NewMember(e.name, e.zone).WithState(state))
 	}
-	choice := subset.NewSize(a.wantedLinks*2/3, a.wantedLinks).Choose(subset.NewMember(a.name, a.zone), members)
+	total := a.wantedLinks
+	if a.c.fleet.links > 0 {
+		total = a.c.fleet.links
+	}
+	choice := subset.NewSize(total*2/3, total).Choose(subset.NewMember(a.name, a.zone), members)
 	for _, l := range sortedLinks(a.links) {
 		if !l.released && !choice.Keep(l.e.name) {
 			l.released = true
