Answer idle agents less often, and let overflow agents report less often

Cause: what an entry of the large fleet spends is frames: 52 agents that report free capacity each 65 ms, answered each 100 ms.

Change: an agent without runs of the entry is answered each 150 ms at most, and agents of other availability zones report half as often where most agents are of the own zone, since they get what these have no room for. The smaller sites keep their intervals: there less than half are.

TestFleet, TestCrowding and TestShortOfProcessorTime pass.

--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -117,20 +117,30 @@
 	if !a.introduced || len(a.starts)+len(a.stops)+len(a.cancels) > 0 {
 		return true
 	}
-	return a.heard && now-a.lastSent >= t.heartbeatInterval/2
+	interval := t.heartbeatInterval * 3 / 4
+	if len(a.runs) > 0 {
+		interval = t.heartbeatInterval / 2
+	}
+	return a.heard && now-a.lastSent >= interval
 }
 
-// reportInterval returns the interval at which each agent may report free capacity,
+// reportInterval returns the interval at which an agent may report free capacity,
 // so that the reports of a large site do not take the processor time of its smallest
 // entries. Reports that come faster than the entry handles them are of no use to it.
-func (d *Dispatch) reportInterval() time.Duration {
-	return max(time.Duration(len(d.connected))*time.Second/maxReports, d.overload.highest())
+// Agents of other availability zones report less often where most are of the own zone,
+// since they get what these have no room for.
+func (d *Dispatch) reportInterval(a *agent) time.Duration {
+	interval := time.Duration(len(d.connected)) * time.Second / maxReports
+	if a.zone != d.hello.Zone() && 2*d.zoneAgents > len(d.connected) {
+		interval *= 2
+	}
+	return max(interval, d.overload.highest())
 }
 
 func (d *Dispatch) sendAgent(now time.Duration, a *agent) {
 	f := d.configuration.Announce(now, frame.Frame{
 		Echo:           a.clock,
-		ReportInterval: d.reportInterval(),
+		ReportInterval: d.reportInterval(a),
 		Leaving:        d.leaving,
 		Stops:          a.stops,
 		Cancels:        a.cancels,
@@ -196,7 +206,7 @@
 	at := sort.Search(len(d.connected), func(i int) bool { return d.connected[i].session > a.session })
 	d.connected = slices.Insert(d.connected, at, a)
 	d.chooseKeepers()
-	d.countServices()
+	d.countAgents()
 	d.logEvent(event.SessionOpened, event.F("agent", name), event.F("session", o.session), event.F("boot", a.incarnation))
 }
 
@@ -231,7 +241,7 @@
 	d.connected = slices.DeleteFunc(d.connected, func(x *agent) bool { return x == a })
 	a.session = 0
 	d.chooseKeepers()
-	d.countServices()
+	d.countAgents()
 	d.addDisconnected(a)
 	a.starts = nil
 	a.stops = nil
@@ -246,10 +256,15 @@
 		event.F("silent_ms", (now-a.lastSeen).Milliseconds()), event.F("runs", len(a.runs)))
 }
 
-// countServices counts the connected agents by the service of their target.
-func (d *Dispatch) countServices() {
+// countAgents counts the connected agents by the service of their target, and those of
+// the own availability zone.
+func (d *Dispatch) countAgents() {
 	clear(d.serviceAgents)
+	d.zoneAgents = 0
 	for _, a := range d.connected {
+		if a.zone == d.hello.Zone() {
+			d.zoneAgents++
+		}
 		if service := a.target.Service(); service != "" {
 			d.serviceAgents[service]++
 		}
@@ -346,7 +361,7 @@
 	sameService := a.target.Service() == t.Service()
 	a.target = t
 	if !sameService {
-		d.countServices()
+		d.countAgents()
 	}
 	a.size = resourcesOrZero(t.Capacity())
 	a.speed = d.estimates.speed(a.label(), a.name)
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -80,10 +80,12 @@
 	connected []*agent
 	// serviceAgents is the number of connected agents by the service of their target.
 	serviceAgents map[string]int
-	peers         map[uint64]*peer
-	jobs          map[string]*job
-	requests      map[uint64]*job
-	queue         []*job
+	// zoneAgents is the number of connected agents in the entry's own availability zone.
+	zoneAgents int
+	peers      map[uint64]*peer
+	jobs       map[string]*job
+	requests   map[uint64]*job
+	queue      []*job
 	// candidates and scratch are reused: the agents that can get work in this pass, and
 	// a copy of the queue while it changes.
 	candidates []*agent
