--- a/internal/process/role/dispatch/simulation/cluster_test.go
+++ b/internal/process/role/dispatch/simulation/cluster_test.go
@@ -115,16 +115,29 @@
 
 func newCluster(t *testing.T, seed uint64, entries, agents int, limit time.Duration) *cluster {
 	c := emptyCluster(t, seed, limit)
-	r, err := route.NewRoute("kind", "", "/", "service")
-	if err != nil {
-		t.Fatal(err)
+	c.version = newVersion(t, 1, 4, limit, map[string]string{
+		"kind": "/",
+	})
+	c.addProcesses(entries, agents)
+	return c
+}
+
+// newVersion returns a configuration with a route for each kind, by its prefix. The kinds
+// have priorities in the order of their names.
+func newVersion(t *testing.T, number int64, attempts int, limit time.Duration, prefixes map[string]string) *route.Version {
+	var routes []route.Route
+	for i, name := range slices.Sorted(maps.Keys(prefixes)) {
+		r, err := route.NewRoute(name, "", prefixes[name], "service")
+		if err != nil {
+			t.Fatal(err)
+		}
+		routes = append(routes, r.WithPriority(i, attempts).WithTiming(limit, 1.6, 60*time.Millisecond))
 	}
-	c.version, err = route.NewVersion(1, []route.Route{r.WithPriority(0, 4).WithTiming(limit, 1.6, 60*time.Millisecond)}, route.Limits{})
+	v, err := route.NewVersion(number, routes, route.Limits{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.addProcesses(entries, agents)
-	return c
+	return v
 }
 
 // emptyCluster returns a cluster without processes.
--- a/internal/process/role/dispatch/simulation/crowd_test.go
+++ b/internal/process/role/dispatch/simulation/crowd_test.go
@@ -12,7 +12,6 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"greengagedoor.example/greengagedoor/internal/process/role/executor"
-	"greengagedoor.example/greengagedoor/internal/version/route"
 )
 
 var (
@@ -40,19 +39,8 @@
 	)
 	c := newFleet(t, 1, *crowdEntries, *crowdAgents, 4, limit)
 	c.fleet.links = links
-	var routes []route.Route
 	names := slices.Sorted(maps.Keys(crowdKinds))
-	for i, name := range names {
-		r, err := route.NewRoute(name, "", "/"+name+"/", "service")
-		if err != nil {
-			t.Fatal(err)
-		}
-		routes = append(routes, r.WithPriority(i, 2).WithTiming(limit, 1.6, 60*time.Millisecond))
-	}
-	var err error
-	if c.version, err = route.NewVersion(2, routes, route.Limits{}); err != nil {
-		t.Fatal(err)
-	}
+	c.version = newVersion(t, 2, 2, limit, prefixesOf(names))
 	for i, a := range c.agents {
 		a.target.factor = 1.2
 		if i%4 == 0 {
--- a/internal/process/role/dispatch/simulation/fleet_test.go
+++ b/internal/process/role/dispatch/simulation/fleet_test.go
@@ -10,7 +10,6 @@
 	"greengagedoor.example/greengagedoor/internal/process/role/dispatch"
 	"greengagedoor.example/greengagedoor/internal/process/role/executor"
 	"greengagedoor.example/greengagedoor/internal/process/subset"
-	"greengagedoor.example/greengagedoor/internal/version/route"
 )
 
 // The times of the list of entries: a lost entry stays in it for its lease, and a
@@ -37,14 +36,9 @@
 		zones:  zones,
 		lostAt: map[string]time.Duration{},
 	}
-	r, err := route.NewRoute("kind", "", "/", "service")
-	if err != nil {
-		t.Fatal(err)
-	}
-	c.version, err = route.NewVersion(1, []route.Route{r.WithPriority(0, 4).WithTiming(limit, 1.6, 60*time.Millisecond)}, route.Limits{})
-	if err != nil {
-		t.Fatal(err)
-	}
+	c.version = newVersion(t, 1, 4, limit, map[string]string{
+		"kind": "/",
+	})
 	c.addProcesses(entries, agents)
 	return c
 }
--- a/internal/process/role/dispatch/simulation/sizes_test.go
+++ b/internal/process/role/dispatch/simulation/sizes_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"flag"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -14,7 +15,6 @@
 
 	"greengagedoor.example/greengagedoor/internal/process/role/dispatch"
 	"greengagedoor.example/greengagedoor/internal/request/task"
-	"greengagedoor.example/greengagedoor/internal/version/route"
 )
 
 var peaks = flag.Int("simulation.peaks", 3, "number of load peaks of TestLargestJobs")
@@ -89,6 +89,15 @@
 	return share(jobs[:n/10]), share(jobs[n/10 : n*3/10]), share(jobs)
 }
 
+// prefixesOf returns the prefixes of the routes of kinds.
+func prefixesOf(kinds []string) map[string]string {
+	prefixes := map[string]string{}
+	for _, name := range kinds {
+		prefixes[name] = "/" + name + "/"
+	}
+	return prefixes
+}
+
 // playPeak plays a load peak on three entries and eleven targets, of which three are
 // twice as fast as the others. All targets together can run slightly more than comes.
 func playPeak(t *testing.T, seed uint64, kinds map[string]jobKind) *cluster {
@@ -98,25 +107,9 @@
 		limit = 1500 * time.Millisecond
 	)
 	c := newCluster(t, seed, 3, 11, limit)
-	var routes []route.Route
-	names := slices.Sorted(func(yield func(string) bool) {
-		for name := range kinds {
-			if !yield(name) {
-				return
-			}
-		}
-	})
-	for i, name := range names {
-		r, err := route.NewRoute(name, "", "/"+name+"/", "service")
-		if err != nil {
-			t.Fatal(err)
-		}
-		routes = append(routes, r.WithPriority(i, 2).WithTiming(limit, 1.6, 60*time.Millisecond))
-	}
+	names := slices.Sorted(maps.Keys(kinds))
+	c.version = newVersion(t, 2, 2, limit, prefixesOf(names))
 	var err error
-	if c.version, err = route.NewVersion(2, routes, route.Limits{}); err != nil {
-		t.Fatal(err)
-	}
 	for i, a := range c.agents {
 		a.target.factor = 1.2
 		if i%4 == 0 {
