Release connections by the number of their stream

An entry may be dialed at another address than the one that it names, so the release by address would find no connection, and the surplus would stay open. The message now has the number of the stream.

--- a/internal/process/role/executor/configuration.go
+++ b/internal/process/role/executor/configuration.go
@@ -58,8 +58,12 @@
 }
 
 func (s *StateMachine) sendConfigurationFrame(now time.Duration, session uint64, f frame.Frame) {
+	sess, ok := s.sessions[session]
+	if !ok {
+		return
+	}
 	f = s.configuration.Announce(now, f)
 	f.Clock = now
-	f.Leaving = s.leaving || s.sessions[session].releasing
+	f.Leaving = s.leaving || sess.releasing
 	s.out.frames = append(s.out.frames, NewOutgoingFrame(session, f))
 }
--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -33,15 +33,13 @@
 
 // Agent is the process that controls the target on its host.
 type Agent struct {
-	base     *base
-	executor *executor.StateMachine
-	ring     *ring.Ring[any]
-	commands *ring.Ring[executor.Command]
-	renewals *ring.Ring[executor.Renewal]
-	links    *links
-	streams  map[uint64]*stream.Stream
-	// addresses are the addresses of the entries by stream number.
-	addresses map[uint64]string
+	base      *base
+	executor  *executor.StateMachine
+	ring      *ring.Ring[any]
+	commands  *ring.Ring[executor.Command]
+	renewals  *ring.Ring[executor.Renewal]
+	links     *links
+	streams   map[uint64]*stream.Stream
 	connected atomic.Int64
 	drained   atomic.Bool
 }
@@ -58,9 +56,8 @@
 		// The start time is the first fencing token, since a later process starts at
 		// a later time of day. If the clock was set back, the target rejects the token
 		// and the state machine raises it.
-		executor:  executor.New(s.executorTiming(), time.Now().UnixMilli()),
-		streams:   map[uint64]*stream.Stream{},
-		addresses: map[uint64]string{},
+		executor: executor.New(s.executorTiming(), time.Now().UnixMilli()),
+		streams:  map[uint64]*stream.Stream{},
 	}
 	if err := a.assemble(calls); err != nil {
 		b.cleanup()
@@ -185,22 +182,16 @@
 	case streamOpened:
 		a.streams[m.stream.Number()] = m.stream
 		a.connected.Store(int64(len(a.streams)))
-		a.addresses[m.stream.Number()] = m.hello.Address()
 		a.links.addPeers([]frame.Peer{frame.NewPeer(m.hello.Name(), m.hello.Address()).InZone(m.hello.Zone())})
 		a.handle(executor.SessionOpened(m.stream.Number(), m.hello))
 	case frameReceived:
 		a.handle(executor.FrameReceived(m.stream.Number(), m.frame))
 	case streamClosed:
 		delete(a.streams, m.stream.Number())
-		delete(a.addresses, m.stream.Number())
 		a.connected.Store(int64(len(a.streams)))
 		a.handle(executor.SessionClosed(m.stream.Number()))
 	case connectionReleased:
-		for n, address := range a.addresses {
-			if address == m.address {
-				a.handle(executor.SessionReleased(n))
-			}
-		}
+		a.handle(executor.SessionReleased(m.stream))
 	}
 }
 
--- a/internal/process/role/server/endpoint.go
+++ b/internal/process/role/server/endpoint.go
@@ -33,9 +33,10 @@
 	member   subset.Member
 	lastSeen time.Time
 	dialing  bool
-	// open reports that the connection is established since openedAt, reached that one
-	// was before.
+	// open reports that the connection is established on a stream since openedAt, reached
+	// that one was before.
 	open     bool
+	stream   uint64
 	openedAt time.Time
 	reached  bool
 	// released is set while the owner of the connection is asked to close it.
--- a/internal/process/role/server/entryloop.go
+++ b/internal/process/role/server/entryloop.go
@@ -90,18 +90,12 @@
 	case entriesFound:
 		e.entriesFound(m.peers)
 	case connectionReleased:
-		e.release(m.address)
-	}
-	return nil
-}
-
-// release closes the connection to another entry, which holds no runs.
-func (e *Entry) release(address string) {
-	for n, s := range e.streams {
-		if h := e.hellos[n]; h.Role() == frame.RoleEntry && h.Address() == address {
+		// A connection to another entry holds no runs.
+		if s, ok := e.streams[m.stream]; ok {
 			s.Close()
 		}
 	}
+	return nil
 }
 
 // refreshers is the number of entries that send an unchanged list to an agent.
--- a/internal/process/role/server/links.go
+++ b/internal/process/role/server/links.go
@@ -44,9 +44,10 @@
 	maxEndpoints = 2 * maxPeers
 )
 
-// connectionOpened is the message that a connection is established.
+// connectionOpened is the message that a connection is established on a stream.
 type connectionOpened struct {
 	address string
+	stream  uint64
 }
 
 // connectionEnded is the message that a connection has ended or could not be
@@ -57,10 +58,10 @@
 	lasted  time.Duration
 }
 
-// connectionReleased is the message that a connection to an entry is not needed any
+// connectionReleased is the message that the connection on a stream is not needed any
 // more.
 type connectionReleased struct {
-	address string
+	stream uint64
 }
 
 // links is the duty that keeps connections to the entries that this process chooses.
@@ -240,6 +241,7 @@
 	case connectionOpened:
 		if p, ok := l.endpoints[m.address]; ok {
 			p.open = true
+			p.stream = m.stream
 			p.openedAt = time.Now()
 			p.reached = true
 			l.count(linkOpened)
@@ -336,7 +338,7 @@
 		return
 	}
 	p.released = l.owner.TryPush(connectionReleased{
-		address: p.address,
+		stream: p.stream,
 	}) == nil
 }
 
@@ -354,6 +356,7 @@
 		// If the message is lost, the connection counts as being opened.
 		_ = l.ring.Push(ctx, connectionOpened{
 			address: address,
+			stream:  s.Number(),
 		})
 		l.handlers.Opened(s, hello)
 	}
--- a/internal/process/role/server/links_test.go
+++ b/internal/process/role/server/links_test.go
@@ -134,6 +134,10 @@
 func openLinks(l *links, fails func(address string) bool) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
+	streams := uint64(0)
+	for _, p := range l.endpoints {
+		streams = max(streams, p.stream)
+	}
 	for range 100 {
 		l.intervalStart = time.Time{}
 		l.dial(ctx)
@@ -145,8 +149,10 @@
 				})
 				p.nextDial = time.Time{}
 			case p.dialing && !p.open:
+				streams++
 				l.receive(connectionOpened{
 					address: p.address,
+					stream:  streams,
 				})
 			}
 		}
@@ -227,7 +233,11 @@
 		So(l.owner.Depth(), ShouldEqual, open-executor.MinLinks)
 		for range open - executor.MinLinks {
 			m, _ := l.owner.Pop(context.Background())
-			So(l.choice.Dial(m.(connectionReleased).address), ShouldBeFalse)
+			for _, p := range l.endpoints {
+				if p.stream == m.(connectionReleased).stream {
+					So(l.choice.Dial(p.address), ShouldBeFalse)
+				}
+			}
 		}
 	})
 }
