Release the entries of the settings soon after a start of all processes

Cause: all agents of a fleet start at the three entries of the settings and kept these connections until others had been open for 5 s. At 240 agents a seed, which may be one of the smallest hosts, then has 240 sessions.

Change: in the first 10 s of a process its connections settle after 1 s, since none has proven longer. TestSeedsAreReleased fails in at_the_start without the change.

--- a/internal/process/role/server/endpoint.go
+++ b/internal/process/role/server/endpoint.go
@@ -17,6 +17,10 @@
 	// settledAfter is how long a connection is open before others are closed in its
 	// favor, so that a process that starts again and again takes no place.
 	settledAfter = 5 * time.Second
+	// startPhase is the time after the start of a process in which connections settle
+	// after stableAfter. Until then all processes are connected to the entries of the
+	// settings, which these can't bear for long in a large fleet.
+	startPhase = 10 * time.Second
 	// failingAfter is the number of failures after which an entry is taken as unreachable
 	// and the next one is chosen as well.
 	failingAfter = 2
@@ -48,10 +52,10 @@
 	failures int
 }
 
-// state returns what is known of the connection.
-func (p *endpoint) state(now time.Time) subset.State {
+// state returns what is known of the connection, which settles after some time.
+func (p *endpoint) state(now time.Time, settled time.Duration) subset.State {
 	switch {
-	case p.open && now.Sub(p.openedAt) >= settledAfter:
+	case p.open && now.Sub(p.openedAt) >= settled:
 		return subset.StateSettled
 	case !p.open && p.failures >= failingAfter:
 		return subset.StateFailing
--- a/internal/process/role/server/linkdump.go
+++ b/internal/process/role/server/linkdump.go
@@ -44,7 +44,7 @@
 	var open, others []string
 	for _, a := range slices.Sorted(maps.Keys(l.endpoints)) {
 		p := l.endpoints[a]
-		text := fmt.Sprintf("%s zone=%s reason=%s", a, p.member.Zone(), l.reason(p))
+		text := fmt.Sprintf("%s zone=%s reason=%s", a, p.member.Zone(), l.reason(p, now))
 		if p.open {
 			open = append(open, fmt.Sprintf("%s open_ms=%d", text, now.Sub(p.openedAt).Milliseconds()))
 			continue
@@ -55,11 +55,11 @@
 }
 
 // reason says why an entry is, or is not, to be connected.
-func (l *links) reason(p *endpoint) string {
+func (l *links) reason(p *endpoint, now time.Time) string {
 	switch {
 	case p.released:
 		return "released"
-	case l.choice.Dial(p.address) && p.state(time.Now()) == subset.StateFailing:
+	case l.choice.Dial(p.address) && p.state(now, l.settleTime(now)) == subset.StateFailing:
 		return "chosen_failing"
 	case l.choice.Dial(p.address):
 		return "chosen"
--- a/internal/process/role/server/links.go
+++ b/internal/process/role/server/links.go
@@ -79,6 +79,8 @@
 	owner     *ring.Ring[any]
 	endpoints map[string]*endpoint
 	choice    subset.Choice
+	// began is when the process started.
+	began time.Time
 	// chosenBy has the entries that choose this one, if that counts. It is computed anew
 	// when the set of entries has changed.
 	chosenBy map[string]bool
@@ -118,6 +120,7 @@
 		ring:      r,
 		owner:     owner,
 		endpoints: map[string]*endpoint{},
+		began:     time.Now(),
 	}
 	if b.hello.Role() == frame.RoleEntry {
 		l.self = subset.NewMember(b.settings.advertised, b.settings.zone)
@@ -268,7 +271,7 @@
 func (l *links) choose(now time.Time) {
 	members := make([]subset.Member, 0, len(l.endpoints))
 	for _, p := range l.endpoints {
-		members = append(members, p.member.WithState(p.state(now)))
+		members = append(members, p.member.WithState(p.state(now, l.settleTime(now))))
 	}
 	if l.changed && l.symmetric {
 		l.chosenBy = l.size.ChosenBy(l.self, members)
@@ -281,6 +284,14 @@
 	}
 }
 
+// settleTime returns how long a connection is open before it counts as settled.
+func (l *links) settleTime(now time.Time) time.Duration {
+	if now.Sub(l.began) < startPhase {
+		return stableAfter
+	}
+	return settledAfter
+}
+
 // shouldDial reports whether this process opens a connection to an entry.
 func (l *links) shouldDial(p *endpoint) bool {
 	if !l.symmetric {
--- a/internal/process/role/server/links_test.go
+++ b/internal/process/role/server/links_test.go
@@ -242,6 +242,53 @@
 	})
 }
 
+// TestSeedsAreReleased guards against the entries of the settings that keep a connection to
+// each agent of a large fleet after all processes have started at once.
+func TestSeedsAreReleased(t *testing.T) {
+	tests := map[string]struct {
+		// since is how long ago the process started, and open how long its connections are.
+		since    time.Duration
+		open     time.Duration
+		released bool
+	}{
+		"at_once":      {since: time.Second, open: stableAfter / 2},
+		"at_the_start": {since: 2 * time.Second, open: stableAfter, released: true},
+		"later":        {since: time.Minute, open: stableAfter},
+		"settled":      {since: time.Minute, open: settledAfter, released: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			Convey("seeds that are not chosen are released once enough others are open", t, func() {
+				l, _ := newTestLinks(t)
+				l.self = subset.NewMember("agent_1", "zone_0")
+				l.size = agentSize(executor.MinLinks)
+				l.began = time.Now().Add(-tt.since)
+				for i := range 30 {
+					l.addAddress(fmt.Sprintf("10.9.0.%d:7400", i), "", true)
+				}
+				never := func(string) bool { return false }
+				openLinks(l, never)
+				l.receive(peersSeen{
+					peers: testPeers(55),
+				})
+				openLinks(l, never)
+				So(l.owner.Depth(), ShouldEqual, 0)
+				open := l.openCount()
+				for _, p := range l.endpoints {
+					p.openedAt = p.openedAt.Add(-tt.open)
+				}
+				openLinks(l, never)
+				if !tt.released {
+					So(l.owner.Depth(), ShouldEqual, 0)
+					return
+				}
+				So(open, ShouldBeGreaterThan, executor.MinLinks)
+				So(l.owner.Depth(), ShouldEqual, open-executor.MinLinks)
+			})
+		})
+	}
+}
+
 // TestEntriesAgree guards against two entries that both open a connection, or neither.
 func TestEntriesAgree(t *testing.T) {
 	Convey("of each two entries one opens the connection, and all are connected", t, func() {
