Keep 8 connections an agent, and dial lost entries of another zone again

And an agent did not dial the lost entries of another zone again if those of its own took all places, so that it would not have noticed their return (TestChoose/other_zone_is_lost, which fails before: 0 of 3 dialed).

--- a/internal/process/role/executor/links.go
+++ b/internal/process/role/executor/links.go
@@ -9,7 +9,7 @@
 const (
 	// MinLinks is the number of entries that an agent is connected to if these have enough
 	// agents.
-	MinLinks = 12
+	MinLinks = 8
 	// maxLinks bounds what odd counts of entries can lead to.
 	maxLinks = 1024
 	// wantedAgents is the number of agents of a service that an entry should be connected
--- a/internal/process/subset/subset.go
+++ b/internal/process/subset/subset.go
@@ -114,9 +114,15 @@
 		dial: map[string]bool{},
 		keep: map[string]bool{},
 	}
+	// The entries that would be chosen if all could be reached are dialed in any case, so
+	// that one that has returned is noticed.
+	always := func(Member) bool { return true }
 	reachable := func(m Member) bool { return m.state != StateFailing }
 	settled := func(m Member) bool { return m.state == StateSettled }
-	ownLimit, otherLimit := s.limits(count(own, reachable), count(other, reachable))
+	ownLimit, otherLimit := s.limits(len(own), len(other))
+	take(own, ownLimit, always, c.dial, c.keep)
+	take(other, otherLimit, always, c.dial, c.keep)
+	ownLimit, otherLimit = s.limits(count(own, reachable), count(other, reachable))
 	take(own, ownLimit, reachable, c.dial, c.keep)
 	take(other, otherLimit, reachable, c.dial, c.keep)
 	ownLimit, otherLimit = s.limits(count(own, settled), count(other, settled))
