--- a/internal/process/role/server/links.go
+++ b/internal/process/role/server/links.go
@@ -39,8 +39,7 @@
 	// dialInterval.
 	maxDialsPerInterval = 16
 	dialInterval        = 50 * time.Millisecond
-	// maxEndpoints bounds the addresses that are dialed: those of maxPeers entries and
-	// the seeds.
+	// maxEndpoints bounds the known addresses: those of maxPeers entries and the seeds.
 	maxEndpoints = 2 * maxPeers
 )
 
--- a/internal/process/subset/subset_test.go
+++ b/internal/process/subset/subset_test.go
@@ -9,8 +9,7 @@
 	"greengagedoor.example/greengagedoor/internal/process/subset"
 )
 
-// fleet returns entries in availability zones, as many in each as the last number but
-// one, and the next.
+// fleet returns entries that are spread evenly over availability zones.
 func fleet(entries, zones int) []subset.Member {
 	var list []subset.Member
 	for i := range entries {
