--- /dev/null
+++ b/review/_standin/stops.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+func init() { cases["stops"] = playStops }
+
+const (
+	// wideTasks is the number of tasks of the job's wide step, 100 for each minion.
+	wideTasks = 600
+	// lateShare is the share of the orders that get no answer. It is the dose that kinds
+	// shows for applied_late, and lateTime the longest time of the site file.
+	lateShare = 0.5
+	lateTime  = 5500 * time.Millisecond
+	// maxSends bounds how often the client sends its job.
+	maxSends = 3
+)
+
+// checkOverlap breaks the rule where a run of a task starts while another one is at work.
+func checkOverlap(j *judge) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.onStart = func(minion string, _ []string, task string, run int64) {
+		for other, at := range j.atWork[task] {
+			j.breaks("%s#%d starts on %s while #%d is at work on %s", task, run, minion, at, other)
+		}
+	}
+}
+
+// playStops sends a wide job that its entry gives up, since its last task takes much
+// longer than estimated. The client sends it again after the 504, while the minions leave
+// a share of the orders unanswered.
+func playStops(j *judge, trouble bool) error {
+	c, err := newCluster(j, 3, []string{"a", "a", "a", "a", "a", "a"})
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	checkOverlap(j)
+	id := newID()
+	body := jobBody("250/5000 250/2000 250/12000", jobStep{
+		Count:      wideTasks,
+		CPU:        250,
+		MemMB:      128,
+		EstimateMs: 5000,
+	}, jobStep{
+		Count:      1,
+		CPU:        250,
+		MemMB:      128,
+		EstimateMs: 2000,
+	}, jobStep{
+		Count:      1,
+		CPU:        250,
+		MemMB:      128,
+		EstimateMs: 2000,
+		After:      []int{1},
+	})
+	var client sync.WaitGroup
+	client.Add(1)
+	go func() {
+		defer client.Done()
+		for n := range maxSends {
+			status, _ := c.call(http.MethodPost, c.entries[n%len(c.entries)], id, body, 8*time.Second)
+			if status != 0 && status != http.StatusBadGateway && status != http.StatusGatewayTimeout {
+				return
+			}
+			time.Sleep(resendPause)
+		}
+	}()
+	for end := time.Now().Add(1800 * time.Millisecond); j.atWorkOf(id) < wideTasks+1; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("%d tasks are at work, want %d", j.atWorkOf(id), wideTasks+1)
+		}
+	}
+	if trouble {
+		j.note("from now on, minions leave orders unanswered")
+		for n, m := range c.minions {
+			m.setLate(&late{
+				share:  lateShare,
+				random: rand.New(rand.NewPCG(1, uint64(n))),
+			})
+		}
+	}
+	time.Sleep(lateTime)
+	for _, m := range c.minions {
+		m.setLate(nil)
+	}
+	client.Wait()
+	return nil
+}
