--- a/review/_standin/cancel.go
+++ b/review/_standin/cancel.go
@@ -60,8 +60,8 @@
 	return jobBody(strings.Repeat(fmt.Sprintf("1000/%d ", ms), steps), list...)
 }
 
-// playCancelDuplicate cancels a job at its entry. A first request for the job, to which
-// there was no answer, arrives at another entry seconds after the answer.
+// playCancelDuplicate cancels a job at its entry. The client's first request for the job,
+// whose channel broke, arrives at another entry seconds after the answers.
 func playCancelDuplicate(j *judge, trouble bool) error {
 	c, err := newCluster(j, 3, []string{"a", "a", "a"})
 	if err != nil {
@@ -71,6 +71,8 @@
 	id := newID()
 	acknowledged := checkCancelled(j, id)
 	body := chain(4, 700)
+	j.note("client sends POST %s to %s; its channel breaks while the request is under way", id, c.entries[1].name)
+	time.Sleep(resendPause)
 	answered := make(chan int, 1)
 	go func() {
 		status, _ := c.call(http.MethodPost, c.entries[0], id, body, 10*time.Second)
@@ -83,10 +85,11 @@
 	}
 	acknowledged()
 	if s := <-answered; s/100 != 2 {
-		j.note("the job's request was answered with %d", s)
+		return fmt.Errorf("the job's request was answered with %d", s)
 	}
 	time.Sleep(4 * time.Second)
 	if trouble {
+		j.note("the first request arrives")
 		c.call(http.MethodPost, c.entries[1], id, body, 10*time.Second)
 	}
 	time.Sleep(2 * time.Second)
