--- a/review/_standin/cluster.go
+++ b/review/_standin/cluster.go
@@ -51,6 +51,8 @@
 	agents  []*process
 	minions []*minion
 	seeds   []string
+	// paths are the proxies on the ways to the entries' links.
+	paths []*path
 }
 
 // newCluster starts entries, agents and minions, and waits until each entry serves.
@@ -83,7 +85,12 @@
 	go func() { _ = http.Serve(l, c.store) }()
 	c.store.put("op/config", configuration())
 	for n := range entries {
-		c.seeds = append(c.seeds, fmt.Sprintf("%s:%d", c.ip(1, n), c.port+4))
+		c.seeds = append(c.seeds, fmt.Sprintf("%s:%d", c.ip(4, n), c.port+4))
+		p, err := newPath(fmt.Sprintf("%s:%d", c.ip(4, n), c.port), fmt.Sprintf("%s:%d", c.ip(1, n), c.port))
+		if err != nil {
+			return err
+		}
+		c.paths = append(c.paths, p)
 	}
 	for n := range entries {
 		p, err := c.startProcess("entry", fmt.Sprintf("edge-%s-%d", zones[n%len(zones)], n+1), zones[n%len(zones)], c.ip(1, n))
@@ -164,6 +171,10 @@
 	}
 	cmd := exec.Command(run[0], run[1:]...)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + c.dir, "GREENGAGEDOOR_CONFIG=" + settings}
+	if role == "entry" {
+		// Other processes reach the entry through its path.
+		cmd.Env = append(cmd.Env, "GREENGAGEDOOR_LISTEN_ADVERTISED="+strings.Replace(ip, fmt.Sprintf("127.%d.1.", c.net), fmt.Sprintf("127.%d.4.", c.net), 1)+fmt.Sprintf(":%d", c.port))
+	}
 	cmd.Stdout = out
 	cmd.Stderr = out
 	cmd.SysProcAttr = &syscall.SysProcAttr{
