--- a/review/_standin/minion.go
+++ b/review/_standin/minion.go
@@ -41,9 +41,11 @@
 	zone    string
 	judge   *judge
 
-	mu       sync.Mutex
-	up       bool
-	boot     int
+	mu   sync.Mutex
+	up   bool
+	boot int
+	// life counts the boots that have an id of their own.
+	life     int
 	born     time.Time
 	labels   []string
 	cpu      int64
@@ -89,8 +91,21 @@
 	return m, nil
 }
 
-// start begins a boot, which runs nothing and has seen no generation number.
+// start begins a boot under a new id.
 func (m *minion) start(labels []string) error {
+	m.mu.Lock()
+	m.life++
+	m.mu.Unlock()
+	return m.startBoot(labels)
+}
+
+// startAgain begins a boot under the id and with the labels that the minion had.
+func (m *minion) startAgain() error {
+	return m.startBoot(m.labels)
+}
+
+// startBoot begins a boot, which runs nothing and has seen no generation number.
+func (m *minion) startBoot(labels []string) error {
 	l, err := net.Listen("tcp", m.listen)
 	if err != nil {
 		return err
@@ -135,7 +150,7 @@
 }
 
 func (m *minion) id() string {
-	return fmt.Sprintf("i-%s%04x", m.name, m.boot)
+	return fmt.Sprintf("i-%s%04x", m.name, m.life)
 }
 
 func (m *minion) clock() int64 {
