--- a/review/_standin/cluster.go
+++ b/review/_standin/cluster.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -39,7 +40,9 @@
 	cmd  *exec.Cmd
 }
 
-// cluster is a small deployment on loopback.
+// cluster is a small deployment on loopback. All hosts use the ports from port on. The
+// addresses are 127.NET.KIND.N, where the kind is 1 for entries, 2 for agents, 3 for
+// minions and 4 for the paths to entries.
 type cluster struct {
 	dir     string
 	port    int
@@ -66,6 +69,7 @@
 		judge: j,
 		store: newStore(),
 	}
+	c.closeOnSignal()
 	if err := c.build(entries, kinds); err != nil {
 		c.close()
 		return nil, err
@@ -172,8 +176,9 @@
 	cmd := exec.Command(run[0], run[1:]...)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + c.dir, "GREENGAGEDOOR_CONFIG=" + settings}
 	if role == "entry" {
-		// Other processes reach the entry through its path.
-		cmd.Env = append(cmd.Env, "GREENGAGEDOOR_LISTEN_ADVERTISED="+strings.Replace(ip, fmt.Sprintf("127.%d.1.", c.net), fmt.Sprintf("127.%d.4.", c.net), 1)+fmt.Sprintf(":%d", c.port))
+		// Other processes reach the entry through its path, at its address in another network.
+		front := strings.Replace(ip, fmt.Sprintf("127.%d.1.", c.net), fmt.Sprintf("127.%d.4.", c.net), 1)
+		cmd.Env = append(cmd.Env, fmt.Sprintf("GREENGAGEDOOR_LISTEN_ADVERTISED=%s:%d", front, c.port))
 	}
 	cmd.Stdout = out
 	cmd.Stderr = out
@@ -214,16 +219,25 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// closeOnSignal ends all processes if the case is ended before its time.
+func (c *cluster) closeOnSignal() {
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-ended
+		c.judge.note("the case was ended before its time")
+		c.close()
+		c.judge.close()
+		os.Exit(couldNotRun)
+	}()
+}
+
 // close ends all processes and removes the temporary folder.
 func (c *cluster) close() {
 	for _, p := range append(append([]*process(nil), c.entries...), c.agents...) {
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		_ = p.cmd.Process.Kill()
 	}
-	if keep := os.Getenv("REVIEW_KEEP"); keep != "" {
-		_ = os.Rename(c.dir, keep)
-		return
-	}
 	_ = os.RemoveAll(c.dir)
 }
 
--- a/review/_standin/judge.go
+++ b/review/_standin/judge.go
@@ -18,7 +18,6 @@
 	broken []string
 	// atWork has the minions on which a run of a task is at work.
 	atWork map[string]map[string]int64
-	starts map[string]int
 	// onStart checks a start against the rule of the case. It is called with the lock.
 	onStart func(minion string, labels []string, task string, run int64)
 }
@@ -33,7 +32,6 @@
 		file:   f,
 		out:    bufio.NewWriter(f),
 		atWork: map[string]map[string]int64{},
-		starts: map[string]int{},
 	}, nil
 }
 
@@ -66,7 +64,6 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.write("minion %s starts %s#%d", minion, task, run)
-	j.starts[jobOf(task)]++
 	if j.onStart != nil {
 		j.onStart(minion, labels, task, run)
 	}
@@ -83,13 +80,6 @@
 	delete(j.atWork[task], minion)
 }
 
-// startsOf returns the number of starts of a job's tasks.
-func (j *judge) startsOf(job string) int {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.starts[job]
-}
-
 // atWorkOf returns the number of runs of a job that are at work.
 func (j *judge) atWorkOf(job string) int {
 	j.mu.Lock()
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -12,6 +12,10 @@
 	"os"
 )
 
+// couldNotRun is the exit code of a case that couldn't run.
+const couldNotRun = 2
+
+// cases has the cases by name.
 var cases = map[string]func(*judge, bool) error{}
 
 func main() {
@@ -21,18 +25,18 @@
 func play() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review CASE RECORD")
-		return 2
+		return couldNotRun
 	}
 	j, err := newJudge(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return 2
+		return couldNotRun
 	}
 	defer j.close()
 	if err := cases[os.Args[1]](j, os.Getenv("TROUBLE") != "0"); err != nil {
 		j.note("the case couldn't run: %v", err)
 		fmt.Println("the case couldn't run:", err)
-		return 2
+		return couldNotRun
 	}
 	j.mu.Lock()
 	broken := j.broken
