--- a/review/_standin/cancel.go
+++ b/review/_standin/cancel.go
@@ -20,20 +20,16 @@
 // its cancelling was acknowledged.
 func checkCancelled(j *judge, job string) func() {
 	var acknowledged time.Time
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.onStart = func(minion string, _ []string, task string, run int64) {
+	j.checkStarts(func(minion string, _ []string, task string, run int64) {
 		if jobOf(task) != job || acknowledged.IsZero() {
 			return
 		}
 		if after := time.Since(acknowledged); after > cancelTime {
 			j.breaks("%s#%d starts on %s %d ms after the job's cancelling was acknowledged", task, run, minion, after.Milliseconds())
 		}
-	}
+	})
 	return func() {
-		j.mu.Lock()
-		defer j.mu.Unlock()
-		acknowledged = time.Now()
+		j.call(func() { acknowledged = time.Now() })
 	}
 }
 
@@ -72,13 +68,13 @@
 	acknowledged := checkCancelled(j, id)
 	body := chain(4, 700)
 	j.note("client sends POST %s to %s; its channel breaks while the request is under way", id, c.entries[1].name)
-	time.Sleep(resendPause)
+	pause(resendPause)
 	answered := make(chan int, 1)
 	go func() {
 		status, _ := c.call(http.MethodPost, c.entries[0], id, body, 10*time.Second)
 		answered <- status
 	}()
-	time.Sleep(time.Second)
+	pause(time.Second)
 	status, _ := c.call(http.MethodDelete, c.entries[0], id, "", 3*time.Second)
 	if !acknowledges(status) {
 		return errNotAcknowledged
@@ -87,12 +83,12 @@
 	if s := <-answered; s/100 != 2 {
 		return fmt.Errorf("the job's request was answered with %d", s)
 	}
-	time.Sleep(4 * time.Second)
+	pause(4 * time.Second)
 	if trouble {
 		j.note("the first request arrives")
 		c.call(http.MethodPost, c.entries[1], id, body, 10*time.Second)
 	}
-	time.Sleep(2 * time.Second)
+	pause(2 * time.Second)
 	return nil
 }
 
@@ -110,10 +106,10 @@
 		status, _ := c.call(http.MethodPost, c.entries[0], id, chain(10, 1000), 25*time.Second)
 		answered <- status
 	}()
-	time.Sleep(1500 * time.Millisecond)
+	pause(1500 * time.Millisecond)
 	if trouble {
 		c.signal(c.entries[0], syscall.SIGSTOP)
-		time.Sleep(time.Second)
+		pause(time.Second)
 	}
 	status, _ := c.call(http.MethodDelete, c.entries[1], id, "", 3*time.Second)
 	if !acknowledges(status) {
@@ -121,7 +117,7 @@
 	}
 	acknowledged()
 	if trouble {
-		time.Sleep(time.Second)
+		pause(time.Second)
 		c.signal(c.entries[0], syscall.SIGCONT)
 	}
 	select {
--- a/review/_standin/cluster.go
+++ b/review/_standin/cluster.go
@@ -323,9 +323,9 @@
 			if status == http.StatusOK {
 				break
 			}
-			time.Sleep(300 * time.Millisecond)
+			pause(300 * time.Millisecond)
 		}
 	}
-	time.Sleep(contactTime)
+	pause(contactTime)
 	return nil
 }
--- a/review/_standin/judge.go
+++ b/review/_standin/judge.go
@@ -5,20 +5,19 @@
 	"fmt"
 	"os"
 	"strings"
-	"sync"
 	"time"
 )
 
 // judge writes the record and sees each start and end on the minions.
 type judge struct {
-	mu     sync.Mutex
+	*owner
 	began  time.Time
 	file   *os.File
 	out    *bufio.Writer
 	broken []string
 	// atWork has the minions on which a run of a task is at work.
 	atWork map[string]map[string]int64
-	// onStart checks a start against the rule of the case. It is called with the lock.
+	// onStart checks a start against the rule of the case. It is called by the owner.
 	onStart func(minion string, labels []string, task string, run int64)
 }
 
@@ -28,6 +27,7 @@
 		return nil, err
 	}
 	return &judge{
+		owner:  newOwner(),
 		began:  time.Now(),
 		file:   f,
 		out:    bufio.NewWriter(f),
@@ -36,10 +36,10 @@
 }
 
 func (j *judge) close() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	_ = j.out.Flush()
-	_ = j.file.Close()
+	j.call(func() {
+		_ = j.out.Flush()
+		_ = j.file.Close()
+	})
 }
 
 func (j *judge) write(format string, args ...any) {
@@ -48,12 +48,10 @@
 
 // note writes a line of the record.
 func (j *judge) note(format string, args ...any) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.write(format, args...)
+	j.call(func() { j.write(format, args...) })
 }
 
-// breaks records that the rule is broken. The caller holds the lock.
+// breaks records that the rule is broken. It is called by the owner.
 func (j *judge) breaks(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
 	j.broken = append(j.broken, text)
@@ -61,35 +59,40 @@
 }
 
 func (j *judge) started(minion string, labels []string, task string, run int64) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.write("minion %s starts %s#%d", minion, task, run)
-	if j.onStart != nil {
-		j.onStart(minion, labels, task, run)
-	}
-	if j.atWork[task] == nil {
-		j.atWork[task] = map[string]int64{}
-	}
-	j.atWork[task][minion] = run
+	j.call(func() {
+		j.write("minion %s starts %s#%d", minion, task, run)
+		if j.onStart != nil {
+			j.onStart(minion, labels, task, run)
+		}
+		if j.atWork[task] == nil {
+			j.atWork[task] = map[string]int64{}
+		}
+		j.atWork[task][minion] = run
+	})
 }
 
 func (j *judge) ended(minion, task string, run int64, how string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.write("minion %s ends %s#%d: %s", minion, task, run, how)
-	delete(j.atWork[task], minion)
+	j.call(func() {
+		j.write("minion %s ends %s#%d: %s", minion, task, run, how)
+		delete(j.atWork[task], minion)
+	})
+}
+
+// checkStarts has each start checked by f.
+func (j *judge) checkStarts(f func(minion string, labels []string, task string, run int64)) {
+	j.call(func() { j.onStart = f })
 }
 
 // atWorkOf returns the number of runs of a job that are at work.
 func (j *judge) atWorkOf(job string) int {
-	j.mu.Lock()
-	defer j.mu.Unlock()
 	n := 0
-	for task, runs := range j.atWork {
-		if jobOf(task) == job {
-			n += len(runs)
+	j.call(func() {
+		for task, runs := range j.atWork {
+			if jobOf(task) == job {
+				n += len(runs)
+			}
 		}
-	}
+	})
 	return n
 }
 
--- a/review/_standin/kind.go
+++ b/review/_standin/kind.go
@@ -24,17 +24,13 @@
 // requires. It returns the function that records what a job requires.
 func checkKind(j *judge) func(job, label string) {
 	required := map[string]string{}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.onStart = func(minion string, labels []string, task string, run int64) {
+	j.checkStarts(func(minion string, labels []string, task string, run int64) {
 		if label := required[jobOf(task)]; label != "" && labels[0] != label {
 			j.breaks("%s#%d, which requires label %s, starts on %s, which has %v", task, run, label, minion, labels)
 		}
-	}
+	})
 	return func(job, label string) {
-		j.mu.Lock()
-		defer j.mu.Unlock()
-		required[job] = label
+		j.call(func() { required[job] = label })
 	}
 }
 
@@ -48,21 +44,21 @@
 	defer c.close()
 	require := checkKind(j)
 	c.paths[0].delay.Store(int64(zoneDelay))
-	time.Sleep(time.Second)
+	pause(time.Second)
 	kind := "a"
 	for range restarts {
 		next := kind
 		if trouble {
 			next = map[string]string{"a": "c", "c": "a"}[kind]
 			c.minions[0].crash()
-			time.Sleep(downTime)
+			pause(downTime)
 			if err := c.minions[0].start([]string{next, "r1-0"}); err != nil {
 				return err
 			}
 			go c.minions[0].report()
 		}
 		var clients sync.WaitGroup
-		time.Sleep(rand.N(jobInterval))
+		pause(rand.N(jobInterval))
 		for range crashJobs {
 			id := newID()
 			require(id, kind)
@@ -77,11 +73,11 @@
 					Requirements: kind,
 				}), 1500*time.Millisecond)
 			}()
-			time.Sleep(jobInterval)
+			pause(jobInterval)
 		}
 		clients.Wait()
 		kind = next
-		time.Sleep(time.Second)
+		pause(time.Second)
 	}
 	return nil
 }
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -38,9 +38,8 @@
 		fmt.Println("the case couldn't run:", err)
 		return couldNotRun
 	}
-	j.mu.Lock()
-	broken := j.broken
-	j.mu.Unlock()
+	var broken []string
+	j.call(func() { broken = j.broken })
 	if len(broken) > 0 {
 		fmt.Printf("broken %d times, first: %s\n", len(broken), broken[0])
 		return 1
--- a/review/_standin/minion.go
+++ b/review/_standin/minion.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -41,7 +40,7 @@
 	zone    string
 	judge   *judge
 
-	mu   sync.Mutex
+	*owner
 	up   bool
 	boot int
 	// life counts the boots that have an id of their own.
@@ -74,6 +73,7 @@
 
 func newMinion(name, listen, control, service, zone string, cpu, memMB int64, labels []string, j *judge) (*minion, error) {
 	m := &minion{
+		owner:   newOwner(),
 		name:    name,
 		listen:  listen,
 		control: control,
@@ -93,15 +93,15 @@
 
 // start begins a boot under a new id.
 func (m *minion) start(labels []string) error {
-	m.mu.Lock()
-	m.life++
-	m.mu.Unlock()
+	m.call(func() { m.life++ })
 	return m.startBoot(labels)
 }
 
 // startAgain begins a boot under the id and with the labels that the minion had.
 func (m *minion) startAgain() error {
-	return m.startBoot(m.labels)
+	var labels []string
+	m.call(func() { labels = m.labels })
+	return m.startBoot(labels)
 }
 
 // startBoot begins a boot, which runs nothing and has seen no generation number.
@@ -110,8 +110,12 @@
 	if err != nil {
 		return err
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	m.call(func() { m.reset(labels, l) })
+	return nil
+}
+
+// reset begins a boot that listens on l.
+func (m *minion) reset(labels []string, l net.Listener) {
 	m.up = true
 	m.boot++
 	m.born = time.Now()
@@ -126,27 +130,25 @@
 	}
 	go func(s *http.Server) { _ = s.Serve(l) }(m.server)
 	m.judge.note("minion %s boot %d starts, labels %v", m.name, m.boot, labels)
-	return nil
 }
 
 // crash ends the boot with all that runs.
 func (m *minion) crash() {
-	m.mu.Lock()
-	m.up = false
-	for task, e := range m.running {
-		m.judge.ended(m.name, task, e.run, "crash")
-	}
-	m.running = map[string]*execution{}
-	s := m.server
-	m.mu.Unlock()
+	var s *http.Server
+	m.call(func() {
+		m.up = false
+		for task, e := range m.running {
+			m.judge.ended(m.name, task, e.run, "crash")
+		}
+		m.running = map[string]*execution{}
+		s = m.server
+	})
 	_ = s.Close()
 	m.judge.note("minion %s crashes", m.name)
 }
 
 func (m *minion) setLate(l *late) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.late = l
+	m.call(func() { m.late = l })
 }
 
 func (m *minion) id() string {
@@ -160,11 +162,11 @@
 // tick ends the runs whose work is done and those whose lease has lapsed.
 func (m *minion) tick() {
 	for range time.Tick(5 * time.Millisecond) {
-		m.mu.Lock()
-		if m.up {
-			m.settle()
-		}
-		m.mu.Unlock()
+		m.call(func() {
+			if m.up {
+				m.settle()
+			}
+		})
 	}
 }
 
@@ -198,20 +200,23 @@
 func (m *minion) beat() {
 	for {
 		m.report()
-		time.Sleep(heartbeat)
+		pause(heartbeat)
 	}
 }
 
 func (m *minion) report() {
-	m.mu.Lock()
-	up, id := m.up, m.id()
-	m.seq++
-	body, _ := json.Marshal(map[string]any{
-		"service": m.service, "addr": m.listen, "zone": m.zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
-		"capacity": map[string]int64{"cpu": m.cpu, "memMb": m.memMB, "gpu": 0}, "labels": m.labels,
-		"clockMs": m.clock(), "seq": m.seq, "born": m.born.UnixMilli(),
+	var up bool
+	var id string
+	var body []byte
+	m.call(func() {
+		up, id = m.up, m.id()
+		m.seq++
+		body, _ = json.Marshal(map[string]any{
+			"service": m.service, "addr": m.listen, "zone": m.zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
+			"capacity": map[string]int64{"cpu": m.cpu, "memMb": m.memMB, "gpu": 0}, "labels": m.labels,
+			"clockMs": m.clock(), "seq": m.seq, "born": m.born.UnixMilli(),
+		})
 	})
-	m.mu.Unlock()
 	if !up {
 		return
 	}
@@ -242,10 +247,11 @@
 		writeJSON(w, http.StatusBadRequest, struct{}{})
 		return
 	}
-	m.mu.Lock()
-	boot := m.boot
-	known := m.up && r.Header.Get("X-Expected-Instance") == m.id()
-	m.mu.Unlock()
+	boot, known := 0, false
+	m.call(func() {
+		boot = m.boot
+		known = m.up && r.Header.Get("X-Expected-Instance") == m.id()
+	})
 	if !known {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -261,32 +267,38 @@
 }
 
 func (m *minion) serveOrder(w http.ResponseWriter, r *http.Request, o order, boot int) {
-	m.mu.Lock()
-	if m.late != nil && m.late.random.Float64() < m.late.share {
-		after := 2*time.Second + time.Duration(m.late.random.Int64N(int64(10*time.Second)))
-		m.judge.note("minion %s leaves %s of %s#%d unanswered, carries it out in %d ms", m.name, r.URL.Path, o.Task, o.RunID, after.Milliseconds())
-		m.mu.Unlock()
-		time.AfterFunc(after, func() {
-			m.mu.Lock()
-			defer m.mu.Unlock()
+	var after time.Duration
+	var status int
+	var answer map[string]any
+	m.call(func() {
+		if m.late != nil && m.late.random.Float64() < m.late.share {
+			after = 2*time.Second + time.Duration(m.late.random.Int64N(int64(10*time.Second)))
+			m.judge.note("minion %s leaves %s of %s#%d unanswered, carries it out in %d ms", m.name, r.URL.Path, o.Task, o.RunID, after.Milliseconds())
+			return
+		}
+		var reason string
+		status, reason = m.carryOut(r.URL.Path, o)
+		answer = map[string]any{"clockMs": m.clock()}
+		if reason != "" {
+			answer["reason"] = reason
+		}
+	})
+	if after == 0 {
+		writeJSON(w, status, answer)
+		return
+	}
+	time.AfterFunc(after, func() {
+		m.call(func() {
 			if m.up && m.boot == boot {
 				m.carryOut(r.URL.Path, o)
 			}
 		})
-		// The caller's channel stays open without an answer until the caller closes it.
-		<-r.Context().Done()
-		return
-	}
-	status, reason := m.carryOut(r.URL.Path, o)
-	answer := map[string]any{"clockMs": m.clock()}
-	m.mu.Unlock()
-	if reason != "" {
-		answer["reason"] = reason
-	}
-	writeJSON(w, status, answer)
+	})
+	// The caller's channel stays open without an answer until the caller closes it.
+	<-r.Context().Done()
 }
 
-// carryOut performs a start or a stop. The caller holds the lock.
+// carryOut performs a start or a stop.
 func (m *minion) carryOut(path string, o order) (int, string) {
 	m.settle()
 	if o.Fence < m.fence {
@@ -297,9 +309,7 @@
 		m.last[o.Task] = max(m.last[o.Task], o.RunID)
 		if e := m.running[o.Task]; e != nil && e.run <= o.RunID {
 			time.AfterFunc(stopTime, func() {
-				m.mu.Lock()
-				defer m.mu.Unlock()
-				m.end(o.Task, e, "stopped")
+				m.call(func() { m.end(o.Task, e, "stopped") })
 			})
 		}
 		return http.StatusOK, ""
@@ -344,21 +354,23 @@
 func (m *minion) serveHold(w http.ResponseWriter, r *http.Request, o order) {
 	timeout := time.After(time.Duration(min(o.WaitMs, 2000)) * time.Millisecond)
 	for waiting := o.WaitMs > 0; ; {
-		m.mu.Lock()
-		m.settle()
-		if o.Fence < m.fence {
-			clock := m.clock()
-			m.mu.Unlock()
-			writeJSON(w, http.StatusConflict, map[string]any{"clockMs": clock, "reason": "fence"})
-			return
-		}
-		m.fence = o.Fence
-		m.extend(o.ExpiresAtMs)
-		answer, ends := m.lists(o.LastSeen)
-		ended := m.ended
-		m.mu.Unlock()
-		if ends > 0 || !waiting {
-			writeJSON(w, http.StatusOK, answer)
+		status, ends := http.StatusOK, 0
+		var answer map[string]any
+		var ended chan struct{}
+		m.call(func() {
+			m.settle()
+			if o.Fence < m.fence {
+				status = http.StatusConflict
+				answer = map[string]any{"clockMs": m.clock(), "reason": "fence"}
+				return
+			}
+			m.fence = o.Fence
+			m.extend(o.ExpiresAtMs)
+			answer, ends = m.lists(o.LastSeen)
+			ended = m.ended
+		})
+		if status != http.StatusOK || ends > 0 || !waiting {
+			writeJSON(w, status, answer)
 			return
 		}
 		select {
--- a/review/_standin/path.go
+++ b/review/_standin/path.go
@@ -54,7 +54,7 @@
 	parts := make(chan part, 4096)
 	go func() {
 		for x := range parts {
-			time.Sleep(time.Until(x.due))
+			pause(time.Until(x.due))
 			if _, err := to.Write(x.bytes); err != nil {
 				break
 			}
--- a/review/_standin/reborn.go
+++ b/review/_standin/reborn.go
@@ -31,18 +31,18 @@
 		var clients sync.WaitGroup
 		if trouble {
 			m.crash()
-			time.Sleep(downTime)
+			pause(downTime)
 			clients.Add(1)
 			go func() {
 				defer clients.Done()
-				time.Sleep(rand.N(bootSpread))
+				pause(rand.N(bootSpread))
 				if err := m.startAgain(); err != nil {
 					j.note("%s doesn't start: %v", m.name, err)
 				}
 				m.report()
 			}()
 		}
-		time.Sleep(bootSpread / 4)
+		pause(bootSpread / 4)
 		for range rebornJobs {
 			clients.Add(1)
 			go func() {
@@ -57,7 +57,7 @@
 			}()
 		}
 		clients.Wait()
-		time.Sleep(time.Second)
+		pause(time.Second)
 	}
 	return nil
 }
--- a/review/_standin/stops.go
+++ b/review/_standin/stops.go
@@ -23,13 +23,11 @@
 
 // checkOverlap breaks the rule where a run of a task starts while another one is at work.
 func checkOverlap(j *judge) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.onStart = func(minion string, _ []string, task string, run int64) {
+	j.checkStarts(func(minion string, _ []string, task string, run int64) {
 		for other, at := range j.atWork[task] {
 			j.breaks("%s#%d starts on %s while #%d is at work on %s", task, run, minion, at, other)
 		}
-	}
+	})
 }
 
 // playStops sends a wide job that its entry gives up, since its last task takes much
@@ -69,10 +67,10 @@
 			if status != 0 && status != http.StatusBadGateway && status != http.StatusGatewayTimeout {
 				return
 			}
-			time.Sleep(resendPause)
+			pause(resendPause)
 		}
 	}()
-	for end := time.Now().Add(1800 * time.Millisecond); j.atWorkOf(id) < wideTasks+1; time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(1800 * time.Millisecond); j.atWorkOf(id) < wideTasks+1; pause(5 * time.Millisecond) {
 		if time.Now().After(end) {
 			return fmt.Errorf("%d tasks are at work, want %d", j.atWorkOf(id), wideTasks+1)
 		}
@@ -86,7 +84,7 @@
 			})
 		}
 	}
-	time.Sleep(lateTime)
+	pause(lateTime)
 	for _, m := range c.minions {
 		m.setLate(nil)
 	}
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -6,7 +6,6 @@
 	"sort"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -35,7 +34,7 @@
 
 // store is a stand-in for the platform's key-value store.
 type store struct {
-	mu        sync.Mutex
+	*owner
 	revision  int64
 	items     map[string]storeItem
 	history   []storeEvent
@@ -46,6 +45,7 @@
 
 func newStore() *store {
 	return &store{
+		owner:    newOwner(),
 		revision: 1,
 		items:    map[string]storeItem{},
 		leases:   map[int64]*storeLease{},
@@ -55,11 +55,11 @@
 
 // put writes a key as the operator does.
 func (s *store) put(key string, value []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	s.set(key, value, 0)
-	s.notify()
+	s.call(func() {
+		s.revision++
+		s.set(key, value, 0)
+		s.notify()
+	})
 }
 
 func (s *store) set(key string, value []byte, lease int64) {
@@ -122,9 +122,7 @@
 
 // ServeHTTP serves the store's calls.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	s.expire()
-	s.mu.Unlock()
+	s.call(s.expire)
 	path := r.URL.Path
 	switch {
 	case path == "/kv-key":
@@ -145,9 +143,9 @@
 }
 
 func (s *store) serveKey(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	i, ok := s.items[r.URL.Query().Get("key")]
-	s.mu.Unlock()
+	var i storeItem
+	ok := false
+	s.call(func() { i, ok = s.items[r.URL.Query().Get("key")] })
 	if !ok {
 		writeJSON(w, http.StatusNotFound, struct{}{})
 		return
@@ -158,14 +156,15 @@
 func (s *store) serveRange(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	items := []storeItem{}
-	s.mu.Lock()
-	for k, i := range s.items {
-		if strings.HasPrefix(k, q.Get("prefix")) && k > q.Get("after") {
-			items = append(items, i)
+	revision := int64(0)
+	s.call(func() {
+		for k, i := range s.items {
+			if strings.HasPrefix(k, q.Get("prefix")) && k > q.Get("after") {
+				items = append(items, i)
+			}
 		}
-	}
-	revision := s.revision
-	s.mu.Unlock()
+		revision = s.revision
+	})
 	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
 	writeJSON(w, http.StatusOK, map[string]any{"items": items, "hasMore": false, "storeRevision": revision})
 }
@@ -177,14 +176,16 @@
 	timeout := time.After(min(time.Duration(ms)*time.Millisecond, maxWait))
 	for waiting := true; ; {
 		events := []storeEvent{}
-		s.mu.Lock()
-		for _, e := range s.history {
-			if e.Revision > after && strings.HasPrefix(e.Key, q.Get("prefix")) {
-				events = append(events, e)
+		var revision int64
+		var changed chan struct{}
+		s.call(func() {
+			for _, e := range s.history {
+				if e.Revision > after && strings.HasPrefix(e.Key, q.Get("prefix")) {
+					events = append(events, e)
+				}
 			}
-		}
-		revision, changed := s.revision, s.changed
-		s.mu.Unlock()
+			revision, changed = s.revision, s.changed
+		})
 		if len(events) > 0 || !waiting {
 			writeJSON(w, http.StatusOK, map[string]any{"events": events, "storeRevision": revision})
 			return
@@ -199,18 +200,26 @@
 	}
 }
 
+// transaction is a change of several keys under a condition.
+type transaction struct {
+	ExpectedRev []storeItem `json:"expectedRev"`
+	Puts        []storeItem `json:"puts"`
+	Remove      []string    `json:"remove"`
+}
+
 func (s *store) serveTransaction(w http.ResponseWriter, r *http.Request) {
-	var t struct {
-		ExpectedRev []storeItem `json:"expectedRev"`
-		Puts        []storeItem `json:"puts"`
-		Remove      []string    `json:"remove"`
-	}
+	var t transaction
 	if json.NewDecoder(r.Body).Decode(&t) != nil {
 		writeJSON(w, http.StatusBadRequest, struct{}{})
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	var status int
+	var answer any
+	s.call(func() { status, answer = s.apply(t) })
+	writeJSON(w, status, answer)
+}
+
+func (s *store) apply(t transaction) (int, any) {
 	current, failed := []storeItem{}, false
 	for _, e := range t.ExpectedRev {
 		i, ok := s.items[e.Key]
@@ -220,17 +229,14 @@
 		failed = failed || i.Revision != e.Revision
 	}
 	if failed {
-		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"items": current})
-		return
+		return http.StatusPreconditionFailed, map[string]any{"items": current}
 	}
 	for _, p := range t.Puts {
 		if p.Lease != 0 && s.leases[p.Lease] == nil {
-			writeJSON(w, http.StatusNotFound, struct{}{})
-			return
+			return http.StatusNotFound, struct{}{}
 		}
 		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
-			writeJSON(w, http.StatusForbidden, struct{}{})
-			return
+			return http.StatusForbidden, struct{}{}
 		}
 	}
 	s.revision++
@@ -241,7 +247,7 @@
 		s.remove(k)
 	}
 	s.notify()
-	writeJSON(w, http.StatusOK, map[string]any{"revision": s.revision})
+	return http.StatusOK, map[string]any{"revision": s.revision}
 }
 
 func (s *store) serveGrant(w http.ResponseWriter, r *http.Request) {
@@ -253,32 +259,39 @@
 		return
 	}
 	ttl := max(time.Duration(g.TTLMs)*time.Millisecond, time.Second)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lastLease++
-	s.leases[s.lastLease] = &storeLease{
-		ttl: ttl,
-		end: time.Now().Add(ttl),
-	}
-	writeJSON(w, http.StatusOK, map[string]any{"lease": s.lastLease, "ttlMs": ttl.Milliseconds()})
+	id := int64(0)
+	s.call(func() {
+		s.lastLease++
+		id = s.lastLease
+		s.leases[id] = &storeLease{
+			ttl: ttl,
+			end: time.Now().Add(ttl),
+		}
+	})
+	writeJSON(w, http.StatusOK, map[string]any{"lease": id, "ttlMs": ttl.Milliseconds()})
 }
 
 // serveLease renews or ends a lease.
 func (s *store) serveLease(w http.ResponseWriter, r *http.Request) {
 	id, _ := strconv.ParseInt(r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:], 10, 64)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	l := s.leases[id]
-	if l == nil {
+	var ttl time.Duration
+	s.call(func() {
+		l := s.leases[id]
+		if l == nil {
+			return
+		}
+		ttl = l.ttl
+		if r.Method == http.MethodDelete {
+			s.endLease(id)
+		} else {
+			l.end = time.Now().Add(l.ttl)
+		}
+	})
+	if ttl == 0 {
 		writeJSON(w, http.StatusNotFound, struct{}{})
 		return
 	}
-	if r.Method == http.MethodDelete {
-		s.endLease(id)
-	} else {
-		l.end = time.Now().Add(l.ttl)
-	}
-	writeJSON(w, http.StatusOK, map[string]any{"ttlMs": l.ttl.Milliseconds()})
+	writeJSON(w, http.StatusOK, map[string]any{"ttlMs": ttl.Milliseconds()})
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
