--- a/review/_standin/minion.go
+++ b/review/_standin/minion.go
@@ -40,6 +40,7 @@
 	zone    string
 	judge   *judge
 
+	// The owner uses all that follows.
 	*owner
 	up   bool
 	boot int
--- a/review/_standin/stops.go
+++ b/review/_standin/stops.go
@@ -11,8 +11,12 @@
 func init() { cases["stops"] = playStops }
 
 const (
-	// wideTasks is the number of tasks of the job's wide step, 100 for each minion.
+	// wideTasks is the number of tasks of the job's wide step, 100 for each minion of its
+	// first run.
 	wideTasks = 600
+	// otherTasks is the number of tasks of another job, which has the other minions until
+	// the first run is given up.
+	otherTasks = 4
 	// lateShare is the share of the orders that get no answer. It is the dose that kinds
 	// shows for applied_late, and lateTime the longest time of the site file.
 	lateShare = 0.5
@@ -34,12 +38,25 @@
 // longer than estimated. The client sends it again after the 504, while the minions leave
 // a share of the orders unanswered.
 func playStops(j *judge, trouble bool) error {
-	c, err := newCluster(j, 3, []string{"a", "a", "a", "a", "a", "a"})
+	c, err := newCluster(j, 3, []string{"a", "a", "a", "a", "a", "a", "b", "b", "b", "b"})
 	if err != nil {
 		return err
 	}
 	defer c.close()
 	checkOverlap(j)
+	var clients sync.WaitGroup
+	clients.Add(1)
+	go func() {
+		defer clients.Done()
+		c.call(http.MethodPost, c.entries[0], newID(), jobBody("32000/2800", jobStep{
+			Count:        otherTasks,
+			CPU:          32_000,
+			MemMB:        1024,
+			EstimateMs:   2800,
+			Requirements: "b",
+		}), 8*time.Second)
+	}()
+	pause(200 * time.Millisecond)
 	id := newID()
 	body := jobBody("250/5000 250/2000 250/12000", jobStep{
 		Count:      wideTasks,
@@ -58,10 +75,9 @@
 		EstimateMs: 2000,
 		After:      []int{1},
 	})
-	var client sync.WaitGroup
-	client.Add(1)
+	clients.Add(1)
 	go func() {
-		defer client.Done()
+		defer clients.Done()
 		for n := range maxSends {
 			status, _ := c.call(http.MethodPost, c.entries[n%len(c.entries)], id, body, 8*time.Second)
 			if status != 0 && status != http.StatusBadGateway && status != http.StatusGatewayTimeout {
@@ -88,6 +104,6 @@
 	for _, m := range c.minions {
 		m.setLate(nil)
 	}
-	client.Wait()
+	clients.Wait()
 	return nil
 }
