--- a/internal/process/role/executor/run.go
+++ b/internal/process/role/executor/run.go
@@ -242,7 +242,7 @@
 		if r.state == runStarting {
 			r.state = runRunning
 			s.logEvent(event.RunStarted, event.F("run", r.id.String()), event.F("entry", r.entry),
-				event.F("order_ms", (now-r.startSent).Milliseconds()), event.F("used_milli_cores", s.inUse.MilliCores()))
+				event.F("target", s.target.incarnation.String()), event.F("order_ms", (now-r.startSent).Milliseconds()), event.F("used_milli_cores", s.inUse.MilliCores()))
 		}
 	case ResultUnknown:
 		s.stop(now, r, "order_unanswered")
