End no run by the report of a target that starts again under its id

Cause: calls name the id alone, and the report of a new incarnation was taken as proof that it runs nothing. Ruled out: an entry that places without the agent's word (each second run follows a run_ended), an earlier incarnation that is still alive (it had ended 100 ms before).

Runs are now unsettled until the lists of the new incarnation decide. The same holds for calls that a dead address refuses while a start is on its way, for stops that the earlier incarnation confirmed, and for the lease, which the new clock makes longer.

--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -35,6 +35,7 @@
 	RunRefused   Name = "run_refused"
 	RunStopping  Name = "run_stopping"
 	RunUnclaimed Name = "run_unclaimed"
+	RunUnsettled Name = "run_unsettled"
 
 	SessionOpened Name = "session_opened"
 	SessionLost   Name = "session_lost"
@@ -83,6 +84,7 @@
 	RunEnded:         "A run ended on a target.",
 	RunRefused:       "An agent or its target refused a start; nothing ran.",
 	RunStopping:      "An agent stops a run; the line has the cause.",
+	RunUnsettled:     "A target started again while a run may be on either incarnation; the lists of the new one decide.",
 	RunUnclaimed:     "A target has a run that no entry requested from this agent; the run is stopped.",
 	SessionOpened:    "A connection between an entry and an agent is open.",
 	SessionLost:      "A connection between an entry and an agent ended or timed out.",
--- a/internal/process/role/executor/executor.go
+++ b/internal/process/role/executor/executor.go
@@ -21,6 +21,8 @@
 //     target records the stop and refuses that run from then on. The run is treated
 //     as ended only when a later list of the target does not contain it, or when
 //     its lease has expired.
+//   - A target that starts again under its id may have got the latest starts already.
+//     So its report ends no run: the lists of the new incarnation do.
 //
 // The agent's clock continues while the host is suspended. StateMachine takes
 // events with the time of that clock and returns the actions to perform. It does no
@@ -39,7 +41,9 @@
 
 // Timing holds the timeouts of the protocol between entries, agents and targets.
 type Timing struct {
-	lease             time.Duration
+	lease time.Duration
+	// longestLease is the longest lease that the target grants.
+	longestLease      time.Duration
 	sessionTimeout    time.Duration
 	heartbeatInterval time.Duration
 }
@@ -50,11 +54,19 @@
 func NewTiming(lease, sessionTimeout, heartbeatInterval time.Duration) Timing {
 	return Timing{
 		lease:             lease,
+		longestLease:      lease,
 		sessionTimeout:    sessionTimeout,
 		heartbeatInterval: heartbeatInterval,
 	}
 }
 
+// WithLongestLease returns the timing with the longest lease that the target grants,
+// whatever a start asks for. It is at least the lease that the agent asks for.
+func (t Timing) WithLongestLease(d time.Duration) Timing {
+	t.longestLease = max(t.lease, d)
+	return t
+}
+
 // Lease returns how long a run continues without a renewal.
 func (t Timing) Lease() time.Duration {
 	return t.lease
@@ -82,7 +94,17 @@
 // maxLeaseSpan returns the time after a renewal by which the lease has expired on
 // any target.
 func (t Timing) maxLeaseSpan() time.Duration {
-	return time.Duration(float64(t.lease)*clockDrift) + maxStopTime
+	return leaseSpan(t.lease)
+}
+
+// longestLeaseSpan is the same for a call that was meant for an earlier incarnation of the
+// target. The clock of a new one starts anew, so the call asks for a time far ahead on it.
+func (t Timing) longestLeaseSpan() time.Duration {
+	return leaseSpan(t.longestLease)
+}
+
+func leaseSpan(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*clockDrift) + maxStopTime
 }
 
 // The fixed times and limits of the state machine.
@@ -138,6 +160,10 @@
 	deadline  time.Duration
 	notAfter  time.Duration
 	startSent time.Duration
+	// incarnation is the one that the start was meant for.
+	incarnation Incarnation
+	// startResolved is when the start was answered or its answer was given up, 0 before.
+	startResolved time.Duration
 	// confirmed reports whether the target acknowledged the start.
 	confirmed   bool
 	confirmedAt time.Duration
--- a/internal/process/role/executor/renewal.go
+++ b/internal/process/role/executor/renewal.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"cmp"
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/process/event"
@@ -81,17 +82,22 @@
 	if reply.result.answered() {
 		t.unansweredRenewals = 0
 	}
-	t.answered(now, request.sent, reply.result.answered(), reply.clock)
+	if t.answered(now, request.sent, reply.result.answered(), reply.clock) {
+		s.suspectRestart(now)
+	}
 	switch {
 	case reply.result == ResultNoProcess:
-		s.handleNoProcess(now)
+		s.handleNoProcess(now, request.sent)
 		return
 	case reply.result == ResultStaleFence:
 		t.raiseFence(request.fence)
 		return
-	case reply.result == ResultOtherIncarnation, reply.result == ResultDone && reply.started != 0 && reply.started != t.incarnation.started:
+	case reply.result == ResultOtherIncarnation:
 		t.replaced = true
 		return
+	case reply.result == ResultDone && reply.started != 0 && reply.started != t.incarnation.started:
+		s.adoptIncarnation(now, reply.started, reply.clock)
+		return
 	case reply.result != ResultDone:
 		t.renewAfter = now + renewalRetry
 		return
@@ -156,11 +162,13 @@
 func (s *StateMachine) applyRunning(now time.Duration, reply RenewalReply) {
 	t := &s.target
 	listed := map[task.Run]bool{}
+	unclaimed := 0
 	for _, l := range reply.running {
 		listed[l.run] = true
 		r, ok := s.runs[l.run]
 		if !ok {
 			s.stopUnclaimed(now, l.run)
+			unclaimed++
 			continue
 		}
 		if l.percent != UnknownPercent {
@@ -172,10 +180,10 @@
 	}
 	for _, r := range s.sortedRuns() {
 		if r.state != runQueued && !listed[r.id] && r.resolvedBefore(reply, s.timing) {
-			s.end(now, r, task.EndLost, r.cause)
+			s.end(now, r, task.EndLost, cmp.Or(r.cause, r.lossCause(t)))
 		}
 	}
-	if !t.synced && len(reply.running) == 0 && (reply.omitted.runs == 0 || reply.renewal.sent > t.firstList+s.timing.maxLeaseSpan()) {
+	if !t.synced && unclaimed == 0 && (reply.omitted.runs == 0 || reply.renewal.sent > t.firstList+s.timing.maxLeaseSpan()) {
 		t.synced = true
 		s.capacityChanged()
 	}
@@ -196,7 +204,15 @@
 	case r.confirmed && r.confirmedAt < sent:
 		return true
 	}
-	return r.state == runStopping && sent > r.startSent+timing.maxLeaseSpan()
+	return r.state == runStopping && r.incarnation == reply.renewal.incarnation && sent > r.startSent+timing.maxLeaseSpan()
+}
+
+// lossCause returns why a run that was not stopped is missing from a list.
+func (r *run) lossCause(t *target) string {
+	if r.incarnation != t.incarnation {
+		return "target_restarted"
+	}
+	return ""
 }
 
 // frozen corrects the time of a stop after the agent was frozen. The target may have
--- a/internal/process/role/executor/run.go
+++ b/internal/process/role/executor/run.go
@@ -112,6 +112,8 @@
 func (s *StateMachine) sendStart(now time.Duration, r *run) {
 	r.state = runStarting
 	r.startSent = now
+	r.startResolved = 0
+	r.incarnation = s.target.incarnation
 	s.target.renewed(now, s.timing)
 	s.out.commands = append(s.out.commands, Command{
 		kind:        CommandStart,
@@ -198,9 +200,12 @@
 func (s *StateMachine) handleCommandReply(now time.Duration, reply CommandReply) {
 	c := reply.command
 	if c.incarnation != s.target.incarnation {
+		s.handleEarlierReply(now, c, reply.result)
 		return
 	}
-	s.target.answered(now, c.sent, reply.result.answered(), reply.clock)
+	if s.target.answered(now, c.sent, reply.result.answered(), reply.clock) {
+		s.suspectRestart(now)
+	}
 	if reply.result == ResultStaleFence {
 		s.target.raiseFence(c.fence)
 	}
@@ -208,8 +213,7 @@
 		s.target.replaced = true
 	}
 	if reply.result == ResultNoProcess {
-		s.handleNoProcess(now)
-		return
+		s.handleNoProcess(now, c.sent)
 	}
 	r, ok := s.runs[c.run]
 	if !ok {
@@ -235,6 +239,7 @@
 }
 
 func (s *StateMachine) handleStartReply(now time.Duration, r *run, result Result) {
+	r.startResolved = now
 	switch result {
 	case ResultDone:
 		r.confirmed = true
@@ -242,7 +247,7 @@
 		if r.state == runStarting {
 			r.state = runRunning
 			s.logEvent(event.RunStarted, event.F("run", r.id.String()), event.F("entry", r.entry),
-				event.F("target", s.target.incarnation.String()), event.F("order_ms", (now-r.startSent).Milliseconds()), event.F("used_milli_cores", s.inUse.MilliCores()))
+				event.F("target", r.incarnation.String()), event.F("order_ms", (now-r.startSent).Milliseconds()), event.F("used_milli_cores", s.inUse.MilliCores()))
 		}
 	case ResultUnknown:
 		s.stop(now, r, "order_unanswered")
@@ -254,6 +259,8 @@
 		s.end(now, r, task.EndRefused, result.String())
 	case ResultNoCapacity:
 		s.end(now, r, task.EndNoCapacity, result.String())
+	case ResultNoProcess:
+		s.end(now, r, task.EndLost, "target_gone")
 	default:
 		s.end(now, r, task.EndRefused, result.String())
 	}
--- a/internal/process/role/executor/target.go
+++ b/internal/process/role/executor/target.go
@@ -21,6 +21,8 @@
 	// maxUnanswered is the number of consecutive calls without an answer from which
 	// the target gets no new work until it answers.
 	maxUnanswered = 2
+	// clockTolerance covers clocks that are read in whole ms.
+	clockTolerance = 10 * time.Millisecond
 	// reportTimeout is how long a target without runs is treated as present without
 	// a report; targets report every 1.5 s.
 	reportTimeout = 4 * time.Second
@@ -40,6 +42,9 @@
 	firstList time.Duration
 	// replaced is set once the incarnation has ended, until the target reports again.
 	replaced bool
+	// unreported is set while the incarnation is known from an answer alone, without the
+	// service, the labels and the capacity of its report.
+	unreported bool
 	// left is set once the target has deregistered.
 	left bool
 	// stale is set if the target has not reported within reportTimeout.
@@ -90,7 +95,7 @@
 
 // usable reports whether the target may be given new work.
 func (t *target) usable() bool {
-	return t.known && t.synced && !t.draining && !t.left && !t.replaced && !t.stale && t.unanswered < maxUnanswered
+	return t.known && t.synced && !t.draining && !t.left && !t.replaced && !t.unreported && !t.stale && t.unanswered < maxUnanswered
 }
 
 func (t *target) describe(leaving bool) frame.Target {
@@ -118,19 +123,21 @@
 }
 
 // answered records whether a call was answered, and the target's clock in the
-// answer. The target read the clock between sent and now.
-func (t *target) answered(now, sent time.Duration, ok bool, clock time.Duration) {
+// answer. The target read the clock between sent and now. It reports whether the clock is
+// behind the estimate, as that of an incarnation that the agent does not know yet.
+func (t *target) answered(now, sent time.Duration, ok bool, clock time.Duration) (behind bool) {
 	if !ok {
 		t.unanswered++
-		return
+		return false
 	}
 	t.unanswered = 0
 	if clock <= 0 {
-		return
+		return false
 	}
-	estimate := min(max(t.clockAt(now), clock), clock+now-sent)
-	t.clock = estimate
+	estimate, latest := t.clockAt(now), clock+now-sent
+	t.clock = min(max(estimate, clock), latest)
 	t.clockSeen = now
+	return latest+clockTolerance < estimate
 }
 
 // raiseFence raises the fence above one that was refused.
@@ -149,19 +156,24 @@
 		// Nothing was heard of the target for reportTimeout and it runs nothing, so an odd
 		// start or sequence number must not hide the reports that follow.
 		if r.incarnation != t.incarnation {
-			s.resetTarget(now, r)
+			s.resetTarget(now, r.incarnation, r.clock)
 		}
 	case s.isForeign(now, r):
 		// Its runs would count as ended although the target that answers has them.
 		return
 	case t.known && r.incarnation != t.incarnation && r.incarnation.started < t.incarnation.started:
 		return
-	case t.known && r.incarnation == t.incarnation && r.sequence <= t.sequence:
+	case t.known && !t.unreported && r.incarnation == t.incarnation && r.sequence <= t.sequence:
 		return
 	case r.incarnation != t.incarnation:
-		s.resetTarget(now, r)
+		s.resetTarget(now, r.incarnation, r.clock)
+	}
+	if !t.known || t.unreported {
+		s.logEvent(event.TargetSeen, event.F("target", r.incarnation.String()), event.F("address", r.address), event.F("service", r.service),
+			event.F("labels", r.labels), event.F("milli_cores", r.capacity.MilliCores()), event.F("fence", t.fence))
 	}
 	t.known = true
+	t.unreported = false
 	t.sequence = r.sequence
 	t.reported = now
 	t.service = r.service
@@ -186,31 +198,6 @@
 		len(s.runs) > len(s.queue) && t.unanswered == 0 && now <= t.leaseEnd
 }
 
-// resetTarget replaces the target's state for a new incarnation, which runs
-// nothing.
-func (s *StateMachine) resetTarget(now time.Duration, r Report) {
-	for _, x := range s.sortedRuns() {
-		if x.state == runQueued {
-			s.reject(x, task.EndRefused, "target_restarted")
-			continue
-		}
-		s.end(now, x, task.EndLost, "target_restarted")
-	}
-	fence := s.target.fence
-	s.target = target{
-		incarnation: r.incarnation,
-		fence:       fence,
-		sequence:    r.sequence - 1,
-		clock:       r.clock,
-		clockSeen:   now,
-		pending:     map[uint64]time.Duration{},
-		unclaimed:   map[task.Run]time.Duration{},
-	}
-	s.resendTarget()
-	s.logEvent(event.TargetSeen, event.F("target", r.incarnation.id), event.F("started_ms", r.incarnation.started), event.F("address", r.address),
-		event.F("service", r.service), event.F("labels", r.labels), event.F("milli_cores", r.capacity.MilliCores()), event.F("fence", fence))
-}
-
 func (s *StateMachine) handleTargetLeft(id string) {
 	if !s.target.known || s.target.incarnation.id != id {
 		return
@@ -242,30 +229,21 @@
 	s.logEvent(event.TargetLost, event.F("target", t.incarnation.id), event.F("cause", "no_report"), event.F("age_ms", (now-t.reported).Milliseconds()))
 }
 
-// handleNoProcess ends the runs of a target whose process has ended. The target
-// gets no work until its next incarnation reports.
-func (s *StateMachine) handleNoProcess(now time.Duration) {
-	t := &s.target
-	t.replaced = true
-	t.renewAfter = now + renewalRetry
-	s.logEvent(event.TargetLost, event.F("target", t.incarnation.id), event.F("cause", "no_process"), event.F("runs", len(s.runs)-len(s.queue)))
-	for _, r := range s.sortedRuns() {
-		if r.state != runQueued {
-			s.end(now, r, task.EndLost, "target_gone")
-		}
-	}
-}
-
-// expireLease ends all active runs once the lease has expired.
+// expireLease ends all active runs once the lease has expired, but for those whose start
+// another incarnation of the target may still carry out.
 func (s *StateMachine) expireLease(now time.Duration) {
 	t := &s.target
 	if !t.known || now <= t.leaseEnd || len(s.runs) == len(s.queue) {
 		return
 	}
-	s.logEvent(event.TargetLost, event.F("target", t.incarnation.id), event.F("cause", "lease_over"), event.F("unanswered", t.unanswered))
+	ended := 0
 	for _, r := range s.sortedRuns() {
-		if r.state != runQueued {
+		if r.state != runQueued && !r.mayStartOnSuccessor(t) {
 			s.end(now, r, task.EndLost, "lease_over")
+			ended++
 		}
 	}
+	if ended > 0 {
+		s.logEvent(event.TargetLost, event.F("target", t.incarnation.id), event.F("cause", "lease_over"), event.F("unanswered", t.unanswered), event.F("runs", ended))
+	}
 }
--- a/internal/process/role/server/reload.go
+++ b/internal/process/role/server/reload.go
@@ -74,6 +74,6 @@
 		peers = append(peers, frame.NewPeer("", a))
 	}
 	l.addPeers(peers)
-	restart := s.name != b.settings.name || s.zone != b.settings.zone || s.link != b.settings.link || s.advertised != b.settings.advertised || s.maxLease != b.settings.maxLease
+	restart := s.name != b.settings.name || s.zone != b.settings.zone || s.link != b.settings.link || s.advertised != b.settings.advertised || s.maxLease != b.settings.maxLease || s.longestLease != b.settings.longestLease
 	b.logEvent(event.SettingsChanged, event.F("cause", cause), event.F("seeds", s.seeds), event.F("restart_needed", restart))
 }
--- a/internal/process/role/server/server.go
+++ b/internal/process/role/server/server.go
@@ -63,7 +63,9 @@
 	metrics    string
 	seeds      []string
 	maxLease   time.Duration
-	grace      time.Duration
+	// longestLease is the longest lease that targets grant.
+	longestLease time.Duration
+	grace        time.Duration
 	// configApply is the time in which a confirmed configuration must be in force; 0 for
 	// the dispatcher's default.
 	configApply time.Duration
@@ -77,14 +79,15 @@
 		return Settings{}, errors.Errorf("name %q, availability zone %q and link address %q must not be empty", name, zone, link)
 	}
 	return Settings{
-		name:       name,
-		zone:       zone,
-		link:       link,
-		advertised: link,
-		metrics:    metrics,
-		seeds:      seeds,
-		maxLease:   maxLease,
-		grace:      lingerTime + 2*drainMargin,
+		name:         name,
+		zone:         zone,
+		link:         link,
+		advertised:   link,
+		metrics:      metrics,
+		seeds:        seeds,
+		maxLease:     maxLease,
+		longestLease: maxLease,
+		grace:        lingerTime + 2*drainMargin,
 	}, nil
 }
 
@@ -93,6 +96,7 @@
 func (s Settings) WithTimes(lease, grace time.Duration) Settings {
 	if lease > 0 {
 		s.maxLease = min(maxLease, lease)
+		s.longestLease = lease
 	}
 	if grace > 0 {
 		s.grace = grace
@@ -122,7 +126,7 @@
 }
 
 func (s Settings) executorTiming() executor.Timing {
-	return executor.NewTiming(s.maxLease, sessionTimeout, heartbeatInterval)
+	return executor.NewTiming(s.maxLease, sessionTimeout, heartbeatInterval).WithLongestLease(s.longestLease)
 }
 
 func (s Settings) dispatchTiming() dispatch.Timing {
