Extend no lease while the stop of a run is unconfirmed

Cause: the lease covers all runs of a target, and the agent extended it also for runs that it was stopping. Ruled out as the only cause: stops that are sent late, since the lease would have bounded the runs; no run of the record ended with its lease.

Stops have duties of their own and are not queued twice.

--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -37,6 +37,9 @@
 	RunUnclaimed Name = "run_unclaimed"
 	RunUnsettled Name = "run_unsettled"
 
+	LeaseWithheld Name = "lease_withheld"
+	LeaseExtended Name = "lease_extended"
+
 	SessionOpened Name = "session_opened"
 	SessionLost   Name = "session_lost"
 	TargetSeen    Name = "target_seen"
@@ -86,6 +89,8 @@
 	RunStopping:      "An agent stops a run; the line has the cause.",
 	RunUnsettled:     "A target started again while a run may be on either incarnation; the lists of the new one decide.",
 	RunUnclaimed:     "A target has a run that no entry requested from this agent; the run is stopped.",
+	LeaseWithheld:    "A target did not answer the stop of a run, so its lease is not extended, and all its runs end with it unless the stop is confirmed before.",
+	LeaseExtended:    "All stops are confirmed or their runs have ended; the lease of the target is extended again.",
 	SessionOpened:    "A connection between an entry and an agent is open.",
 	SessionLost:      "A connection between an entry and an agent ended or timed out.",
 	TargetSeen:       "A target announced itself for the first time or after a restart.",
--- a/internal/process/role/dispatch/simulation/simulation_test.go
+++ b/internal/process/role/dispatch/simulation/simulation_test.go
@@ -26,6 +26,9 @@
 	// stretch multiplies run times and callers' timeouts, so that runs outlive every
 	// timeout of the protocol.
 	stretch time.Duration
+	// underestimate is by how much one job in three exceeds its estimate, so that its entry
+	// gives it up while it runs; 0 for none.
+	underestimate time.Duration
 }
 
 var scenarios = map[string]scenario{
@@ -38,6 +41,7 @@
 	"target_crashed":        {every: 900 * time.Millisecond, fault: crashTarget, minComplete: 0.5},
 	"target_restarts":       {every: 150 * time.Millisecond, fault: restartTarget, minComplete: 0.5},
 	"orders_lost":           {every: 700 * time.Millisecond, fault: loseCommands, minComplete: 0.8},
+	"stops_unanswered":      {every: 2 * time.Second, fault: muteStops, minComplete: 0.1, stretch: 4, underestimate: 4},
 	"target_unreachable":    {every: 900 * time.Millisecond, fault: disconnectTarget, minComplete: 0.4},
 	"unreachable_long_work": {every: 900 * time.Millisecond, fault: disconnectTarget, minComplete: 0.2, stretch: 4},
 	"target_hangs":          {every: 2 * time.Second, fault: hangTarget, minComplete: 0.6},
@@ -102,6 +106,21 @@
 	}
 }
 
+// carryOutLate lets all targets leave half of the commands unanswered and carry them out 2
+// to 12 s later.
+func carryOutLate(c *cluster) {
+	for _, a := range c.agents {
+		a.target.lateUntil = c.now + 5500*time.Millisecond
+	}
+}
+
+// muteStops lets all targets leave all stops unanswered and carry them out 2 to 12 s later.
+func muteStops(c *cluster) {
+	for _, a := range c.agents {
+		a.target.stopsLateUntil = c.now + time.Second + c.jitter(2000)
+	}
+}
+
 func disconnectTarget(c *cluster) {
 	c.agents[c.random.IntN(len(c.agents))].target.disconnectedUntil = c.now + 300*time.Millisecond + c.jitter(2500)
 }
@@ -119,7 +138,7 @@
 }
 
 func anyFault(c *cluster) {
-	faults := []func(*cluster){killEntry, killAgent, freezeEntry, freezeAgent, partition, crashTarget, restartTarget, loseCommands, disconnectTarget, hangTarget, slowTarget}
+	faults := []func(*cluster){killEntry, killAgent, freezeEntry, freezeAgent, partition, crashTarget, restartTarget, loseCommands, carryOutLate, muteStops, disconnectTarget, hangTarget, slowTarget}
 	faults[c.random.IntN(len(faults))](c)
 }
 
@@ -139,6 +158,10 @@
 			j.length = 900*time.Millisecond + c.jitter(500)
 		}
 		j.length *= stretch
+		if s.underestimate > 0 && c.oneIn(3) {
+			j.estimate = j.length
+			j.length *= s.underestimate
+		}
 		c.jobs[j.id] = j
 		c.submit(j, c.entries[c.random.IntN(len(c.entries))])
 		if c.now < end {
--- a/internal/process/role/dispatch/simulation/target_test.go
+++ b/internal/process/role/dispatch/simulation/target_test.go
@@ -38,6 +38,11 @@
 	disconnectedUntil time.Duration
 	// losesRepliesUntil is until when commands may get no reply and be applied later.
 	losesRepliesUntil time.Duration
+	// lateUntil is until when half of the commands get no reply and are applied seconds
+	// later.
+	lateUntil time.Duration
+	// stopsLateUntil is the same for all stops.
+	stopsLateUntil time.Duration
 }
 
 type simRun struct {
@@ -117,18 +122,18 @@
 		reply(executor.CommandReplied(cmd, executor.ResultNoProcess, 0))
 		return
 	}
-	lost := t.c.now >= t.disconnectedUntil && t.c.now < t.losesRepliesUntil && t.c.oneIn(10)
-	if lost && t.c.oneIn(2) {
-		incarnation := t.incarnation
-		t.c.after(2*time.Second+t.c.jitter(2000), func() {
-			if t.incarnation == incarnation {
-				t.apply(cmd)
-			}
-		})
-	} else if lost {
+	reached := t.up && t.c.now >= t.disconnectedUntil
+	late := reached && (t.c.now < t.lateUntil && t.c.oneIn(2) || t.c.now < t.stopsLateUntil && cmd.Kind() == executor.CommandStop)
+	lost := late || reached && t.c.now < t.losesRepliesUntil && t.c.oneIn(10)
+	switch {
+	case late:
+		t.applyAfter(2*time.Second+t.c.jitter(10_000), cmd)
+	case lost && t.c.oneIn(2):
+		t.applyAfter(2*time.Second+t.c.jitter(2000), cmd)
+	case lost:
 		t.apply(cmd)
 	}
-	if lost || !t.up || t.c.now < t.disconnectedUntil {
+	if lost || !reached {
 		t.c.after(90*time.Millisecond, func() { reply(executor.CommandReplied(cmd, executor.ResultUnknown, 0)) })
 		return
 	}
@@ -137,6 +142,16 @@
 	t.c.after(500*time.Microsecond, func() { reply(executor.CommandReplied(cmd, result, clock)) })
 }
 
+// applyAfter applies a command later, unless the incarnation that received it has ended.
+func (t *simTarget) applyAfter(d time.Duration, cmd executor.Command) {
+	incarnation := t.incarnation
+	t.c.after(d, func() {
+		if t.incarnation == incarnation {
+			t.apply(cmd)
+		}
+	})
+}
+
 func (t *simTarget) apply(cmd executor.Command) executor.Result {
 	switch {
 	case !t.up || cmd.Incarnation().ID() != t.incarnation.ID():
--- a/internal/process/role/executor/executor.go
+++ b/internal/process/role/executor/executor.go
@@ -16,7 +16,9 @@
 //     the agent's clock. The session timeout counts from the echoed time, so the
 //     entry knows the latest time at which its runs are stopped.
 //   - Runs on the target are covered by a lease that only the agent renews, so
-//     they end soon after the agent stops or freezes.
+//     they end soon after the agent stops or freezes. The agent extends the lease
+//     neither while the target has not confirmed the stop of a run, so a run that is
+//     to end does so although its stops stay unanswered.
 //   - A start command without an answer is followed by a stop of the same run. The
 //     target records the stop and refuses that run from then on. The run is treated
 //     as ended only when a later list of the target does not contain it, or when
@@ -119,6 +121,9 @@
 	renewalWait = 200 * time.Millisecond
 	// stopRetryInterval is the pause before an unanswered stop is repeated.
 	stopRetryInterval = 100 * time.Millisecond
+	// minLeaseLeft is the share of the lease, as its divisor, that must be left for new work
+	// while the lease is not extended.
+	minLeaseLeft = 2
 	// freezeThreshold is the time without any event after which the agent assumes
 	// that it was frozen. Ticks arrive many times within it.
 	freezeThreshold = 250 * time.Millisecond
@@ -167,8 +172,10 @@
 	// confirmed reports whether the target acknowledged the start.
 	confirmed   bool
 	confirmedAt time.Duration
-	// stopSent is the time of the last stop command, 0 before the first.
+	// stopSent is the time of the last stop command, 0 before the first, and stopOpen is
+	// set while it is unanswered.
 	stopSent time.Duration
+	stopOpen bool
 	// stopConfirmed is the time of the target's first answer to a stop, 0 before it.
 	stopConfirmed time.Duration
 	cause         string
@@ -325,12 +332,13 @@
 			s.stop(now, r, "deadline")
 		case s.leaving && r.state != runStopping && now >= s.stopRunsAt:
 			s.stop(now, r, "leaving")
-		case r.state == runStopping && r.stopConfirmed == 0 && now-r.stopSent >= stopRetryInterval:
+		case r.state == runStopping && r.stopConfirmed == 0 && !r.stopOpen && now-r.stopSent >= stopRetryInterval:
 			s.sendStop(now, r)
 		}
 	}
 	s.expireReport(now)
 	s.expireLease(now)
+	s.reviewLease(now)
 	s.startQueued(now)
 	s.renew(now)
 }
--- a/internal/process/role/executor/renewal.go
+++ b/internal/process/role/executor/renewal.go
@@ -16,12 +16,12 @@
 		return
 	}
 	active := len(s.runs) > len(s.queue)
-	if t.synced && active && t.pollDue && !t.polling {
+	if t.synced && active && !t.polling && (t.pollDue || s.extensionDue(now)) {
 		t.polling = true
 		t.pollDue = false
 		s.sendRenewal(now, 0, true)
 	}
-	wanted := active || !t.synced || t.ackedEnd < t.lastEndSeen || t.unanswered > 0
+	wanted := active || !t.synced || t.unclaimedListed || t.ackedEnd < t.lastEndSeen || t.unanswered > 0
 	if !wanted || now < t.renewAfter || !t.renewalDue(now) {
 		return
 	}
@@ -59,9 +59,8 @@
 	}
 	// A call to a target that does not answer renews nothing, so that the end of
 	// the lease stays known.
-	if t.synced && t.unansweredRenewals == 0 {
-		renewal.expires = t.clockAt(now) + s.timing.lease
-		t.renewed(now, s.timing)
+	if t.synced && t.unansweredRenewals == 0 && !s.leaseWithheld() {
+		renewal.expires = t.extendLease(now, s.timing)
 	}
 	s.out.renewals = append(s.out.renewals, renewal)
 }
@@ -178,6 +177,7 @@
 	if reply.truncated() {
 		return
 	}
+	t.unclaimedListed = unclaimed > 0
 	for _, r := range s.sortedRuns() {
 		if r.state != runQueued && !listed[r.id] && r.resolvedBefore(reply, s.timing) {
 			s.end(now, r, task.EndLost, cmp.Or(r.cause, r.lossCause(t)))
--- a/internal/process/role/executor/restart.go
+++ b/internal/process/role/executor/restart.go
@@ -48,6 +48,7 @@
 func (s *StateMachine) unsettle(r *run, previous, next Incarnation) {
 	r.stopConfirmed = 0
 	r.stopSent = 0
+	r.stopOpen = false
 	r.progress = progress{}
 	s.logEvent(event.RunUnsettled, event.F("run", r.id.String()), event.F("entry", r.entry), event.F("previous", previous.String()),
 		event.F("target", next.String()), event.F("start_confirmed", r.confirmed))
@@ -64,8 +65,11 @@
 // Starts that were meant for its earlier incarnation may have a longer lease than they
 // asked for; the next list names the incarnation.
 func (s *StateMachine) suspectRestart(now time.Duration) {
-	s.target.leaseEnd = max(s.target.leaseEnd, now+s.timing.longestLeaseSpan())
-	s.target.pollDue = true
+	t := &s.target
+	t.leaseEnd = max(t.leaseEnd, now+s.timing.longestLeaseSpan())
+	// The end of the lease that was asked for is a time of the earlier clock.
+	t.leaseExpires = t.clockAt(now) + s.timing.longestLease
+	t.pollDue = true
 }
 
 // adoptIncarnation follows an answer of another incarnation under the target's id. Its
--- a/internal/process/role/executor/run.go
+++ b/internal/process/role/executor/run.go
@@ -114,7 +114,10 @@
 	r.startSent = now
 	r.startResolved = 0
 	r.incarnation = s.target.incarnation
-	s.target.renewed(now, s.timing)
+	expires := s.target.leaseExpires
+	if !s.leaseWithheld() {
+		expires = s.target.extendLease(now, s.timing)
+	}
 	s.out.commands = append(s.out.commands, Command{
 		kind:        CommandStart,
 		run:         r.id,
@@ -122,7 +125,7 @@
 		address:     s.target.address,
 		incarnation: s.target.incarnation,
 		fence:       s.target.fence,
-		expires:     s.target.clockAt(now) + s.timing.lease,
+		expires:     expires,
 		sent:        now,
 	})
 }
@@ -145,6 +148,7 @@
 
 func (s *StateMachine) sendStop(now time.Duration, r *run) {
 	r.stopSent = now
+	r.stopOpen = true
 	s.out.commands = append(s.out.commands, s.stopCommand(now, r.id))
 }
 
@@ -227,7 +231,10 @@
 }
 
 func (s *StateMachine) handleStopReply(now time.Duration, r *run, result Result) {
+	r.stopOpen = false
 	switch result {
+	case ResultUnknown:
+		s.withholdLease(now, r)
 	case ResultDone:
 		if r.stopConfirmed == 0 {
 			r.stopConfirmed = now
--- a/internal/process/role/executor/target.go
+++ b/internal/process/role/executor/target.go
@@ -68,6 +68,15 @@
 	// leaseEnd is the time at which everything that runs has ended unless the lease
 	// is renewed.
 	leaseEnd time.Duration
+	// leaseExpires is the latest end of the lease that was asked for, on the target's clock.
+	leaseExpires time.Duration
+	// withheldSince is when the agent ceased to extend the lease, 0 while it does.
+	withheldSince time.Duration
+	// leaseShort is set while the lease is withheld and too little of it is left for new
+	// work.
+	leaseShort bool
+	// unclaimedListed is set if the last list has runs that no entry asked for.
+	unclaimedListed bool
 
 	// lastEndSeen is the number of the last end that was processed, and ackedEnd the
 	// last one that the target knows to be processed.
@@ -95,7 +104,7 @@
 
 // usable reports whether the target may be given new work.
 func (t *target) usable() bool {
-	return t.known && t.synced && !t.draining && !t.left && !t.replaced && !t.unreported && !t.stale && t.unanswered < maxUnanswered
+	return t.known && t.synced && !t.draining && !t.left && !t.replaced && !t.unreported && !t.leaseShort && !t.stale && t.unanswered < maxUnanswered
 }
 
 func (t *target) describe(leaving bool) frame.Target {
@@ -117,9 +126,12 @@
 	t.clockSeen += gap
 }
 
-// renewed records that a call that renews the lease is sent.
-func (t *target) renewed(now time.Duration, timing Timing) {
-	t.leaseEnd = now + timing.maxLeaseSpan()
+// extendLease records that a call that extends the lease is sent, and returns the end of
+// the lease on the target's clock.
+func (t *target) extendLease(now time.Duration, timing Timing) time.Duration {
+	t.leaseEnd = max(t.leaseEnd, now+timing.maxLeaseSpan())
+	t.leaseExpires = max(t.leaseExpires, t.clockAt(now)+timing.lease)
+	return t.leaseExpires
 }
 
 // answered records whether a call was answered, and the target's clock in the
--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -15,9 +15,10 @@
 
 // The numbers of duties that call the target.
 const (
-	// commandDuties send commands concurrently, so that an unanswered command does not
-	// delay the others.
-	commandDuties = 4
+	// startDuties and stopDuties send commands concurrently, so that an unanswered one does
+	// not delay the others. Starts do not delay stops: their own duties send them.
+	startDuties = 4
+	stopDuties  = 8
 	// renewDuties renew the lease and fetch the lists of runs: two wait for the
 	// next end while another polls.
 	renewDuties = 3
@@ -36,7 +37,8 @@
 	base      *base
 	executor  *executor.StateMachine
 	ring      *ring.Ring[any]
-	commands  *ring.Ring[executor.Command]
+	starts    *ring.Ring[executor.Command]
+	stops     *ring.Ring[executor.Command]
 	renewals  *ring.Ring[executor.Renewal]
 	links     *links
 	streams   map[uint64]*stream.Stream
@@ -72,7 +74,10 @@
 	if a.ring, err = ring.New[any]("station", ringSize); err != nil {
 		return err
 	}
-	if a.commands, err = ring.New[executor.Command]("orders", ringSize); err != nil {
+	if a.starts, err = ring.New[executor.Command]("starts", ringSize); err != nil {
+		return err
+	}
+	if a.stops, err = ring.New[executor.Command]("stops", ringSize); err != nil {
 		return err
 	}
 	if a.renewals, err = ring.New[executor.Renewal]("holds", ringSize); err != nil {
@@ -81,9 +86,16 @@
 	if err := b.add("station", "Runs the agent's state machine, which decides what the target runs.", ringGauge(a.ring), a.run); err != nil {
 		return err
 	}
-	for _, name := range numbered("orders", commandDuties) {
-		if err := b.add(name, "Sends commands to the target.", ringGauge(a.commands), func(ctx context.Context) error {
-			return runCalls(ctx, a.commands, a.ring, calls.Send)
+	for _, name := range numbered("starts", startDuties) {
+		if err := b.add(name, "Sends starts to the target.", ringGauge(a.starts), func(ctx context.Context) error {
+			return runCalls(ctx, a.starts, a.ring, calls.Send)
+		}); err != nil {
+			return err
+		}
+	}
+	for _, name := range numbered("stops", stopDuties) {
+		if err := b.add(name, "Sends stops to the target.", ringGauge(a.stops), func(ctx context.Context) error {
+			return runCalls(ctx, a.stops, a.ring, calls.Send)
 		}); err != nil {
 			return err
 		}
@@ -109,6 +121,13 @@
 	return b.serveMetrics()
 }
 
+func (a *Agent) commandRing(c executor.Command) *ring.Ring[executor.Command] {
+	if c.Kind() == executor.CommandStop {
+		return a.stops
+	}
+	return a.starts
+}
+
 func ringGauge[T any](r *ring.Ring[T]) func() (int, int, int64) {
 	return func() (int, int, int64) { return r.Depth(), r.Size(), r.Rejected() }
 }
@@ -202,7 +221,7 @@
 		a.base.log(n)
 	}
 	for _, c := range out.Commands() {
-		if a.commands.TryPush(c) != nil {
+		if a.commandRing(c).TryPush(c) != nil {
 			a.handle(executor.CommandReplied(c, executor.ResultNotSent, 0))
 		}
 	}
