--- a/internal/process/explain/example_test.go
+++ b/internal/process/explain/example_test.go
@@ -48,3 +48,26 @@
 	// 2026-01-01T00:01:02.000Z entry_1 config_behind newest=12 source=entry_2 version=10
 	// 2026-01-01T00:01:02.500Z entry_1 job_accepted job=5c0e trace=t1 version=10
 }
+
+// The task was placed on one target and started on the next one of the same agent, which
+// has another label.
+func ExampleLog_Explain_target() {
+	l := explain.New()
+	err := l.Read(strings.NewReader(`
+{"event":"target_seen","process":"agent_1","target":"i-1@100","address":"10.0.0.1:1","labels":["a"],"time":"2026-01-01T00:00:00.001Z"}
+{"event":"target_seen","process":"agent_1","target":"i-2@900","address":"10.0.0.1:1","labels":["c"],"time":"2026-01-01T00:01:00.001Z"}
+{"event":"target_seen","process":"entry_1","agent":"agent_1","target":"i-2@900","time":"2026-01-01T00:01:00.004Z"}
+{"event":"task_placed","process":"entry_1","job":"5c0e","run":"5c0e.0.0.0#1","agent":"agent_1","target":"i-1@100","time":"2026-01-01T00:01:00.000Z"}
+{"event":"run_started","process":"agent_1","run":"5c0e.0.0.0#1","target":"i-2@900","time":"2026-01-01T00:01:00.003Z"}
+`))
+	fmt.Println(err)
+	for _, s := range l.Explain("5c0e") {
+		fmt.Println(s)
+	}
+	// Output:
+	// <nil>
+	// 2026-01-01T00:00:00.001Z agent_1 target_seen address=10.0.0.1:1 labels=[a] target=i-1@100
+	// 2026-01-01T00:01:00.000Z entry_1 task_placed agent=agent_1 job=5c0e run=5c0e.0.0.0#1 target=i-1@100
+	// 2026-01-01T00:01:00.001Z agent_1 target_seen address=10.0.0.1:1 labels=[c] target=i-2@900
+	// 2026-01-01T00:01:00.003Z agent_1 run_started run=5c0e.0.0.0#1 target=i-2@900
+}
--- a/internal/process/explain/explain.go
+++ b/internal/process/explain/explain.go
@@ -109,6 +109,7 @@
 			found = append(found, x)
 		}
 	}
+	found = append(found, l.targets(found)...)
 	found = append(found, l.state(found)...)
 	sort.SliceStable(found, func(i, j int) bool { return found[i].time < found[j].time })
 	var lines []string
@@ -118,6 +119,25 @@
 	return lines
 }
 
+// targets returns the lines with which agents announced the targets of the runs, so that
+// the target that an entry chose can be compared with the one that carried out the start.
+func (l *Log) targets(found []line) []line {
+	named := map[string]bool{}
+	for _, x := range found {
+		if x.event == string(event.TaskPlaced) || x.event == string(event.RunStarted) {
+			named[stringField(x.fields, "target")] = true
+		}
+	}
+	var list []line
+	for _, x := range l.lines {
+		// Only agents name the address of a target.
+		if x.event == string(event.TargetSeen) && stringField(x.fields, "address") != "" && named[stringField(x.fields, "target")] {
+			list = append(list, x)
+		}
+	}
+	return list
+}
+
 // state returns the lines that tell the state of the processes that accepted or refused a
 // request, at the time of their decision.
 func (l *Log) state(found []line) []line {
--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -279,5 +279,5 @@
 		a.starts = append(a.starts, &st)
 	}
 	d.logEvent(event.TaskPlaced, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("run", x.id.String()), event.F("agent", a.name),
-		event.F("expected_ms", x.expected.Milliseconds()), event.F("heard_ms", (now-a.lastSeen).Milliseconds()), event.F("waited_ms", (now-j.arrived).Milliseconds()))
+		event.F("target", a.target.Incarnation()), event.F("expected_ms", x.expected.Milliseconds()), event.F("heard_ms", (now-a.lastSeen).Milliseconds()), event.F("waited_ms", (now-j.arrived).Milliseconds()))
 }
