Reject a start that was placed before its entry knew the present target

Cause: the agent judged a start by its time, its own state and the capacity, not by what the entry knew of the target. Ruled out: the entry's check of labels (task_placed and run_started name different incarnations), a late call to the predecessor (the new id refuses it).

The frame with a start echoes the time of the newest frame that the entry had. The agent rejects the start if that is not later than the last frame before the present incarnation, service and labels.

--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -26,6 +26,7 @@
 	TaskPlaced   Name = "task_placed"
 	TaskRetried  Name = "task_retried"
 	TaskOverdue  Name = "task_overdue"
+	TaskUnsuited Name = "task_unsuited"
 
 	OverloadBegan Name = "overload_began"
 	OverloadEnded Name = "overload_ended"
@@ -81,6 +82,7 @@
 	TaskPlaced:       "An entry sent a task to an agent.",
 	TaskRetried:      "A run ended without a result; the task is placed again.",
 	TaskOverdue:      "A run cannot end while its caller still waits; it moves to a faster target, or its job is abandoned.",
+	TaskUnsuited:     "The target of a run turned out to be of another kind than the task needs; the run is stopped and the task is placed again.",
 	OverloadBegan:    "Events wait too long for an entry that is short of processor time; it refuses new jobs.",
 	OverloadEnded:    "Events no longer wait too long for the entry; it accepts jobs again.",
 	RunStarted:       "A target accepted a run.",
--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -180,11 +180,16 @@
 	return a.left.Covers(s.Resources()) && a.eligible(t, s)
 }
 
+// suits reports whether an agent's target is of the service and the kind that a step needs.
+func (a *agent) suits(j *job, s task.Step) bool {
+	return a.target.Service() == j.route.Service() && a.hasLabel(s.Label())
+}
+
 // eligible reports whether an open agent may get a task, apart from its free
 // capacity.
 func (a *agent) eligible(t *jobTask, s task.Step) bool {
 	switch {
-	case a.target.Service() != t.job.route.Service(), !a.hasLabel(s.Label()):
+	case !a.suits(t.job, s):
 		return false
 	case a.health.probationLeft > 0 && len(a.runs) >= maxProbes:
 		return false
--- a/internal/process/role/dispatch/simulation/cluster_test.go
+++ b/internal/process/role/dispatch/simulation/cluster_test.go
@@ -68,8 +68,10 @@
 	seed       uint64
 	// estimate is the declared run time, 0 for length. milliCores is the need of a task, 0
 	// for the usual one.
-	estimate    time.Duration
-	milliCores  int64
+	estimate   time.Duration
+	milliCores int64
+	// label is the one that the targets of the job's tasks must have, "" for any.
+	label       string
 	answered    bool
 	submittedAt time.Duration
 	answeredAt  time.Duration
@@ -279,7 +281,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	e.handle(dispatch.Submitted(dispatch.NewSubmission("", "", j.path(), c.callerTimeout).WithWork("spec", []task.Step{step}).WithRequest(n)))
+	e.handle(dispatch.Submitted(dispatch.NewSubmission("", "", j.path(), c.callerTimeout).WithWork("spec", []task.Step{step.WithLabel(j.label)}).WithRequest(n)))
 	c.after(c.callerTimeout, func() {
 		if _, open := c.pending[n]; !open {
 			return
@@ -330,10 +332,14 @@
 			}
 		}
 	}
-	if o.c.jobs[id.Job()] == nil {
+	j := o.c.jobs[id.Job()]
+	if j == nil {
 		o.addViolation("task %s started, but its job was not submitted", id.TaskName())
 		return
 	}
+	if j.label != "" && !slices.Contains(t.labels, j.label) {
+		o.addViolation("task %s needs label %s and starts on %s, which has %v", id.TaskName(), j.label, t.name, t.labels)
+	}
 	o.runs[id.Job()]++
 	o.c.record("%v on %s", id, t.name)
 }
--- a/internal/process/role/dispatch/simulation/simulation_test.go
+++ b/internal/process/role/dispatch/simulation/simulation_test.go
@@ -29,6 +29,8 @@
 	// underestimate is by how much one job in three exceeds its estimate, so that its entry
 	// gives it up while it runs; 0 for none.
 	underestimate time.Duration
+	// kinds is set if targets are of two kinds and two jobs in three need one of them.
+	kinds bool
 }
 
 var scenarios = map[string]scenario{
@@ -40,6 +42,7 @@
 	"partition":             {every: 700 * time.Millisecond, fault: partition, minComplete: 0.6},
 	"target_crashed":        {every: 900 * time.Millisecond, fault: crashTarget, minComplete: 0.5},
 	"target_restarts":       {every: 150 * time.Millisecond, fault: restartTarget, minComplete: 0.5},
+	"target_changes_kind":   {every: 100 * time.Millisecond, fault: changeKind, minComplete: 0.3, kinds: true},
 	"orders_lost":           {every: 700 * time.Millisecond, fault: loseCommands, minComplete: 0.8},
 	"stops_unanswered":      {every: 2 * time.Second, fault: muteStops, minComplete: 0.1, stretch: 4, underestimate: 4},
 	"target_unreachable":    {every: 900 * time.Millisecond, fault: disconnectTarget, minComplete: 0.4},
@@ -100,6 +103,23 @@
 	})
 }
 
+// changeKind lets a target start again under another id and as one of the other kind.
+func changeKind(c *cluster) {
+	a := c.agents[c.random.IntN(len(c.agents))]
+	if !a.target.up {
+		return
+	}
+	a.target.crash()
+	c.after(c.jitter(100), func() {
+		a.target.lives++
+		a.target.labels = []string{otherKind[a.target.labels[0]], "r1"}
+		a.target.start()
+		c.after(c.jitter(reportDelay), func() { a.handle(executor.TargetReported(a.target.report())) })
+	})
+}
+
+var otherKind = map[string]string{"a": "b", "b": "a"}
+
 func loseCommands(c *cluster) {
 	for _, a := range c.agents {
 		a.target.losesRepliesUntil = c.now + time.Second
@@ -138,13 +158,19 @@
 }
 
 func anyFault(c *cluster) {
-	faults := []func(*cluster){killEntry, killAgent, freezeEntry, freezeAgent, partition, crashTarget, restartTarget, loseCommands, carryOutLate, muteStops, disconnectTarget, hangTarget, slowTarget}
+	faults := []func(*cluster){killEntry, killAgent, freezeEntry, freezeAgent, partition, crashTarget, restartTarget, changeKind, loseCommands, carryOutLate, muteStops, disconnectTarget, hangTarget, slowTarget}
 	faults[c.random.IntN(len(faults))](c)
 }
 
 func simulate(t *testing.T, seed uint64, s scenario) *cluster {
 	stretch := max(s.stretch, 1)
 	c := newCluster(t, seed, 2, 4, stretch*1500*time.Millisecond)
+	if s.kinds {
+		for i, a := range c.agents {
+			a.target.labels = []string{[]string{"a", "b"}[i%2], "r1"}
+			a.handle(executor.TargetReported(a.target.report()))
+		}
+	}
 	end := c.now + 12*time.Second
 	var submitJobs, injectFaults func()
 	submitJobs = func() {
@@ -153,6 +179,9 @@
 			tasks:  1 + c.random.IntN(5),
 			length: 30*time.Millisecond + c.jitter(400),
 		}
+		if s.kinds {
+			j.label = []string{"", "a", "b"}[c.random.IntN(3)]
+		}
 		if c.oneIn(4) {
 			// The run lasts longer than the session timeout.
 			j.length = 900*time.Millisecond + c.jitter(500)
--- a/internal/process/role/dispatch/simulation/target_test.go
+++ b/internal/process/role/dispatch/simulation/target_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -17,19 +18,22 @@
 	c           *cluster
 	name        string
 	incarnation executor.Incarnation
-	startedAt   time.Duration
-	up          bool
-	size        task.Resources
-	used        task.Resources
-	fence       int64
-	sequence    int64
-	running     map[task.Run]*simRun
-	lastRun     map[string]int64
-	ends        []executor.FinishedRun
-	number      int64
-	renewals    []*simRenewal
-	factor      float64
-	hang        bool
+	// lives counts the ids that the target has had.
+	lives     int
+	labels    []string
+	startedAt time.Duration
+	up        bool
+	size      task.Resources
+	used      task.Resources
+	fence     int64
+	sequence  int64
+	running   map[task.Run]*simRun
+	lastRun   map[string]int64
+	ends      []executor.FinishedRun
+	number    int64
+	renewals  []*simRenewal
+	factor    float64
+	hang      bool
 	// served is set if a run began since the flag was last cleared.
 	served bool
 	// refusesConnections is set if the host of a crashed target still rejects connections.
@@ -69,6 +73,7 @@
 		name:   name,
 		size:   size,
 		factor: 1,
+		labels: []string{"a", "r1"},
 	}
 	t.start()
 	return t
@@ -88,7 +93,7 @@
 func (t *simTarget) start() {
 	t.up = true
 	t.startedAt = t.c.now
-	t.incarnation = executor.NewIncarnation("i-"+t.name, int64(t.c.now/time.Millisecond)+1)
+	t.incarnation = executor.NewIncarnation(fmt.Sprintf("i-%s-%d", t.name, t.lives), int64(t.c.now/time.Millisecond)+1)
 	t.fence = 0
 	t.sequence = 0
 	t.used = task.Resources{}
@@ -112,7 +117,7 @@
 func (t *simTarget) report() executor.Report {
 	t.sequence++
 	return executor.NewReport(t.incarnation, t.sequence, "service", t.name, "zone").
-		WithCapacity([]string{"a", "r1"}, t.size).
+		WithCapacity(t.labels, t.size).
 		WithState(false, 0, 0, t.clock())
 }
 
--- a/internal/process/role/executor/executor_test.go
+++ b/internal/process/role/executor/executor_test.go
@@ -93,13 +93,19 @@
 }
 
 func (fx *fixture) start(indexes ...int) {
+	fx.startPlaced(fx.now, indexes...)
+}
+
+// startPlaced receives a start that the entry placed when the newest frame that it had was
+// that of the time echo.
+func (fx *fixture) startPlaced(echo time.Duration, indexes ...int) {
 	runs := make([]int64, len(indexes))
 	for i := range runs {
 		runs[i] = 1
 	}
 	fx.frame(frame.Frame{
-		Echo:   fx.now,
-		Starts: []frame.Start{frame.NewStart(1, "job", 0, indexes, runs, "spec").WithResources(10000, 64, 0).WithTimes(fx.now+500*ms, 1500*ms, 0)},
+		Echo:   echo,
+		Starts: []frame.Start{frame.NewStart(1, "job", 0, indexes, runs, "spec").WithResources(10000, 64, 0).WithTimes(echo+500*ms, 1500*ms, 0)},
 	})
 }
 
@@ -279,6 +285,7 @@
 				fx.incarnation = executor.NewIncarnation("i-1", 6)
 				fx.report(false)
 				fx.answerRenewals(nil, nil)
+				fx.now += ms
 				fx.start(0)
 				fx.incarnation = old
 				fx.report(true)
--- a/internal/process/role/executor/restart.go
+++ b/internal/process/role/executor/restart.go
@@ -40,7 +40,7 @@
 		pending:     map[uint64]time.Duration{},
 		unclaimed:   map[task.Run]time.Duration{},
 	}
-	s.resendTarget()
+	s.redescribeTarget()
 }
 
 // unsettle prepares a run for the lists of another incarnation of its target. A stop that
@@ -77,10 +77,16 @@
 func (s *StateMachine) adoptIncarnation(now time.Duration, started int64, clock time.Duration) {
 	s.logEvent(event.TargetLost, event.F("target", s.target.incarnation.String()), event.F("cause", "other_incarnation"), event.F("started_ms", started),
 		event.F("runs", len(s.runs)-len(s.queue)))
-	s.resetTarget(now, NewIncarnation(s.target.incarnation.id, started), clock)
-	s.target.known = true
-	s.target.unreported = true
-	s.target.reported = now
+	previous := s.target
+	s.resetTarget(now, NewIncarnation(previous.incarnation.id, started), clock)
+	t := &s.target
+	t.known = true
+	t.unreported = true
+	t.reported = now
+	t.service = previous.service
+	t.zone = previous.zone
+	t.labels = previous.labels
+	t.capacity = previous.capacity
 }
 
 // handleNoProcess ends the runs of a target whose process had ended when a call was
--- a/internal/process/role/executor/run.go
+++ b/internal/process/role/executor/run.go
@@ -9,8 +9,9 @@
 	"greengagedoor.example/greengagedoor/internal/request/task"
 )
 
-// handleStart accepts the tasks of a start, or rejects each one with its cause.
-func (s *StateMachine) handleStart(now time.Duration, sess *session, st frame.Start) {
+// handleStart accepts the tasks of a start, or rejects each one with its cause. Echo is the
+// time of the newest frame that the entry had when it placed them.
+func (s *StateMachine) handleStart(now time.Duration, sess *session, echo time.Duration, st frame.Start) {
 	sess.lastStart = max(sess.lastStart, st.Number())
 	sess.capacityDue = true
 	cores, memory, accels := st.Resources()
@@ -30,7 +31,7 @@
 		if s.runs[r.id] != nil && s.runs[r.id].session == sess.number {
 			continue
 		}
-		if cause := s.rejectionCause(now, r); cause != "" || err != nil {
+		if cause := s.rejectionCause(now, sess, echo, r); cause != "" || err != nil {
 			s.reportEnd(sess, r, task.EndRefused, 0, cause)
 			continue
 		}
@@ -43,10 +44,13 @@
 
 // rejectionCause returns the cause for which a start is rejected, empty if it is
 // accepted.
-func (s *StateMachine) rejectionCause(now time.Duration, r *run) string {
+func (s *StateMachine) rejectionCause(now time.Duration, sess *session, echo time.Duration, r *run) string {
 	switch {
 	case now > r.notAfter:
 		return "void"
+	case echo <= sess.describedAfter:
+		// The entry chose this target by what it knew of it before, maybe of another kind.
+		return "older_target"
 	case s.leaving:
 		return "leaving"
 	case !s.target.usable():
--- a/internal/process/role/executor/session.go
+++ b/internal/process/role/executor/session.go
@@ -26,6 +26,9 @@
 	progress   []frame.Progress
 	lastStart  uint64
 	targetSent bool
+	// describedAfter is the time of the last frame before the one that told the entry the
+	// target's present incarnation, service and labels.
+	describedAfter time.Duration
 	// knownConfig is the version of the configuration that the entry has, and keepConfig
 	// whether it asked this agent to keep a copy.
 	knownConfig int64
@@ -108,7 +111,7 @@
 		sess.serviceAgents = f.ServiceAgents
 	}
 	for _, st := range f.Starts {
-		s.handleStart(now, sess, st)
+		s.handleStart(now, sess, f.Echo, st)
 	}
 	for _, id := range f.Stops {
 		if r, ok := s.runs[taskRun(id)]; ok && r.session == sess.number {
--- a/internal/process/role/executor/target.go
+++ b/internal/process/role/executor/target.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"slices"
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
@@ -188,11 +189,7 @@
 	t.unreported = false
 	t.sequence = r.sequence
 	t.reported = now
-	t.service = r.service
-	t.address = r.address
-	t.zone = r.zone
-	t.labels = r.labels
-	t.capacity = r.capacity
+	s.describeTarget(r)
 	t.warmUp = r.warmUp
 	t.replaced = false
 	t.stale = false
@@ -202,6 +199,23 @@
 	}
 }
 
+// describeTarget takes over what entries choose a target by, and tells them of changes.
+func (s *StateMachine) describeTarget(r Report) {
+	t := &s.target
+	switch {
+	case t.service != r.service || !slices.Equal(t.labels, r.labels):
+		s.rejectQueued("target_changed")
+		s.redescribeTarget()
+	case t.capacity != r.capacity || t.zone != r.zone:
+		s.resendTarget()
+	}
+	t.service = r.service
+	t.address = r.address
+	t.zone = r.zone
+	t.labels = r.labels
+	t.capacity = r.capacity
+}
+
 // isForeign reports whether a report names another target while the known one has runs
 // and answers.
 func (s *StateMachine) isForeign(now time.Duration, r Report) bool {
@@ -224,6 +238,15 @@
 	}
 }
 
+// redescribeTarget tells all entries of another incarnation, service or labels. Starts that
+// an entry sent before it knows them are rejected.
+func (s *StateMachine) redescribeTarget() {
+	for _, x := range s.sessions {
+		x.describedAfter = x.sent
+	}
+	s.resendTarget()
+}
+
 func (s *StateMachine) resendTarget() {
 	for _, x := range s.sessions {
 		x.targetSent = false
