Keep the outer names of rings and log fields, and sort the lease's functions

The functions on the lease stand in lease.go, those of a listed end beside each other, and duties are numbered beyond nine.

--- a/internal/process/role/executor/call.go
+++ b/internal/process/role/executor/call.go
@@ -225,6 +225,15 @@
 	}
 }
 
+func (f FinishedRun) Run() task.Run {
+	return f.run
+}
+
+// Number returns the number of the end; it counts the ends of an incarnation.
+func (f FinishedRun) Number() int64 {
+	return f.number
+}
+
 // RenewalReply is the target's answer to a renewal.
 type RenewalReply struct {
 	renewal  Renewal
@@ -251,12 +260,3 @@
 		},
 	}
 }
-
-func (f FinishedRun) Run() task.Run {
-	return f.run
-}
-
-// Number returns the number of the end; it counts the ends of an incarnation.
-func (f FinishedRun) Number() int64 {
-	return f.number
-}
--- a/internal/process/role/executor/lease.go
+++ b/internal/process/role/executor/lease.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/process/event"
+	"greengagedoor.example/greengagedoor/internal/request/task"
 )
 
 // The lease covers all that runs on the target. Extending it while a run is to end whose
@@ -28,6 +29,14 @@
 	return t.leaseExpires - t.clockAt(now)
 }
 
+// extendLease records that a call that extends the lease is sent, and returns the end of
+// the lease on the target's clock.
+func (t *target) extendLease(now time.Duration, timing Timing) time.Duration {
+	t.leaseEnd = max(t.leaseEnd, now+timing.maxLeaseSpan())
+	t.leaseExpires = max(t.leaseExpires, t.clockAt(now)+timing.lease)
+	return t.leaseExpires
+}
+
 // reviewLease decides whether enough of the lease is left for new work.
 func (s *StateMachine) reviewLease(now time.Duration) {
 	t := &s.target
@@ -57,3 +66,22 @@
 	s.logEvent(event.LeaseWithheld, event.F("run", r.id.String()), event.F("target", t.incarnation.String()), event.F("cause", r.cause),
 		event.F("left_ms", t.leaseLeft(now).Milliseconds()), event.F("runs", len(s.runs)-len(s.queue)))
 }
+
+// expireLease ends all active runs once the lease has expired, but for those whose start
+// another incarnation of the target may still carry out.
+func (s *StateMachine) expireLease(now time.Duration) {
+	t := &s.target
+	if !t.known || now <= t.leaseEnd || len(s.runs) == len(s.queue) {
+		return
+	}
+	ended := 0
+	for _, r := range s.sortedRuns() {
+		if r.state != runQueued && !r.mayStartOnSuccessor(t) {
+			s.end(now, r, task.EndLost, "lease_over")
+			ended++
+		}
+	}
+	if ended > 0 {
+		s.logEvent(event.TargetLost, event.F("target", t.incarnation.id), event.F("cause", "lease_over"), event.F("unanswered", t.unanswered), event.F("runs", ended))
+	}
+}
--- a/internal/process/role/executor/target.go
+++ b/internal/process/role/executor/target.go
@@ -127,14 +127,6 @@
 	t.clockSeen += gap
 }
 
-// extendLease records that a call that extends the lease is sent, and returns the end of
-// the lease on the target's clock.
-func (t *target) extendLease(now time.Duration, timing Timing) time.Duration {
-	t.leaseEnd = max(t.leaseEnd, now+timing.maxLeaseSpan())
-	t.leaseExpires = max(t.leaseExpires, t.clockAt(now)+timing.lease)
-	return t.leaseExpires
-}
-
 // answered records whether a call was answered, and the target's clock in the
 // answer. The target read the clock between sent and now. It reports whether the clock is
 // behind the estimate, as that of an incarnation that the agent does not know yet.
@@ -182,7 +174,7 @@
 		s.resetTarget(now, r.incarnation, r.clock)
 	}
 	if !t.known || t.unreported {
-		s.logEvent(event.TargetSeen, event.F("target", r.incarnation.String()), event.F("address", r.address), event.F("service", r.service),
+		s.logEvent(event.TargetSeen, event.F("target", r.incarnation.String()), event.F("started_ms", r.incarnation.started), event.F("address", r.address), event.F("service", r.service),
 			event.F("labels", r.labels), event.F("milli_cores", r.capacity.MilliCores()), event.F("fence", t.fence))
 	}
 	t.known = true
@@ -263,22 +255,3 @@
 	t.stale = true
 	s.logEvent(event.TargetLost, event.F("target", t.incarnation.id), event.F("cause", "no_report"), event.F("age_ms", (now-t.reported).Milliseconds()))
 }
-
-// expireLease ends all active runs once the lease has expired, but for those whose start
-// another incarnation of the target may still carry out.
-func (s *StateMachine) expireLease(now time.Duration) {
-	t := &s.target
-	if !t.known || now <= t.leaseEnd || len(s.runs) == len(s.queue) {
-		return
-	}
-	ended := 0
-	for _, r := range s.sortedRuns() {
-		if r.state != runQueued && !r.mayStartOnSuccessor(t) {
-			s.end(now, r, task.EndLost, "lease_over")
-			ended++
-		}
-	}
-	if ended > 0 {
-		s.logEvent(event.TargetLost, event.F("target", t.incarnation.id), event.F("cause", "lease_over"), event.F("unanswered", t.unanswered), event.F("runs", ended))
-	}
-}
--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -74,7 +75,7 @@
 	if a.ring, err = ring.New[any]("station", ringSize); err != nil {
 		return err
 	}
-	if a.starts, err = ring.New[executor.Command]("starts", ringSize); err != nil {
+	if a.starts, err = ring.New[executor.Command]("orders", ringSize); err != nil {
 		return err
 	}
 	if a.stops, err = ring.New[executor.Command]("stops", ringSize); err != nil {
@@ -86,7 +87,7 @@
 	if err := b.add("station", "Runs the agent's state machine, which decides what the target runs.", ringGauge(a.ring), a.run); err != nil {
 		return err
 	}
-	for _, name := range numbered("starts", startDuties) {
+	for _, name := range numbered("orders", startDuties) {
 		if err := b.add(name, "Sends starts to the target.", ringGauge(a.starts), func(ctx context.Context) error {
 			return runCalls(ctx, a.starts, a.ring, calls.Send)
 		}); err != nil {
@@ -135,7 +136,7 @@
 func numbered(name string, n int) []string {
 	var names []string
 	for i := range n {
-		names = append(names, name+"_"+string(rune('1'+i)))
+		names = append(names, name+"_"+strconv.Itoa(i+1))
 	}
 	return names
 }
