Ask a replaced target for lists while runs are left on it

After a refused connection the agent asked for nothing until the next report, so a run whose start had been answered meanwhile waited for the end of its lease. It asks every 50 ms now, without extending the lease. While a run that no entry asked for goes on, calls for lists wait for an end: they came one after the other without a pause. Both found by reading; TestRestartUnderSameID and TestUnclaimedRunIsWaitedFor have a row and a test.

--- a/internal/process/role/executor/executor.go
+++ b/internal/process/role/executor/executor.go
@@ -16,9 +16,9 @@
 //     the agent's clock. The session timeout counts from the echoed time, so the
 //     entry knows the latest time at which its runs are stopped.
 //   - Runs on the target are covered by a lease that only the agent renews, so
-//     they end soon after the agent stops or freezes. The agent extends the lease
-//     neither while the target has not confirmed the stop of a run, so a run that is
-//     to end does so although its stops stay unanswered.
+//     they end soon after the agent stops or freezes. The agent does not extend the
+//     lease while the target has not confirmed the stop of a run, so that this run
+//     ends although its stops stay unanswered.
 //   - A start command without an answer is followed by a stop of the same run. The
 //     target records the stop and refuses that run from then on. The run is treated
 //     as ended only when a later list of the target does not contain it, or when
--- a/internal/process/role/executor/lease.go
+++ b/internal/process/role/executor/lease.go
@@ -53,7 +53,7 @@
 // extended again. A renewal that waits for an end at the target was sent without one.
 func (s *StateMachine) extensionDue(now time.Duration) bool {
 	t := &s.target
-	return t.unansweredRenewals == 0 && t.leaseLeft(now) < s.timing.lease/minLeaseLeft && !s.leaseWithheld()
+	return !t.replaced && t.unansweredRenewals == 0 && t.leaseLeft(now) < s.timing.lease/minLeaseLeft && !s.leaseWithheld()
 }
 
 // withholdLease logs that the lease is not extended since the stop of a run is unanswered.
--- a/internal/process/role/executor/lease_test.go
+++ b/internal/process/role/executor/lease_test.go
@@ -256,3 +256,25 @@
 		So(m.expires, ShouldBeGreaterThanOrEqualTo, m.confirmFrom+580*ms)
 	})
 }
+
+// TestUnclaimedRunIsWaitedFor guards against calls for lists without a pause while a run
+// that no entry asked for goes on, since its stop is unanswered.
+func TestUnclaimedRunIsWaitedFor(t *testing.T) {
+	Convey("the next renewal waits for an end and does not extend the lease", t, func() {
+		fx := newFixture(t)
+		fx.start(0)
+		fx.answerCommands(executor.ResultNoCapacity)
+		foreign := []executor.ActiveRun{executor.NewActiveRun(run(9), 10)}
+		fx.collect()
+		renewals := fx.renewals
+		fx.renewals = nil
+		for _, r := range renewals {
+			fx.now += ms
+			fx.handle(executor.RenewalReplied(r, executor.ResultDone, fx.incarnation.Started(), fx.now, foreign, nil))
+		}
+		So(kinds(fx.collect(), executor.CommandStop), ShouldResemble, []int{9})
+		So(fx.renewals, ShouldHaveLength, 1)
+		So(fx.renewals[0].Wait(), ShouldBeGreaterThan, 0)
+		So(fx.renewals[0].Expires(), ShouldEqual, 0)
+	})
+}
--- a/internal/process/role/executor/renewal.go
+++ b/internal/process/role/executor/renewal.go
@@ -12,10 +12,10 @@
 // them.
 func (s *StateMachine) renew(now time.Duration) {
 	t := &s.target
-	if !t.known || t.replaced {
+	active := len(s.runs) > len(s.queue)
+	if !t.known || t.replaced && !active {
 		return
 	}
-	active := len(s.runs) > len(s.queue)
 	if t.synced && active && !t.polling && (t.pollDue || s.extensionDue(now)) {
 		t.polling = true
 		t.pollDue = false
@@ -26,7 +26,7 @@
 		return
 	}
 	wait := time.Duration(renewalWait)
-	if !t.synced || !active {
+	if (!t.synced || !active) && !t.unclaimedListed {
 		wait = 0
 	}
 	s.sendRenewal(now, wait, false)
@@ -57,9 +57,9 @@
 		wait:        wait,
 		sent:        now,
 	}
-	// A call to a target that does not answer renews nothing, so that the end of
-	// the lease stays known.
-	if t.synced && t.unansweredRenewals == 0 && !s.leaseWithheld() {
+	// A call to a target that does not answer or has been replaced renews nothing, so
+	// that the end of the lease stays known.
+	if t.synced && !t.replaced && t.unansweredRenewals == 0 && !s.leaseWithheld() {
 		renewal.expires = t.extendLease(now, s.timing)
 	}
 	s.out.renewals = append(s.out.renewals, renewal)
@@ -93,6 +93,7 @@
 		return
 	case reply.result == ResultOtherIncarnation:
 		t.replaced = true
+		t.renewAfter = now + renewalRetry
 		return
 	case reply.result == ResultDone && reply.started != 0 && reply.started != t.incarnation.started:
 		s.adoptIncarnation(now, reply.started, reply.clock)
--- a/internal/process/role/executor/restart_test.go
+++ b/internal/process/role/executor/restart_test.go
@@ -159,6 +159,23 @@
 			},
 			want: map[int]task.End{0: task.EndLost},
 		},
+		"call_refused_again_after_the_start": {
+			act: func(fx *fixture) {
+				refused := fx.renewals
+				fx.start(0)
+				fx.now += ms
+				fx.answerCommands(executor.ResultDone)
+				refused = append(refused, fx.renewals...)
+				fx.renewals = nil
+				fx.handle(executor.RenewalReplied(refused[len(refused)-1], executor.ResultNoProcess, 0, 0, nil, nil))
+				fx.now += 60 * ms
+				fx.handle(executor.Tick())
+				fx.collect()
+				So(fx.renewals, ShouldNotBeEmpty)
+				fx.handle(executor.RenewalReplied(fx.renewals[0], executor.ResultNoProcess, 0, 0, nil, nil))
+			},
+			want: map[int]task.End{0: task.EndLost},
+		},
 		"list_of_the_new_incarnation_before_its_report": {
 			act: func(fx *fixture) {
 				fx.start(0)
