Repeat unanswered stops after 40 ms, and keep three of a run open at most

While a stop is unanswered, the lease of its target is withheld and the target counts as one that may not answer.

--- a/internal/process/role/executor/executor.go
+++ b/internal/process/role/executor/executor.go
@@ -119,8 +119,13 @@
 	// renewalWait is how long the target may wait for an end before it answers.
 	// Each call renews the lease, so the wait is a third of the shortest lease.
 	renewalWait = 200 * time.Millisecond
-	// stopRetryInterval is the pause before an unanswered stop is repeated.
-	stopRetryInterval = 100 * time.Millisecond
+	// stopRetryInterval is the pause before an unanswered stop is repeated. The lease is
+	// withheld meanwhile, so it is shorter than the time after which a call is given up.
+	stopRetryInterval = 40 * time.Millisecond
+	// maxOpenStops bounds the unanswered stops of a run.
+	maxOpenStops = 3
+	// unclaimedRetryInterval is the same for runs that no entry asked for.
+	unclaimedRetryInterval = 100 * time.Millisecond
 	// minLeaseLeft is the share of the lease, as its divisor, that must be left for new work
 	// while the lease is not extended.
 	minLeaseLeft = 2
@@ -172,10 +177,10 @@
 	// confirmed reports whether the target acknowledged the start.
 	confirmed   bool
 	confirmedAt time.Duration
-	// stopSent is the time of the last stop command, 0 before the first, and stopOpen is
-	// set while it is unanswered.
-	stopSent time.Duration
-	stopOpen bool
+	// stopSent is the time of the last stop command, 0 before the first, and openStops is
+	// the number of stop commands that were neither answered nor given up.
+	stopSent  time.Duration
+	openStops int
 	// stopConfirmed is the time of the target's first answer to a stop, 0 before it.
 	stopConfirmed time.Duration
 	cause         string
@@ -332,7 +337,7 @@
 			s.stop(now, r, "deadline")
 		case s.leaving && r.state != runStopping && now >= s.stopRunsAt:
 			s.stop(now, r, "leaving")
-		case r.state == runStopping && r.stopConfirmed == 0 && !r.stopOpen && now-r.stopSent >= stopRetryInterval:
+		case r.state == runStopping && r.stopConfirmed == 0 && r.openStops < maxOpenStops && now-r.stopSent >= stopRetryInterval:
 			s.sendStop(now, r)
 		}
 	}
--- a/internal/process/role/executor/renewal.go
+++ b/internal/process/role/executor/renewal.go
@@ -226,7 +226,7 @@
 
 func (s *StateMachine) stopUnclaimed(now time.Duration, id task.Run) {
 	t := &s.target
-	if last, ok := t.unclaimed[id]; ok && now-last < stopRetryInterval {
+	if last, ok := t.unclaimed[id]; ok && now-last < unclaimedRetryInterval {
 		return
 	}
 	if len(t.unclaimed) >= maxUnclaimed {
@@ -243,7 +243,7 @@
 // forgetUnclaimed removes the runs whose stop may be repeated.
 func (t *target) forgetUnclaimed(now time.Duration) {
 	for id, last := range t.unclaimed {
-		if now-last >= stopRetryInterval {
+		if now-last >= unclaimedRetryInterval {
 			delete(t.unclaimed, id)
 		}
 	}
--- a/internal/process/role/executor/restart.go
+++ b/internal/process/role/executor/restart.go
@@ -48,7 +48,7 @@
 func (s *StateMachine) unsettle(r *run, previous, next Incarnation) {
 	r.stopConfirmed = 0
 	r.stopSent = 0
-	r.stopOpen = false
+	r.openStops = 0
 	r.progress = progress{}
 	s.logEvent(event.RunUnsettled, event.F("run", r.id.String()), event.F("entry", r.entry), event.F("previous", previous.String()),
 		event.F("target", next.String()), event.F("start_confirmed", r.confirmed))
--- a/internal/process/role/executor/run.go
+++ b/internal/process/role/executor/run.go
@@ -152,7 +152,7 @@
 
 func (s *StateMachine) sendStop(now time.Duration, r *run) {
 	r.stopSent = now
-	r.stopOpen = true
+	r.openStops++
 	s.out.commands = append(s.out.commands, s.stopCommand(now, r.id))
 }
 
@@ -235,7 +235,7 @@
 }
 
 func (s *StateMachine) handleStopReply(now time.Duration, r *run, result Result) {
-	r.stopOpen = false
+	r.openStops--
 	switch result {
 	case ResultUnknown:
 		s.withholdLease(now, r)
