End no run whose start is still under way

A stop has duties of its own and may overtake its start. If the target then started again, the start met an incarnation that knew of no stop, after the run had been ended. Found by reading; TestRestartUnderSameID has a row that fails without the change.

--- a/internal/process/role/executor/renewal.go
+++ b/internal/process/role/executor/renewal.go
@@ -194,6 +194,11 @@
 // still ran or could still start.
 func (r *run) resolvedBefore(reply RenewalReply, timing Timing) bool {
 	sent := reply.renewal.sent
+	if r.startResolved == 0 {
+		// The start is still under way and may meet the next incarnation, which knows of no
+		// stop.
+		return false
+	}
 	if reply.omitted.runs > 0 {
 		// A row that was left out may be of this run, so only a stop proves its end: two
 		// runs of a task could overlap otherwise.
--- a/internal/process/role/executor/restart.go
+++ b/internal/process/role/executor/restart.go
@@ -58,6 +58,9 @@
 // meant for may still carry it out. Its lease does not bound that: on the clock of the
 // other incarnation, the start does not expire.
 func (r *run) mayStartOnSuccessor(t *target) bool {
+	if r.startResolved == 0 {
+		return true
+	}
 	return (t.replaced || r.incarnation != t.incarnation) && !r.confirmed && r.stopConfirmed == 0
 }
 
--- a/internal/process/role/executor/restart_test.go
+++ b/internal/process/role/executor/restart_test.go
@@ -132,6 +132,22 @@
 			},
 			want: map[int]task.End{},
 		},
+		"start_still_under_way_when_its_stop_is_confirmed": {
+			act: func(fx *fixture) {
+				fx.start(0)
+				start := fx.collect()[0]
+				fx.frame(frame.Frame{
+					Echo:    fx.now,
+					Cancels: []string{"job"},
+				})
+				fx.answerCommands(executor.ResultDone)
+				fx.list(nil)
+				fx.restart()
+				fx.handle(executor.CommandReplied(start, executor.ResultDone, fx.now))
+				fx.list([]task.Run{run(0)})
+			},
+			want: map[int]task.End{},
+		},
 		"start_refused_by_a_dead_address": {
 			act: func(fx *fixture) {
 				fx.start(0)
