--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -353,49 +353,6 @@
 	}
 }
 
-func (d *Dispatch) updateTarget(a *agent, t frame.Target) {
-	previous := a.target
-	if t.Incarnation() != previous.Incarnation() {
-		a.health = health{}
-		d.logEvent(event.TargetSeen, event.F("agent", a.name), event.F("target", t.Incarnation()), event.F("service", t.Service()), event.F("usable", t.Usable()))
-	}
-	a.target = t
-	if previous.Service() != t.Service() {
-		d.countAgents()
-	}
-	if previous.Service() != t.Service() || !slices.Equal(previous.Labels(), t.Labels()) {
-		d.stopUnsuited(a)
-	}
-	a.size = resourcesOrZero(t.Capacity())
-	a.speed = d.estimates.speed(a.label(), a.name)
-	a.load = d.loadOf(a.label())
-}
-
-// stopUnsuited stops the runs that the agent's target must not have since it is of another
-// kind: a start may have reached its present incarnation before the agent knew of that.
-func (d *Dispatch) stopUnsuited(a *agent) {
-	for _, x := range a.attemptsWhere(func(x *attempt) bool {
-		return x.state == attemptSent && !a.suits(x.task.job, x.task.job.work.Steps()[x.task.step])
-	}) {
-		x.state = attemptStopping
-		a.stops = append(a.stops, x.id)
-		d.logEvent(event.TaskUnsuited, event.F("job", x.id.Job()), event.F("run", x.id.String()), event.F("agent", a.name), event.F("target", a.target.Incarnation()))
-	}
-}
-
-func (a *agent) updateCapacity(r frame.FreeCapacity) {
-	a.free = resourcesOrZero(r.Amounts())
-	a.queuedStarts = r.Queued()
-	kept := a.unreported[:0]
-	for _, u := range a.unreported {
-		if u.number > r.LastStart() {
-			kept = append(kept, u)
-		}
-	}
-	a.unreported = kept
-	a.updateLeft()
-}
-
 // clearLostRuns ends the lost runs of previous connections to an agent that reports
 // none on its current target. Runs on a previous target may still continue.
 func (d *Dispatch) clearLostRuns(now time.Duration, a *agent) {
--- /dev/null
+++ b/internal/process/role/dispatch/target.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import (
+	"slices"
+
+	"greengagedoor.example/greengagedoor/internal/connection/frame"
+	"greengagedoor.example/greengagedoor/internal/process/event"
+)
+
+// updateTarget takes over the description of an agent's target.
+func (d *Dispatch) updateTarget(a *agent, t frame.Target) {
+	previous := a.target
+	if t.Incarnation() != previous.Incarnation() {
+		a.health = health{}
+		d.logEvent(event.TargetSeen, event.F("agent", a.name), event.F("target", t.Incarnation()), event.F("service", t.Service()), event.F("usable", t.Usable()))
+	}
+	a.target = t
+	if previous.Service() != t.Service() {
+		d.countAgents()
+	}
+	if previous.Service() != t.Service() || !slices.Equal(previous.Labels(), t.Labels()) {
+		d.stopUnsuited(a)
+	}
+	a.size = resourcesOrZero(t.Capacity())
+	a.speed = d.estimates.speed(a.label(), a.name)
+	a.load = d.loadOf(a.label())
+}
+
+// stopUnsuited stops the runs that the agent's target must not have since it is of another
+// kind: a start may have reached its present incarnation before the agent knew of that.
+func (d *Dispatch) stopUnsuited(a *agent) {
+	for _, x := range a.attemptsWhere(func(x *attempt) bool {
+		return x.state == attemptSent && !a.suits(x.task.job, x.task.job.work.Steps()[x.task.step])
+	}) {
+		x.state = attemptStopping
+		a.stops = append(a.stops, x.id)
+		d.logEvent(event.TaskUnsuited, event.F("job", x.id.Job()), event.F("run", x.id.String()), event.F("agent", a.name), event.F("target", a.target.Incarnation()))
+	}
+}
+
+func (a *agent) updateCapacity(r frame.FreeCapacity) {
+	a.free = resourcesOrZero(r.Amounts())
+	a.queuedStarts = r.Queued()
+	kept := a.unreported[:0]
+	for _, u := range a.unreported {
+		if u.number > r.LastStart() {
+			kept = append(kept, u)
+		}
+	}
+	a.unreported = kept
+	a.updateLeft()
+}
