Move runs off targets that leave before the runs end

A target can announce that it leaves, with the least time for which it still runs what it has. The agent logged that time and nobody used it: a run that could not end before was lost with its target, and its task started again only once the loss was noticed.

The agent now sends the time to its entries. The entry moves a run if that raises the probability of an answer in time by 0.1 or more, the one that gains most first, and only while a usable target has free capacity for it.

Ruled out: that starts go on after the notice.

Tests: departure.TestGain, TestDepartures (ten of thirty runs of 4 s move from three targets that leave in 2 s to the one that stays; three if it has room for three; none before this change), TestNoticeTakenBack, TestLeaveTime.

--- a/internal/connection/frame/codec.go
+++ b/internal/connection/frame/codec.go
@@ -138,6 +138,7 @@
 	e.signed(7, t.accelerators)
 	e.boolean(8, t.usable)
 	e.duration(9, t.warmUp)
+	e.duration(10, t.leavesIn)
 }
 
 func (c FreeCapacity) encode(e *encoder) {
--- a/internal/connection/frame/decode.go
+++ b/internal/connection/frame/decode.go
@@ -239,6 +239,8 @@
 		t.usable = x.boolean()
 	case 9:
 		t.warmUp = x.duration()
+	case 10:
+		t.leavesIn = x.duration()
 	}
 	return nil
 }
--- a/internal/connection/frame/frame.go
+++ b/internal/connection/frame/frame.go
@@ -74,6 +74,7 @@
 	accelerators int64
 	usable       bool
 	warmUp       time.Duration
+	leavesIn     time.Duration
 }
 
 // NewTarget returns a target; usable reports whether it takes new work.
@@ -103,6 +104,13 @@
 	return t
 }
 
+// LeavingIn returns the target with the least time for which it still runs what it has,
+// 0 if it has not announced that it leaves.
+func (t Target) LeavingIn(d time.Duration) Target {
+	t.leavesIn = d
+	return t
+}
+
 // Incarnation identifies one start of the target.
 func (t Target) Incarnation() string {
 	return t.incarnation
@@ -138,6 +146,12 @@
 	return t.warmUp
 }
 
+// LeavesIn returns the least time for which a target that has announced that it leaves
+// still runs what it has, and 0 for any other target.
+func (t Target) LeavesIn() time.Duration {
+	return t.leavesIn
+}
+
 // FreeCapacity is the capacity of a target that is left after all accepted starts.
 // The amounts are negative while accepted starts are queued.
 type FreeCapacity struct {
--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -32,6 +32,9 @@
 	free         task.Resources
 	queuedStarts int
 	leaving      bool
+	// leavesAt is the earliest time at which the target ends what it runs, 0 if it has not
+	// announced that it leaves.
+	leavesAt time.Duration
 
 	// clock is the agent's clock in its last frame, which was received at lastSeen.
 	clock    time.Duration
@@ -202,6 +205,7 @@
 	a.leaving = false
 	a.cleared = false
 	a.target = frame.Target{}
+	a.leavesAt = 0
 	d.sessions[o.session] = a
 	at := sort.Search(len(d.connected), func(i int) bool { return d.connected[i].session > a.session })
 	d.connected = slices.Insert(d.connected, at, a)
@@ -328,7 +332,7 @@
 	a.knownConfig = max(a.knownConfig, f.ConfigVersion)
 	d.receiveConfiguration(now, message, a.name)
 	if f.Target != nil {
-		d.updateTarget(a, *f.Target)
+		d.updateTarget(now, a, *f.Target)
 	}
 	if f.FreeCapacity != nil {
 		a.updateCapacity(*f.FreeCapacity)
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -90,8 +90,10 @@
 	// a copy of the queue while it changes.
 	candidates []*agent
 	scratch    []*job
-	// nextReview is when the queue is reviewed again.
-	nextReview time.Duration
+	// nextReview is when the queue is reviewed again, and nextDepartureReview when the runs
+	// on leaving targets are.
+	nextReview          time.Duration
+	nextDepartureReview time.Duration
 	// running has the current attempt of each task that may be running, by task name.
 	running  map[string]*attempt
 	finished map[string]finishedJob
@@ -181,6 +183,7 @@
 	d.expireJobs(now)
 	d.refuseUnfinishable(now)
 	d.expireLostRuns(now)
+	d.reviewDepartures(now)
 	d.place(now)
 	d.reviewQueue(now)
 	d.sendFrames(now)
--- a/internal/process/role/dispatch/target.go
+++ b/internal/process/role/dispatch/target.go
@@ -2,19 +2,25 @@
 
 import (
 	"slices"
+	"time"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 )
 
 // updateTarget takes over the description of an agent's target.
-func (d *Dispatch) updateTarget(a *agent, t frame.Target) {
+func (d *Dispatch) updateTarget(now time.Duration, a *agent, t frame.Target) {
 	previous := a.target
 	if t.Incarnation() != previous.Incarnation() {
 		a.health = health{}
 		d.logEvent(event.TargetSeen, event.F("agent", a.name), event.F("target", t.Incarnation()), event.F("service", t.Service()), event.F("usable", t.Usable()))
 	}
 	a.target = t
+	a.leavesAt = 0
+	if in := t.LeavesIn(); in > 0 {
+		a.leavesAt = now + in
+		d.nextDepartureReview = now
+	}
 	if previous.Service() != t.Service() {
 		d.countAgents()
 	}
--- a/internal/process/role/executor/session.go
+++ b/internal/process/role/executor/session.go
@@ -192,7 +192,7 @@
 		sess.reported = now
 	}
 	if !sess.targetSent {
-		t := s.target.describe(s.leaving)
+		t := s.target.describe(now, s.leaving)
 		f.Target = &t
 	}
 	sess.targetSent = true
--- a/internal/process/role/executor/target.go
+++ b/internal/process/role/executor/target.go
@@ -24,6 +24,9 @@
 	maxUnanswered = 2
 	// clockTolerance covers clocks that are read in whole ms.
 	clockTolerance = 10 * time.Millisecond
+	// leaveTolerance is the change of the time at which a target leaves from which entries
+	// are told; reports come with different delays.
+	leaveTolerance = 50 * time.Millisecond
 	// reportTimeout is how long a target without runs is treated as present without
 	// a report; targets report every 1.5 s.
 	reportTimeout = 4 * time.Second
@@ -61,6 +64,9 @@
 	capacity task.Resources
 	draining bool
 	warmUp   time.Duration
+	// leavesAt is the earliest time at which a draining target ends what it runs, 0 if it
+	// is not known.
+	leavesAt time.Duration
 
 	// clock is the target's clock at the time clockSeen of the agent's clock. It is
 	// behind rather than ahead, since answers take time.
@@ -108,10 +114,20 @@
 	return t.known && t.synced && !t.draining && !t.left && !t.replaced && !t.unreported && !t.leaseShort && !t.stale && t.unanswered < maxUnanswered
 }
 
-func (t *target) describe(leaving bool) frame.Target {
+func (t *target) describe(now time.Duration, leaving bool) frame.Target {
 	return frame.NewTarget(t.incarnation.String(), t.service, t.zone, t.labels, t.usable() && !leaving).
 		WithCapacity(t.capacity.MilliCores(), t.capacity.MemoryMB(), t.capacity.Accelerators()).
-		WithWarmUp(t.warmUp)
+		WithWarmUp(t.warmUp).
+		LeavingIn(t.leavesIn(now))
+}
+
+// leavesIn returns the least time for which the target still runs what it has. For one
+// that is overdue it is the shortest time, since 0 stands for a target that stays.
+func (t *target) leavesIn(now time.Duration) time.Duration {
+	if t.leavesAt == 0 {
+		return 0
+	}
+	return max(t.leavesAt-now, time.Millisecond)
 }
 
 // clockAt estimates the target's clock. The estimate is never ahead of the true
@@ -185,12 +201,27 @@
 	t.warmUp = r.warmUp
 	t.replaced = false
 	t.stale = false
+	s.updateLeaveTime(now, r)
 	if r.draining != t.draining {
 		t.draining = r.draining
 		s.logEvent(event.TargetChanged, event.F("target", r.incarnation.id), event.F("draining", r.draining), event.F("remaining_ms", r.remaining.Milliseconds()))
 	}
 }
 
+// updateLeaveTime takes over when a draining target leaves, and tells the entries if that
+// has changed, so that they can move the runs that would be lost with it.
+func (s *StateMachine) updateLeaveTime(now time.Duration, r Report) {
+	t := &s.target
+	at := time.Duration(0)
+	if r.draining && r.remaining > 0 {
+		at = now + r.remaining
+	}
+	if known := t.leavesAt > 0; known != (at > 0) || (at-t.leavesAt).Abs() > leaveTolerance {
+		s.resendTarget()
+	}
+	t.leavesAt = at
+}
+
 // describeTarget takes over what entries choose a target by, and tells them of changes.
 func (s *StateMachine) describeTarget(r Report) {
 	t := &s.target
