Send the rank of a start on the agent's clock

Starts that wait at an agent are served in the order of their ranks. A rank was a time of the entry's clock, which counts from the boot of its host, so starts of an entry whose host had run longer waited behind all starts of the others, whatever their jobs' arrival and slack.

TestRankOfStarts failed before: a job that had just arrived had the rank 1.02 s or 2,400 h, by the uptime of the entry's host. An entry now converts the rank by the agent's clock in its last frame, as it does for the time after which a start is void. Entries of the previous build keep their old ranks, so during an update their starts wait before or behind those of the others, as before.

--- a/internal/connection/frame/start.go
+++ b/internal/connection/frame/start.go
@@ -46,7 +46,7 @@
 
 // WithTimes returns the start with the time on the agent's clock after which it is
 // void, the time from its arrival within which its tasks must end, and its rank
-// among queued starts; a lower rank goes first.
+// among queued starts, in µs of the agent's clock; a lower rank goes first.
 func (s Start) WithTimes(notAfter, timeLimit time.Duration, rank int64) Start {
 	s.notAfter = notAfter
 	s.timeLimit = timeLimit
--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -238,6 +238,12 @@
 	return jobValue(j.relativeSize)*(lateWeight*late+lossWeight*(1-useful)) + loadWeight*u*u + x.Seconds()*speedWeight, true
 }
 
+// rankAt returns the rank of a job on an agent's clock. An agent orders the starts of
+// several entries, whose clocks begin with the boots of their hosts.
+func (j *job) rankAt(a *agent) int64 {
+	return j.rank + (a.clock - a.lastSeen).Microseconds()
+}
+
 // countRuns returns the number of runs of a job's step on an agent.
 func (a *agent) countRuns(j *job, step int) int {
 	n := 0
@@ -277,7 +283,7 @@
 	n := s.Resources()
 	st := frame.NewStart(a.lastStart, j.work.ID(), t.step, []int{t.index}, []int64{t.run}, j.work.Spec()).
 		WithResources(n.MilliCores(), n.MemoryMB(), n.Accelerators()).
-		WithTimes(a.clock+d.timing.sessionTimeout, j.deadline-now, j.rank)
+		WithTimes(a.clock+d.timing.sessionTimeout, j.deadline-now, j.rankAt(a))
 	if k := len(a.starts); k > 0 && a.starts[k-1].CanMerge(st) {
 		*a.starts[k-1] = a.starts[k-1].Merge(st)
 	} else {
