Evacuate availability zones on the operators' request

Cause: nothing read the operators' request to evacuate a zone, so entries went on starting tasks there.

Change: entries watch the operators' prefix instead of the configuration alone where times.evacuate_ms is set, and pass the set of evacuated zones on by frames. An entry places nothing in such a zone; an agent there rejects starts. Targets' warm-up was told once and never counted down, so a target that was cold once stayed slow for its entries; it is told as the time left now, and counted down.

TestPollConfiguration became TestPollOperators: the poll returns the changes, and the watch skips deletions and other keys, which the test still checks, and one case more.

--- a/cmd/greengagedoor/platform.go
+++ b/cmd/greengagedoor/platform.go
@@ -57,6 +57,7 @@
 	return server.Dependencies{
 		Store:            s,
 		ConfigurationKey: platform.ConfigurationKey,
+		EvacuatedZone:    platform.EvacuatedZone,
 		Decode:           platform.NewConfigurationDecoder().Decode,
 		Out:              os.Stdout,
 		Reload: server.Reload{
@@ -105,6 +106,9 @@
 		}
 		dependencies, cleanup := newDependencies(c, setting.PlatformEntry(), v)
 		defer cleanup()
+		if v.Number("times", "evacuate_ms") > 0 {
+			dependencies.OperatorsPrefix = platform.OperatorsPrefix
+		}
 		e, cleanup, err := server.NewEntry(s.WithConfigApply(v.Milliseconds("times", "config_apply_ms")), dependencies)
 		if err != nil {
 			return err
--- a/internal/connection/frame/codec.go
+++ b/internal/connection/frame/codec.go
@@ -109,6 +109,12 @@
 		e.message(22, f.ConfigPiece.encode)
 	}
 	e.varint(23, uint64(f.ServiceAgents))
+	if f.Evacuated.Revision() > 0 {
+		e.signed(24, f.Evacuated.Revision())
+		for _, z := range f.Evacuated.Zones() {
+			e.text(25, z)
+		}
+	}
 	return e.b
 }
 
--- a/internal/connection/frame/decode.go
+++ b/internal/connection/frame/decode.go
@@ -5,6 +5,8 @@
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protowire"
+
+	"greengagedoor.example/greengagedoor/internal/version/evacuation"
 )
 
 // field is one decoded field: value holds a varint, bytes the content of a
@@ -94,6 +96,9 @@
 func Decode(b []byte) (Frame, error) {
 	var f Frame
 	err := decode(b, func(x field) error { return f.setField(x) })
+	if f.Evacuated.Revision() == 0 {
+		f.Evacuated = evacuation.Set{}
+	}
 	return f, err
 }
 
@@ -185,7 +190,21 @@
 		return decode(x.bytes, f.ConfigPiece.setField)
 	case 23:
 		f.ServiceAgents = x.count()
+	case 24:
+		f.Evacuated = evacuation.New(x.signed(), f.Evacuated.Zones())
+	case 25:
+		return f.addEvacuated(string(x.bytes))
+	}
+	return nil
+}
+
+// addEvacuated adds an evacuated zone. A set of which a part is left out would end the
+// evacuation of that part, so the frame is refused.
+func (f *Frame) addEvacuated(zone string) error {
+	if zones := f.Evacuated.Zones(); !evacuation.Valid(zone) || len(zones) >= evacuation.MaxZones {
+		return errors.Wrapf(ErrMalformed, "evacuated zone of %d bytes after %d others", len(zone), len(zones))
 	}
+	f.Evacuated = evacuation.New(f.Evacuated.Revision(), append(f.Evacuated.Zones(), zone))
 	return nil
 }
 
--- a/internal/connection/frame/frame.go
+++ b/internal/connection/frame/frame.go
@@ -7,7 +7,11 @@
 // that know more or fewer fields understand each other.
 package frame
 
-import "time"
+import (
+	"time"
+
+	"greengagedoor.example/greengagedoor/internal/version/evacuation"
+)
 
 // Hello introduces a process; it is in the first frame of each connection.
 type Hello struct {
@@ -255,6 +259,9 @@
 	Peers    []Peer
 	// Cancels lists the ids of jobs to cancel.
 	Cancels []string
+	// Evacuated is the set of evacuated availability zones that the sender knows of. One
+	// without a revision says nothing.
+	Evacuated evacuation.Set
 }
 
 // Content names what a frame mainly carries, for counters and logs.
--- a/internal/connection/frame/frame_test.go
+++ b/internal/connection/frame/frame_test.go
@@ -4,13 +4,17 @@
 	"bytes"
 	"math"
 	"reflect"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/encoding/protowire"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
+	"greengagedoor.example/greengagedoor/internal/version/evacuation"
 )
 
 // fullFrame returns a frame with every field set.
@@ -44,6 +48,7 @@
 		Progress:         []frame.Progress{frame.NewProgress(id, 41, time.Second)},
 		Peers:            []frame.Peer{frame.NewPeer("entry_1", "10.0.0.2:7400").InZone("zone_a")},
 		Cancels:          []string{"job"},
+		Evacuated:        evacuation.New(6, []string{"zone_a", "zone_b"}),
 	}
 }
 
@@ -54,6 +59,9 @@
 	tests := map[string]frame.Frame{
 		"empty": {},
 		"full":  want,
+		"none_evacuated": {
+			Evacuated: evacuation.New(1, nil),
+		},
 	}
 	for name, f := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -116,6 +124,42 @@
 	}
 }
 
+// TestOddEvacuations guards against a part of a set that is taken for the whole: zones that
+// are missing from it would get work.
+func TestOddEvacuations(t *testing.T) {
+	field := func(n protowire.Number, text string) []byte {
+		return protowire.AppendString(protowire.AppendTag(nil, n, protowire.BytesType), text)
+	}
+	revision := protowire.AppendVarint(protowire.AppendTag(nil, 24, protowire.VarintType), protowire.EncodeZigZag(7))
+	many := revision
+	for i := range evacuation.MaxZones + 1 {
+		many = append(many, field(25, strconv.Itoa(i))...)
+	}
+	tests := map[string]struct {
+		b        []byte
+		want     evacuation.Set
+		wantFail bool
+	}{
+		"zones_first":       {b: append(field(25, "a"), revision...), want: evacuation.New(7, []string{"a"})},
+		"without_revision":  {b: field(25, "a")},
+		"negative_revision": {b: protowire.AppendVarint(protowire.AppendTag(nil, 24, protowire.VarintType), 1)},
+		"empty_name":        {b: append(revision, field(25, "")...), wantFail: true},
+		"long_name":         {b: append(revision, field(25, strings.Repeat("z", evacuation.MaxZoneBytes+1))...), wantFail: true},
+		"many_zones":        {b: many, wantFail: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			Convey("a frame has the whole set or none", t, func() {
+				f, err := frame.Decode(tt.b)
+				So(err != nil, ShouldEqual, tt.wantFail)
+				if !tt.wantFail {
+					So(f.Evacuated, ShouldResemble, tt.want)
+				}
+			})
+		})
+	}
+}
+
 // checkRanges reports a value with which sums of a few, or a product with 100, could
 // overflow, or a progress outside 0 to 100.
 func checkRanges(f frame.Frame) error {
--- a/internal/process/explain/explain.go
+++ b/internal/process/explain/explain.go
@@ -33,19 +33,21 @@
 // stateEvents are the events that tell the state of a process. The last config_changed
 // before a decision is printed whenever it was.
 var stateEvents = map[event.Name]bool{
-	event.ConfigChanged:  true,
-	event.ConfigBehind:   true,
-	event.ConfigCaughtUp: true,
-	event.ConfigRefusing: true,
-	event.ConfigInvalid:  true,
-	event.SendDelayed:    true,
-	event.SendResumed:    true,
-	event.StoreLost:      true,
-	event.StoreRegained:  true,
-	event.OverloadBegan:  true,
-	event.OverloadEnded:  true,
-	event.LinksChosen:    true,
-	event.LinksResized:   true,
+	event.ConfigChanged:   true,
+	event.ConfigBehind:    true,
+	event.ConfigCaughtUp:  true,
+	event.ConfigRefusing:  true,
+	event.ConfigInvalid:   true,
+	event.SendDelayed:     true,
+	event.SendResumed:     true,
+	event.StoreLost:       true,
+	event.StoreRegained:   true,
+	event.OverloadBegan:   true,
+	event.OverloadEnded:   true,
+	event.LinksChosen:     true,
+	event.EvacuationBegan: true,
+	event.EvacuationEnded: true,
+	event.LinksResized:    true,
 }
 
 // line is one parsed log line.
--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -9,6 +9,7 @@
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/request/task"
+	"greengagedoor.example/greengagedoor/internal/version/evacuation"
 )
 
 // The limits of agents.
@@ -23,15 +24,23 @@
 
 // agent is the known state of an agent and its target.
 type agent struct {
-	name         string
-	incarnation  uint64
-	zone         string
-	session      uint64
-	target       frame.Target
+	name        string
+	incarnation uint64
+	zone        string
+	session     uint64
+	target      frame.Target
+	// warmUntil is when the target's warm-up ends, and warmUp what was left of it when this
+	// pass began.
+	warmUntil    time.Duration
+	warmUp       time.Duration
 	size         task.Resources
 	free         task.Resources
 	queuedStarts int
 	leaving      bool
+	// evacuated is set while the agent is in an evacuated availability zone, and
+	// knownEvacuations is the newest set of those zones that it is known to have.
+	evacuated        bool
+	knownEvacuations evacuation.Set
 
 	// clock is the agent's clock in its last frame, which was received at lastSeen.
 	clock    time.Duration
@@ -72,7 +81,7 @@
 }
 
 func (a *agent) usable() bool {
-	return a.session != 0 && !a.leaving && a.target.Usable()
+	return a.session != 0 && !a.leaving && !a.evacuated && a.target.Usable()
 }
 
 // label returns the hardware label, which is the first label of the target.
@@ -113,8 +122,8 @@
 // frameDue reports whether a frame to the agent is due. Without content, a frame is only
 // an answer: it echoes the time of a frame of the agent, which keeps the session. One that
 // echoes the same time again would tell the agent nothing.
-func (a *agent) frameDue(now time.Duration, t Timing) bool {
-	if !a.introduced || len(a.starts)+len(a.stops)+len(a.cancels) > 0 {
+func (a *agent) frameDue(now time.Duration, t Timing, evacuated evacuation.Set) bool {
+	if !a.introduced || len(a.starts)+len(a.stops)+len(a.cancels) > 0 || evacuated.News(a.knownEvacuations) {
 		return true
 	}
 	interval := t.heartbeatInterval * 3 / 4
@@ -150,6 +159,10 @@
 	for _, s := range a.starts {
 		f.Starts = append(f.Starts, *s)
 	}
+	if d.evacuated.News(a.knownEvacuations) {
+		f.Evacuated = d.evacuated
+		a.knownEvacuations = d.evacuated
+	}
 	a.introduced = true
 	a.starts = nil
 	a.stops = nil
@@ -202,6 +215,8 @@
 	a.leaving = false
 	a.cleared = false
 	a.target = frame.Target{}
+	a.knownEvacuations = evacuation.Set{}
+	d.reviewEvacuated(a)
 	d.sessions[o.session] = a
 	at := sort.Search(len(d.connected), func(i int) bool { return d.connected[i].session > a.session })
 	d.connected = slices.Insert(d.connected, at, a)
@@ -257,12 +272,12 @@
 }
 
 // countAgents counts the connected agents by the service of their target, and those of
-// the own availability zone.
+// the own availability zone unless that is evacuated.
 func (d *Dispatch) countAgents() {
 	clear(d.serviceAgents)
 	d.zoneAgents = 0
 	for _, a := range d.connected {
-		if a.zone == d.hello.Zone() {
+		if a.zone == d.hello.Zone() && !a.evacuated {
 			d.zoneAgents++
 		}
 		if service := a.target.Service(); service != "" {
@@ -312,6 +327,7 @@
 	if p, ok := d.peers[message.session]; ok {
 		p.lastSeen = now
 		p.knownConfig = max(p.knownConfig, message.frame.ConfigVersion)
+		p.knownEvacuations = d.hearEvacuations(now, p.knownEvacuations, message.frame.Evacuated, p.name)
 		d.receiveConfiguration(now, message, p.name)
 		d.receiveCancels(now, p, message.frame.Cancels)
 		return
@@ -326,9 +342,10 @@
 	a.clock = max(a.clock, f.Clock)
 	a.leaving = f.Leaving
 	a.knownConfig = max(a.knownConfig, f.ConfigVersion)
+	a.knownEvacuations = d.hearEvacuations(now, a.knownEvacuations, f.Evacuated, a.name)
 	d.receiveConfiguration(now, message, a.name)
 	if f.Target != nil {
-		d.updateTarget(a, *f.Target)
+		d.updateTarget(now, a, *f.Target)
 	}
 	if f.FreeCapacity != nil {
 		a.updateCapacity(*f.FreeCapacity)
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -29,6 +29,7 @@
 	"greengagedoor.example/greengagedoor/internal/connection/transfer"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/request/task"
+	"greengagedoor.example/greengagedoor/internal/version/evacuation"
 	"greengagedoor.example/greengagedoor/internal/version/route"
 )
 
@@ -111,7 +112,11 @@
 	loadMeasured bool
 	startup      startup
 	passedOn     passedOn
-	leaving      bool
+	// evacuated is the newest known set of evacuated zones, and evacuatedZones what is told
+	// of each of them.
+	evacuated      evacuation.Set
+	evacuatedZones map[string]*evacuatedZone
+	leaving        bool
 	// lastAnswer is when a leaving entry has answered all callers.
 	lastAnswer time.Duration
 	out        Output
@@ -126,6 +131,8 @@
 	lastSent time.Duration
 	// knownConfig is the number of the configuration that the peer has.
 	knownConfig int64
+	// knownEvacuations is the newest set of evacuated zones that the peer is known to have.
+	knownEvacuations evacuation.Set
 	// introduced is set once the first frame of the session has been sent.
 	introduced bool
 	cancels    []string
@@ -144,21 +151,22 @@
 // New returns the state machine of an entry that introduces itself with hello.
 func New(hello frame.Hello, timing Timing) *Dispatch {
 	return &Dispatch{
-		timing:        timing,
-		hello:         hello,
-		agents:        map[string]*agent{},
-		sessions:      map[uint64]*agent{},
-		serviceAgents: map[string]int{},
-		peers:         map[uint64]*peer{},
-		jobs:          map[string]*job{},
-		requests:      map[uint64]*job{},
-		running:       map[string]*attempt{},
-		finished:      map[string]finishedJob{},
-		loads:         map[string]*hardwareLoad{},
-		estimates:     newEstimator(),
-		fairness:      newFairness(),
-		overload:      newOverload(timing),
-		passedOn:      newPassedOn(),
+		timing:         timing,
+		hello:          hello,
+		agents:         map[string]*agent{},
+		sessions:       map[uint64]*agent{},
+		serviceAgents:  map[string]int{},
+		peers:          map[uint64]*peer{},
+		jobs:           map[string]*job{},
+		requests:       map[uint64]*job{},
+		running:        map[string]*attempt{},
+		finished:       map[string]finishedJob{},
+		loads:          map[string]*hardwareLoad{},
+		evacuatedZones: map[string]*evacuatedZone{},
+		estimates:      newEstimator(),
+		fairness:       newFairness(),
+		overload:       newOverload(timing),
+		passedOn:       newPassedOn(),
 	}
 }
 
@@ -171,6 +179,7 @@
 	d.startup.begin(now)
 	d.expireSessions(now)
 	d.estimates.decay(now)
+	d.updateWarmUps(now)
 	d.updateLag(now, events)
 	for _, ev := range events {
 		d.updateRefusing(now)
@@ -211,6 +220,8 @@
 		d.storeAnswers = *ev.storeAnswers
 	case ev.unusable != 0:
 		d.configuration.Unusable(ev.unusable)
+	case ev.evacuated != nil:
+		d.updateEvacuated(now, *ev.evacuated, StoreSource)
 	case ev.shutdown != nil:
 		d.shutDown(now, *ev.shutdown)
 	}
@@ -248,12 +259,12 @@
 // sendFrames sends every peer the frame that is due.
 func (d *Dispatch) sendFrames(now time.Duration) {
 	for _, a := range d.connected {
-		if a.frameDue(now, d.timing) {
+		if a.frameDue(now, d.timing, d.evacuated) {
 			d.sendAgent(now, a)
 		}
 	}
 	for _, n := range d.peersWhere(func(p *peer) bool {
-		return !p.introduced || len(p.cancels) > 0 || now-p.lastSent >= d.timing.heartbeatInterval
+		return !p.introduced || len(p.cancels) > 0 || d.evacuated.News(p.knownEvacuations) || now-p.lastSent >= d.timing.heartbeatInterval
 	}) {
 		d.sendPeer(now, d.peers[n])
 	}
@@ -278,6 +289,10 @@
 		Leaving: d.leaving,
 		Cancels: p.cancels,
 	})
+	if d.evacuated.News(p.knownEvacuations) {
+		f.Evacuated = d.evacuated
+		p.knownEvacuations = d.evacuated
+	}
 	p.introduced = true
 	p.cancels = nil
 	p.lastSent = now
--- a/internal/process/role/dispatch/event.go
+++ b/internal/process/role/dispatch/event.go
@@ -6,6 +6,7 @@
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/request/task"
+	"greengagedoor.example/greengagedoor/internal/version/evacuation"
 	"greengagedoor.example/greengagedoor/internal/version/route"
 )
 
@@ -24,6 +25,7 @@
 	arrival    Arrival
 	storeRead  *storeRead
 	unusable   int64
+	evacuated  *evacuation.Set
 	// storeAnswers is whether the store answers this entry.
 	storeAnswers *bool
 	// shutdown is how long an entry that was told to shut down still answers.
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -167,6 +167,8 @@
 		d.refuse(s, id, StateRefused, ReasonOverloaded, defaultRetryAfter)
 	case d.hasTarget(r.Service()):
 		d.accept(now, s, r, work)
+	case d.allEvacuated(r.Service()):
+		d.refuse(s, id, StateRefused, ReasonEvacuated, defaultRetryAfter)
 	case !d.hold(now, s):
 		d.refuse(s, id, StateRefused, "no_target", defaultRetryAfter)
 	}
--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -202,7 +202,7 @@
 // expectedTime returns the expected run time on an agent, including cold start,
 // transfers from another rack, and the penalty of another availability zone.
 func (d *Dispatch) expectedTime(a *agent, s task.Step, base time.Duration) time.Duration {
-	x := time.Duration(float64(base)*a.speed.value()) + a.target.WarmUp()
+	x := time.Duration(float64(base)*a.speed.value()) + a.warmUp
 	if s.Rack() != "" && a.rack() != s.Rack() {
 		x += base / 2
 	}
@@ -264,6 +264,7 @@
 		sent:     now,
 		expected: d.expectedTime(a, s, d.baseTime(t)),
 	}
+	d.countStart(a)
 	t.attempt = x
 	j.started = true
 	a.runs[x.id] = x
--- a/internal/process/role/dispatch/target.go
+++ b/internal/process/role/dispatch/target.go
@@ -2,20 +2,24 @@
 
 import (
 	"slices"
+	"time"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 )
 
 // updateTarget takes over the description of an agent's target.
-func (d *Dispatch) updateTarget(a *agent, t frame.Target) {
+func (d *Dispatch) updateTarget(now time.Duration, a *agent, t frame.Target) {
 	previous := a.target
 	if t.Incarnation() != previous.Incarnation() {
 		a.health = health{}
 		d.logEvent(event.TargetSeen, event.F("agent", a.name), event.F("target", t.Incarnation()), event.F("service", t.Service()), event.F("usable", t.Usable()))
 	}
 	a.target = t
-	if previous.Service() != t.Service() {
+	a.warmUntil = now + t.WarmUp()
+	a.warmUp = t.WarmUp()
+	d.reviewEvacuated(a)
+	if previous.Service() != t.Service() || previous.Zone() != t.Zone() {
 		d.countAgents()
 	}
 	if previous.Service() != t.Service() || !slices.Equal(previous.Labels(), t.Labels()) {
@@ -26,6 +30,13 @@
 	a.load = d.loadOf(a.label())
 }
 
+// updateWarmUps counts down what is left of the warm-up of targets.
+func (d *Dispatch) updateWarmUps(now time.Duration) {
+	for _, a := range d.connected {
+		a.warmUp = max(0, a.warmUntil-now)
+	}
+}
+
 // stopUnsuited stops the runs that the agent's target must not have since it is of another
 // kind: a start may have reached its present incarnation before the agent knew of that.
 func (d *Dispatch) stopUnsuited(a *agent) {
--- a/internal/process/role/executor/executor.go
+++ b/internal/process/role/executor/executor.go
@@ -39,6 +39,7 @@
 	"greengagedoor.example/greengagedoor/internal/connection/transfer"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/request/task"
+	"greengagedoor.example/greengagedoor/internal/version/evacuation"
 )
 
 // Timing holds the timeouts of the protocol between entries, agents and targets.
@@ -206,7 +207,11 @@
 	// for it. All agents pass on the numbers of the versions that they hear of.
 	configuration transfer.Exchange
 	links         links
-	out           Output
+	// evacuated is the newest known set of evacuated availability zones.
+	evacuated evacuation.Set
+	// evacuation is what is told of the evacuation of the target's zone.
+	evacuation zoneEvacuation
+	out        Output
 }
 
 // New returns the state machine of an agent. The fence must be higher than that of
@@ -239,12 +244,16 @@
 	}
 	s.lastEvent = now
 	was := s.target.usable()
+	evacuated := s.inEvacuatedZone()
 	s.expireSessions(now)
 	s.handleEvent(now, ev)
 	s.advance(now)
 	if was != s.target.usable() {
 		s.usabilityChanged()
 	}
+	if evacuated != s.inEvacuatedZone() {
+		s.evacuationChanged(now)
+	}
 	s.reviewLinks(now)
 	s.flush(now)
 	return s.out
--- a/internal/process/role/executor/run.go
+++ b/internal/process/role/executor/run.go
@@ -53,6 +53,9 @@
 		return "older_target"
 	case s.leaving:
 		return "leaving"
+	case s.inEvacuatedZone():
+		s.evacuation.rejected++
+		return evacuatedCause
 	case !s.target.usable():
 		return "target_not_usable"
 	case s.byTask[r.id.TaskName()] != nil:
@@ -90,7 +93,7 @@
 
 // startQueued starts the queued runs that fit, the lowest rank first.
 func (s *StateMachine) startQueued(now time.Duration) {
-	if len(s.queue) == 0 || !s.target.usable() {
+	if len(s.queue) == 0 || !s.target.usable() || s.inEvacuatedZone() {
 		return
 	}
 	for _, r := range append([]*run(nil), s.queue...) {
@@ -118,6 +121,9 @@
 	r.startSent = now
 	r.startResolved = 0
 	r.incarnation = s.target.incarnation
+	if s.inEvacuatedZone() {
+		s.evacuation.starts++
+	}
 	expires := s.target.leaseExpires
 	if !s.leaseWithheld() {
 		expires = s.target.extendLease(now, s.timing)
@@ -263,7 +269,7 @@
 	case ResultUnknown:
 		s.stop(now, r, "order_unanswered")
 	case ResultStaleFence:
-		if r.state == runStarting {
+		if r.state == runStarting && !s.inEvacuatedZone() {
 			s.sendStart(now, r)
 			return
 		}
--- a/internal/process/role/executor/session.go
+++ b/internal/process/role/executor/session.go
@@ -7,6 +7,7 @@
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/process/event"
+	"greengagedoor.example/greengagedoor/internal/version/evacuation"
 )
 
 // session is one connection to an entry.
@@ -36,7 +37,9 @@
 	// not said so.
 	serviceAgents int
 	keepConfig    bool
-	sendNow       bool
+	// knownEvacuations is the newest set of evacuated zones that the entry is known to have.
+	knownEvacuations evacuation.Set
+	sendNow          bool
 	// releasing is set once the connection is not needed any more.
 	releasing bool
 	// reported is when the last frame was sent that the entry must have processed before
@@ -104,6 +107,7 @@
 		return
 	}
 	s.receiveConfiguration(now, sess, f)
+	s.hearEvacuations(sess, f.Evacuated)
 	if f.ReportInterval > 0 {
 		sess.reportInterval = min(max(f.ReportInterval, capacityInterval), s.timing.heartbeatInterval)
 	}
@@ -192,9 +196,13 @@
 		sess.reported = now
 	}
 	if !sess.targetSent {
-		t := s.target.describe(s.leaving)
+		t := s.target.describe(now, s.leaving || s.inEvacuatedZone())
 		f.Target = &t
 	}
+	if s.evacuated.News(sess.knownEvacuations) {
+		f.Evacuated = s.evacuated
+		sess.knownEvacuations = s.evacuated
+	}
 	sess.targetSent = true
 	sess.started = nil
 	sess.ended = nil
--- a/internal/process/role/executor/target.go
+++ b/internal/process/role/executor/target.go
@@ -60,7 +60,8 @@
 	labels   []string
 	capacity task.Resources
 	draining bool
-	warmUp   time.Duration
+	// warmUntil is when the target's warm-up ends.
+	warmUntil time.Duration
 
 	// clock is the target's clock at the time clockSeen of the agent's clock. It is
 	// behind rather than ahead, since answers take time.
@@ -108,10 +109,12 @@
 	return t.known && t.synced && !t.draining && !t.left && !t.replaced && !t.unreported && !t.leaseShort && !t.stale && t.unanswered < maxUnanswered
 }
 
-func (t *target) describe(leaving bool) frame.Target {
-	return frame.NewTarget(t.incarnation.String(), t.service, t.zone, t.labels, t.usable() && !leaving).
+// describe returns the description of the target for entries. It is not usable for them
+// while its agent takes no starts.
+func (t *target) describe(now time.Duration, refusing bool) frame.Target {
+	return frame.NewTarget(t.incarnation.String(), t.service, t.zone, t.labels, t.usable() && !refusing).
 		WithCapacity(t.capacity.MilliCores(), t.capacity.MemoryMB(), t.capacity.Accelerators()).
-		WithWarmUp(t.warmUp)
+		WithWarmUp(max(0, t.warmUntil-now))
 }
 
 // clockAt estimates the target's clock. The estimate is never ahead of the true
@@ -182,7 +185,7 @@
 	t.sequence = r.sequence
 	t.reported = now
 	s.describeTarget(r)
-	t.warmUp = r.warmUp
+	t.warmUntil = s.reviewWarmUp(now, r)
 	t.replaced = false
 	t.stale = false
 	if r.draining != t.draining {
@@ -208,6 +211,19 @@
 	t.capacity = r.capacity
 }
 
+// warmUpTolerance covers the way of a report.
+const warmUpTolerance = 200 * time.Millisecond
+
+// reviewWarmUp returns when the target's warm-up ends. Entries count the time that they were
+// told down by themselves, so they are told only of a later end.
+func (s *StateMachine) reviewWarmUp(now time.Duration, r Report) time.Duration {
+	until := now + r.warmUp
+	if r.warmUp > 0 && until > s.target.warmUntil+warmUpTolerance {
+		s.resendTarget()
+	}
+	return until
+}
+
 // isForeign reports whether a report names another target while the known one has runs
 // and answers.
 func (s *StateMachine) isForeign(now time.Duration, r Report) bool {
--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -87,6 +87,9 @@
 	if err := b.add("station", "Runs the agent's state machine, which decides what the target runs.", ringGauge(a.ring), a.run); err != nil {
 		return err
 	}
+	if err := b.addEvacuationSection(a.ring); err != nil {
+		return err
+	}
 	for _, name := range numbered("orders", startDuties) {
 		if err := b.add(name, "Sends starts to the target.", ringGauge(a.starts), func(ctx context.Context) error {
 			return runCalls(ctx, a.starts, a.ring, calls.Send)
@@ -210,6 +213,8 @@
 		delete(a.streams, m.stream.Number())
 		a.connected.Store(int64(len(a.streams)))
 		a.handle(executor.SessionClosed(m.stream.Number()))
+	case linesAsked:
+		m.reply <- a.executor.DescribeEvacuations(a.base.clock())
 	case connectionReleased:
 		a.handle(executor.SessionReleased(m.stream))
 	}
@@ -247,5 +252,6 @@
 	if n := out.Links(); n > 0 {
 		a.links.resize(n)
 	}
+	a.base.observer.evacuatedZones.Set(int64(len(a.executor.Evacuated().Zones())))
 	a.drained.Store(a.executor.Drained())
 }
--- a/internal/process/role/server/entries_test.go
+++ b/internal/process/role/server/entries_test.go
@@ -80,9 +80,9 @@
 	})
 }
 
-// TestPollConfiguration guards against an odd item beside the configuration that
-// hides it, and against a deletion that is read as a value.
-func TestPollConfiguration(t *testing.T) {
+// TestPollOperators guards against an odd item beside the configuration that hides it, and
+// against a deletion that is read as a value.
+func TestPollOperators(t *testing.T) {
 	tests := map[string]struct {
 		changes []keyspace.Change
 		want    []string
@@ -90,21 +90,31 @@
 		"value":      {changes: []keyspace.Change{keyspace.NewChange(keyspace.NewItem("op/config", []byte("a"), 3), false)}, want: []string{"op/config"}},
 		"deletion":   {changes: []keyspace.Change{keyspace.NewChange(keyspace.NewItem("op/config", nil, 3), true)}},
 		"beside_odd": {changes: []keyspace.Change{keyspace.NewChange(keyspace.NewInvalidItem("", errors.New("odd")), false), keyspace.NewChange(keyspace.NewItem("op/config", []byte("a"), 3), false)}, want: []string{"", "op/config"}},
+		"other_key":  {changes: []keyspace.Change{keyspace.NewChange(keyspace.NewItem("op/other", []byte("a"), 3), false)}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			Convey("each change but a deletion is passed on", t, func() {
+			Convey("each value of the key is passed on, and each odd item logged", t, func() {
 				var got []string
-				next, err := pollConfiguration(context.Background(), Dependencies{
-					ConfigurationKey: "op/config",
-					Store: keyspace.Store{
-						Watch: func(context.Context, string, int64, time.Duration) ([]keyspace.Change, int64, error) {
-							return tt.changes, 9, nil
+				w := configurationWatch{
+					deps: Dependencies{
+						ConfigurationKey: "op/config",
+						Store: keyspace.Store{
+							Watch: func(context.Context, string, int64, time.Duration) ([]keyspace.Change, int64, error) {
+								return tt.changes, 9, nil
+							},
 						},
 					},
-				}, 2, func(i keyspace.Item) { got = append(got, i.Key()) })
+					clock: func() time.Duration { return 0 },
+					log:   func(event.Note) { got = append(got, "") },
+					read:  func(context.Context, undecoded) { got = append(got, "op/config") },
+				}
+				changes, next, err := pollOperators(context.Background(), w.deps, 2)
 				So(err, ShouldBeNil)
 				So(next, ShouldEqual, 9)
+				for _, c := range changes {
+					w.pass(context.Background(), c, 0, false)
+				}
 				So(got, ShouldResemble, tt.want)
 			})
 		})
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -13,6 +13,7 @@
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 	"greengagedoor.example/greengagedoor/internal/process/role/dispatch"
+	"greengagedoor.example/greengagedoor/internal/version/evacuation"
 	"greengagedoor.example/greengagedoor/internal/version/route"
 )
 
@@ -119,6 +120,9 @@
 	}, e.run); err != nil {
 		return err
 	}
+	if err := b.addEvacuationSection(e.ring); err != nil {
+		return err
+	}
 	if err := b.serveStreams(h); err != nil {
 		return err
 	}
@@ -144,9 +148,12 @@
 		answers: func(ctx context.Context, answers bool) {
 			_ = e.ring.Push(ctx, dispatch.StoreAnswers(answers))
 		},
+		evacuations: newEvacuations(b.deps, b.log, func(ctx context.Context, s evacuation.Set) {
+			_ = e.ring.Push(ctx, dispatch.EvacuationsRead(s))
+		}),
 		reread: e.reread.Load,
 	}
-	if err := b.add("configuration", "Watches the operators' configuration.", nil, w.run); err != nil {
+	if err := b.add("configuration", "Watches the operators' configuration and their requests to evacuate availability zones.", nil, w.run); err != nil {
 		return err
 	}
 	if err := b.add("registration", "Renews the store key that announces this entry's address.", nil, func(ctx context.Context) error {
--- a/internal/process/role/server/entryloop.go
+++ b/internal/process/role/server/entryloop.go
@@ -89,6 +89,8 @@
 		return []dispatch.Event{dispatch.SessionClosed(m.stream.Number())}
 	case entriesFound:
 		e.entriesFound(m.peers)
+	case linesAsked:
+		m.reply <- e.dispatch.DescribeEvacuations(e.base.clock())
 	case connectionReleased:
 		// A connection to another entry holds no runs.
 		if s, ok := e.streams[m.stream]; ok {
@@ -175,6 +177,7 @@
 			at:      e.base.clock(),
 		})
 	}
+	e.base.observer.evacuatedZones.Set(int64(len(e.dispatch.Evacuated().Zones())))
 	e.ready.Store(e.dispatch.Ready())
 	e.idle.Store(e.dispatch.Idle())
 	e.reread.Store(e.dispatch.RereadStore(e.base.clock()))
--- a/internal/process/role/server/linkdump.go
+++ b/internal/process/role/server/linkdump.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"context"
 	"fmt"
 	"maps"
 	"slices"
@@ -14,28 +13,10 @@
 // dumpTimeout is how long a dump waits for the duty that keeps the connections.
 const dumpTimeout = time.Second
 
-// linksAsked is the message that the dump asks for the state of the connections.
-type linksAsked struct {
-	reply chan []string
-}
-
 // section returns the part of the dump on connections to entries.
 func (l *links) section() (dump.Section, error) {
 	return dump.NewSection("links", "The known entries: whether they are connected, why, and since when.", func() []string {
-		ctx, cancel := context.WithTimeout(context.Background(), dumpTimeout)
-		defer cancel()
-		m := linksAsked{
-			reply: make(chan []string, 1),
-		}
-		if l.ring.TryPush(m) != nil {
-			return []string{"the duty is too busy to answer"}
-		}
-		select {
-		case lines := <-m.reply:
-			return lines
-		case <-ctx.Done():
-			return []string{"the duty does not answer"}
-		}
+		return askLines(l.ring)
 	})
 }
 
--- a/internal/process/role/server/links.go
+++ b/internal/process/role/server/links.go
@@ -236,7 +236,7 @@
 		for _, p := range m.peers {
 			l.addAddress(p.Address(), p.Zone(), false)
 		}
-	case linksAsked:
+	case linesAsked:
 		m.reply <- l.lines(time.Now())
 	case linksResized:
 		l.size = agentSize(m.total)
--- a/internal/process/role/server/links_test.go
+++ b/internal/process/role/server/links_test.go
@@ -330,7 +330,7 @@
 		})
 		openLinks(l, func(address string) bool { return address == "10.0.0.0:7400" })
 		reply := make(chan []string, 1)
-		l.receive(linksAsked{
+		l.receive(linesAsked{
 			reply: reply,
 		})
 		lines := <-reply
--- a/internal/process/role/server/observe.go
+++ b/internal/process/role/server/observe.go
@@ -47,7 +47,9 @@
 	links *expvar.Map
 	// unsentAge is the age of the oldest frame that waits to be written, in ms.
 	unsentAge *expvar.Int
-	ring      *ring.Ring[event.Note]
+	// evacuatedZones is the number of evacuated availability zones that the process knows of.
+	evacuatedZones *expvar.Int
+	ring           *ring.Ring[event.Note]
 }
 
 func newObserver() (*observer, error) {
@@ -56,14 +58,15 @@
 		return nil, err
 	}
 	o := &observer{
-		vars:       new(expvar.Map).Init(),
-		events:     new(expvar.Map).Init(),
-		servers:    new(expvar.Map).Init(),
-		sentBytes:  new(expvar.Map).Init(),
-		sentFrames: new(expvar.Map).Init(),
-		links:      new(expvar.Map).Init(),
-		unsentAge:  new(expvar.Int),
-		ring:       r,
+		vars:           new(expvar.Map).Init(),
+		events:         new(expvar.Map).Init(),
+		servers:        new(expvar.Map).Init(),
+		sentBytes:      new(expvar.Map).Init(),
+		sentFrames:     new(expvar.Map).Init(),
+		links:          new(expvar.Map).Init(),
+		unsentAge:      new(expvar.Int),
+		evacuatedZones: new(expvar.Int),
+		ring:           r,
 	}
 	o.vars.Set("events", o.events)
 	o.vars.Set("servers", o.servers)
@@ -71,6 +74,7 @@
 	o.vars.Set("sent_frames", o.sentFrames)
 	o.vars.Set("links", o.links)
 	o.vars.Set("unsent_age_ms", o.unsentAge)
+	o.vars.Set("evacuated_zones", o.evacuatedZones)
 	o.vars.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
 	o.vars.Set("heap_bytes", expvar.Func(func() any {
 		var m runtime.MemStats
--- a/internal/process/role/server/server.go
+++ b/internal/process/role/server/server.go
@@ -142,7 +142,14 @@
 	Store keyspace.Store
 	// ConfigurationKey is the store key of the operators' configuration.
 	ConfigurationKey string
-	Decode           Decode
+	// OperatorsPrefix begins the keys of all that operators request. It is empty where only
+	// the configuration is read.
+	OperatorsPrefix string
+	// EvacuatedZone returns the availability zone that an item below OperatorsPrefix
+	// requests to evacuate, empty if it requests something else. The error is of a value
+	// that can't be read, or of a key that names no zone.
+	EvacuatedZone func(keyspace.Item) (string, error)
+	Decode        Decode
 	// OnPass is called before each pass of an entry's dispatcher; nil for nothing.
 	OnPass func()
 	// Out receives the log; nil means standard output.
--- a/internal/process/role/server/watch.go
+++ b/internal/process/role/server/watch.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"strings"
 	"time"
@@ -68,6 +69,8 @@
 	// read receives each configuration, and answers whether the store answers.
 	read    func(context.Context, undecoded)
 	answers func(context.Context, bool)
+	// evacuations follows the requests to evacuate availability zones.
+	evacuations *evacuations
 	// reread reports whether the store has to be read anew, since others know of a newer
 	// version than the watch has shown.
 	reread func() bool
@@ -84,14 +87,20 @@
 	lastList := time.Duration(0)
 	for ctx.Err() == nil {
 		began := w.clock()
-		if w.reread() && began-lastList >= watchWait {
+		if (w.reread() || w.evacuations.unsure) && began-lastList >= watchWait {
 			after = 0
 		}
 		whole := after == 0
 		if whole {
 			lastList = began
 		}
-		next, err := pollConfiguration(ctx, w.deps, after, func(i keyspace.Item) { w.pass(ctx, i, began, whole) })
+		changes, next, err := pollOperators(ctx, w.deps, after)
+		if err == nil {
+			w.evacuations.apply(ctx, changes, next, whole)
+		}
+		for _, c := range changes {
+			w.pass(ctx, c, began, whole)
+		}
 		h.update(err)
 		if (err == nil) != answered {
 			answered = err == nil
@@ -112,9 +121,11 @@
 	return nil
 }
 
-// pass passes an item on. Whole is set if the read shows the newest version.
-func (w configurationWatch) pass(ctx context.Context, i keyspace.Item, began time.Duration, whole bool) {
+// pass passes a configuration on. Whole is set if the read shows the newest version.
+func (w configurationWatch) pass(ctx context.Context, c keyspace.Change, began time.Duration, whole bool) {
+	i := c.Item()
 	switch {
+	case c.Deleted():
 	case i.Invalid() != nil:
 		w.log(invalidItem(i, i.Invalid()))
 	case i.Key() == w.deps.ConfigurationKey:
@@ -131,26 +142,23 @@
 	}
 }
 
-// pollConfiguration reads the configuration if after is 0, and otherwise waits for
-// a change after that revision. It returns the revision for the next call.
-func pollConfiguration(ctx context.Context, s Dependencies, after int64, onItem func(keyspace.Item)) (int64, error) {
-	if after == 0 {
-		items, revision, err := s.Store.List(ctx, s.ConfigurationKey)
-		for _, i := range items {
-			onItem(i)
+// pollOperators reads what the operators have written if after is 0, and otherwise waits
+// for a change after that revision. It returns the revision for the next call.
+func pollOperators(ctx context.Context, s Dependencies, after int64) ([]keyspace.Change, int64, error) {
+	prefix := cmp.Or(s.OperatorsPrefix, s.ConfigurationKey)
+	if after > 0 {
+		changes, revision, err := s.Store.Watch(ctx, prefix, after, watchWait)
+		if errors.Is(err, keyspace.ErrCompacted) {
+			return nil, 0, nil
 		}
-		return revision, err
-	}
-	changes, revision, err := s.Store.Watch(ctx, s.ConfigurationKey, after, watchWait)
-	if errors.Is(err, keyspace.ErrCompacted) {
-		return 0, nil
+		return changes, revision, err
 	}
-	for _, c := range changes {
-		if !c.Deleted() {
-			onItem(c.Item())
-		}
+	items, revision, err := s.Store.List(ctx, prefix)
+	var changes []keyspace.Change
+	for _, i := range items {
+		changes = append(changes, keyspace.NewChange(i, false))
 	}
-	return revision, err
+	return changes, revision, err
 }
 
 // register keeps the store key with this entry's address and removes it when the
--- a/internal/process/role/server/watch_test.go
+++ b/internal/process/role/server/watch_test.go
@@ -107,11 +107,12 @@
 							},
 						},
 					},
-					clock:   func() time.Duration { return time.Since(start) + time.Second },
-					log:     func(event.Note) {},
-					read:    func(context.Context, undecoded) {},
-					answers: func(context.Context, bool) { answered++ },
-					reread:  func() bool { return tt.reread },
+					clock:       func() time.Duration { return time.Since(start) + time.Second },
+					log:         func(event.Note) {},
+					read:        func(context.Context, undecoded) {},
+					answers:     func(context.Context, bool) { answered++ },
+					reread:      func() bool { return tt.reread },
+					evacuations: newEvacuations(Dependencies{}, nil, nil),
 				}
 				ctx, cancel := context.WithTimeout(context.Background(), 4500*time.Millisecond)
 				defer cancel()
--- a/internal/process/setting/platform.go
+++ b/internal/process/setting/platform.go
@@ -27,6 +27,7 @@
 			row("listen", "callers", "callers", "Where callers reach this entry by HTTP.").address(),
 			row("listen", "readiness", "readiness", "Where the load balancer asks whether the entry takes callers.").address(),
 			row("times", "config_apply_ms", "config-apply-ms", "The time in which a confirmed configuration must be in force everywhere. An entry that knows for half of it of a version that it lacks refuses new jobs.").number(2000, 200, 600_000, "ms"),
+			row("times", "evacuate_ms", "evacuate-ms", "The time in which no more work may start in an availability zone whose evacuation was confirmed; 0 or empty where none is ever evacuated, so that requests for it are not read.").number(0, 0, 600_000, "ms").optional(),
 		),
 		crossCheck: distinctListeners,
 	}
