--- a/internal/process/role/dispatch/dispatch_test.go
+++ b/internal/process/role/dispatch/dispatch_test.go
@@ -28,6 +28,8 @@
 	// requests and configs are the requests for configurations and those received.
 	requests []frame.ConfigRequest
 	configs  []dispatch.ReceivedConfig
+	// evacuated has the revisions of the sets of evacuated zones that were sent.
+	evacuated []int64
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -53,6 +55,9 @@
 			fx.sessionOf[s.Job()] = f.Session()
 		}
 		fx.stops = append(fx.stops, f.Frame().Stops...)
+		if n := f.Frame().Evacuated.Revision(); n > 0 {
+			fx.evacuated = append(fx.evacuated, n)
+		}
 		if r := f.Frame().ConfigRequest; r != nil {
 			fx.requests = append(fx.requests, *r)
 		}
