Simulate evacuations with cuts, restarts, store outages and late orders

Change: TestEvacuations draws evacuations of one and of all of three zones, overlapping and repeated, with cold targets, and checks the bound of 5 s against the targets. Exempt are orders that a target carried out late, hosts of agents that were cut off or restarted in the last 4 s, and the time until the store is back. Afterwards each target gets work from each entry. Peer links without a network model have a fixed delay, targets have the zone of their agent, and the check of recovery submits work in proportion to the number of targets.

Broken on purpose, each with -simulation.evacuations 2: - entries and agents pass over the zones: 6 starts and more in each scenario, as 'job127.0.0.1#2 starts on agent_7 in zone_1, evacuated 5.748239s before'; - frames do not carry the set: store_turns_away fails, 'job604.0.0.0#1 starts on agent_6 in zone_0, evacuated 5.780694s before'; calm passes; - agents alone do not reject: passes. Entries that know place nothing there, and starts on their way expire within 500 ms; the rejection is for entries of a previous build.

--- a/internal/process/role/dispatch/simulation/cluster_test.go
+++ b/internal/process/role/dispatch/simulation/cluster_test.go
@@ -113,6 +113,8 @@
 	network *simNetwork
 	// store has the configuration that entries read; nil if entries are given theirs.
 	store *simStore
+	// evacuations has the operators' requests to evacuate zones; nil for none.
+	evacuations *simEvacuations
 }
 
 func newCluster(t *testing.T, seed uint64, entries, agents int, limit time.Duration) *cluster {
@@ -332,6 +334,9 @@
 			}
 		}
 	}
+	if o.c.evacuations != nil {
+		o.c.evacuations.check(t, id)
+	}
 	j := o.c.jobs[id.Job()]
 	if j == nil {
 		o.addViolation("task %s started, but its job was not submitted", id.TaskName())
--- a/internal/process/role/dispatch/simulation/process_test.go
+++ b/internal/process/role/dispatch/simulation/process_test.go
@@ -72,6 +72,10 @@
 		e.followStore(e.incarnation)
 		e.dialPeers(e.incarnation)
 	}
+	if e.c.evacuations != nil {
+		e.followEvacuations(e.incarnation, 0)
+		e.dialPeers(e.incarnation)
+	}
 	e.tick(e.incarnation)
 }
 
@@ -210,6 +214,7 @@
 		target:           newSimTarget(c, name, 32),
 		partitionedUntil: map[string]time.Duration{},
 	}
+	a.target.zone = zone
 	a.start()
 	a.expireLeases()
 	a.forwardReports()
--- a/internal/process/role/dispatch/simulation/simulation_test.go
+++ b/internal/process/role/dispatch/simulation/simulation_test.go
@@ -221,8 +221,8 @@
 const (
 	// recoveryTime covers the longest fault and the longest ejection of a target.
 	recoveryTime = 15 * time.Second
-	// fillJobs of fillTasks tasks need more than the capacity of all targets.
-	fillJobs  = 12
+	// fillJobs of fillTasks tasks need more than the capacity of one target.
+	fillJobs  = 3
 	fillTasks = 5
 )
 
@@ -234,7 +234,7 @@
 		for _, a := range c.agents {
 			a.target.served = false
 		}
-		for i := range fillJobs {
+		for i := range fillJobs * len(c.agents) {
 			j := &simJob{
 				id:     fmt.Sprintf("fill_%s_%d", e.name, i),
 				tasks:  fillTasks,
--- a/internal/process/role/dispatch/simulation/store_test.go
+++ b/internal/process/role/dispatch/simulation/store_test.go
@@ -241,11 +241,16 @@
 	if from == l.a {
 		to = l.b
 	}
-	l.c.network.sendFrame(from.name, to.name, l.number, f, func() bool { return l.open }, func() {
+	deliver := func() {
 		if l.open {
 			to.handle(dispatch.FrameReceived(l.number, f))
 		}
-	})
+	}
+	if l.c.network == nil {
+		l.c.after(networkDelay, deliver)
+		return
+	}
+	l.c.network.sendFrame(from.name, to.name, l.number, f, func() bool { return l.open }, deliver)
 }
 
 func (l *simPeerLink) close() {
--- a/internal/process/role/dispatch/simulation/target_test.go
+++ b/internal/process/role/dispatch/simulation/target_test.go
@@ -19,8 +19,14 @@
 	name        string
 	incarnation executor.Incarnation
 	// lives counts the ids that the target has had.
-	lives     int
-	labels    []string
+	lives  int
+	labels []string
+	// zone is the availability zone, and coldUntil when the target's warm-up ends, during
+	// which it takes twice as long.
+	zone      string
+	coldUntil time.Duration
+	// late is set while a command is applied seconds after it arrived.
+	late      bool
 	startedAt time.Duration
 	up        bool
 	size      task.Resources
@@ -116,9 +122,9 @@
 
 func (t *simTarget) report() executor.Report {
 	t.sequence++
-	return executor.NewReport(t.incarnation, t.sequence, "service", t.name, "zone").
+	return executor.NewReport(t.incarnation, t.sequence, "service", t.name, t.zone).
 		WithCapacity(t.labels, t.size).
-		WithState(false, 0, 0, t.clock())
+		WithState(false, 0, max(0, t.coldUntil-t.c.now), t.clock())
 }
 
 // command applies a command and replies, unless the reply is lost.
@@ -152,7 +158,9 @@
 	incarnation := t.incarnation
 	t.c.after(d, func() {
 		if t.incarnation == incarnation {
+			t.late = true
 			t.apply(cmd)
+			t.late = false
 		}
 	})
 }
@@ -200,6 +208,9 @@
 	t.served = true
 	t.used = t.used.Add(need)
 	length := time.Duration(float64(t.c.length(id)) * t.factor)
+	if t.c.now < t.coldUntil {
+		length *= 2
+	}
 	t.running[id] = &simRun{
 		began:   t.c.now,
 		length:  length,
