--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -70,6 +70,16 @@
 	LinesDropped     Name = "lines_dropped"
 )
 
+// The values of fields that package explain looks for.
+const (
+	// CauseEvacuated is the cause of a start that an agent refuses, since the availability
+	// zone of its target is evacuated.
+	CauseEvacuated = "evacuated"
+	// ReasonEvacuated is the reason of a job that an entry refuses, since its targets are all
+	// in evacuated zones.
+	ReasonEvacuated = "zones_evacuated"
+)
+
 var meanings = map[Name]string{
 	ProcessStarted:   "The process is serving; the line has its settings and addresses.",
 	ProcessStopping:  "The process received a stop signal and accepts no new work.",
--- a/internal/process/explain/example_test.go
+++ b/internal/process/explain/example_test.go
@@ -71,3 +71,25 @@
 	// 2026-01-01T00:01:00.001Z agent_1 target_seen address=10.0.0.1:1 labels=[c] target=i-2@900
 	// 2026-01-01T00:01:00.003Z agent_1 run_started run=5c0e.0.0.0#1 target=i-2@900
 }
+
+// A start reached an agent whose availability zone was evacuated a minute before, and its
+// entry placed the task again.
+func ExampleLog_Explain_evacuation() {
+	l := explain.New()
+	err := l.Read(strings.NewReader(`
+{"event":"evacuation_began","process":"agent_1","zone":"zone_b","time":"2026-01-01T00:00:00.001Z"}
+{"event":"evacuation_ended","process":"agent_1","zone":"zone_b","time":"2026-01-01T00:00:09.001Z"}
+{"event":"evacuation_began","process":"agent_1","zone":"zone_a","source":"entry_2","time":"2026-01-01T00:00:10.001Z"}
+{"event":"task_placed","process":"entry_1","job":"5c0e","run":"5c0e.0.0.0#1","agent":"agent_1","time":"2026-01-01T00:01:00.000Z"}
+{"event":"run_refused","process":"agent_1","run":"5c0e.0.0.0#1","cause":"evacuated","time":"2026-01-01T00:01:00.001Z"}
+`))
+	fmt.Println(err)
+	for _, s := range l.Explain("5c0e") {
+		fmt.Println(s)
+	}
+	// Output:
+	// <nil>
+	// 2026-01-01T00:00:10.001Z agent_1 evacuation_began source=entry_2 zone=zone_a
+	// 2026-01-01T00:01:00.000Z entry_1 task_placed agent=agent_1 job=5c0e run=5c0e.0.0.0#1
+	// 2026-01-01T00:01:00.001Z agent_1 run_refused cause=evacuated run=5c0e.0.0.0#1
+}
--- a/internal/process/explain/explain.go
+++ b/internal/process/explain/explain.go
@@ -14,6 +14,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -113,6 +115,7 @@
 	}
 	found = append(found, l.targets(found)...)
 	found = append(found, l.state(found)...)
+	found = append(found, l.evacuations(found)...)
 	sort.SliceStable(found, func(i, j int) bool { return found[i].time < found[j].time })
 	var lines []string
 	for _, x := range found {
@@ -140,6 +143,62 @@
 	return list
 }
 
+// evacuations returns the lines with which the evacuations began for which processes refused
+// a start or the job, unless they are among the found lines already.
+func (l *Log) evacuations(found []line) []line {
+	shown := map[string]bool{}
+	for _, x := range found {
+		shown[x.String()] = true
+	}
+	var list []line
+	for _, x := range found {
+		if !refusedByEvacuation(x) {
+			continue
+		}
+		for _, y := range l.evacuatedAt(x) {
+			if !shown[y.String()] {
+				shown[y.String()] = true
+				list = append(list, y)
+			}
+		}
+	}
+	return list
+}
+
+// evacuatedAt returns the lines with which the evacuations began that the process of a line
+// knew of at its time.
+func (l *Log) evacuatedAt(x line) []line {
+	byZone := map[string]line{}
+	for _, y := range l.lines {
+		if y.process != x.process || y.time > x.time {
+			continue
+		}
+		switch event.Name(y.event) {
+		case event.EvacuationBegan:
+			byZone[stringField(y.fields, "zone")] = y
+		case event.EvacuationEnded:
+			delete(byZone, stringField(y.fields, "zone"))
+		}
+	}
+	var list []line
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
+		list = append(list, byZone[zone])
+	}
+	return list
+}
+
+// refusedByEvacuation reports whether a line is a refusal of a start by an agent, or of a
+// job by an entry, since an availability zone is evacuated.
+func refusedByEvacuation(x line) bool {
+	switch event.Name(x.event) {
+	case event.RunRefused:
+		return stringField(x.fields, "cause") == event.CauseEvacuated
+	case event.JobRefused:
+		return stringField(x.fields, "reason") == event.ReasonEvacuated
+	}
+	return false
+}
+
 // state returns the lines that tell the state of the processes that accepted or refused a
 // request, at the time of their decision.
 func (l *Log) state(found []line) []line {
--- a/internal/process/role/dispatch/evacuation.go
+++ b/internal/process/role/dispatch/evacuation.go
@@ -8,10 +8,6 @@
 	"greengagedoor.example/greengagedoor/internal/version/evacuation"
 )
 
-// ReasonEvacuated is the reason of a request whose targets are all in evacuated
-// availability zones.
-const ReasonEvacuated = "zones_evacuated"
-
 // evacuatedZone is what an entry tells operators about an evacuated zone.
 type evacuatedZone struct {
 	// since is when the entry learned of it.
@@ -143,7 +139,7 @@
 func (d *Dispatch) refuseEvacuated(now time.Duration) {
 	for _, j := range append([]*job(nil), d.queue...) {
 		if !j.started && d.allEvacuated(j.route.Service()) {
-			d.finish(now, j, StateRefused, ReasonEvacuated)
+			d.finish(now, j, StateRefused, event.ReasonEvacuated)
 		}
 	}
 }
--- a/internal/process/role/dispatch/evacuation_test.go
+++ b/internal/process/role/dispatch/evacuation_test.go
@@ -8,6 +8,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
+	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/role/dispatch"
 	"greengagedoor.example/greengagedoor/internal/request/task"
 	"greengagedoor.example/greengagedoor/internal/version/evacuation"
@@ -121,7 +122,7 @@
 		"all_zones": {
 			run:    func(fx *fixture) { fx.evacuate(5, "a", "b") },
 			state:  dispatch.StateRefused,
-			reason: dispatch.ReasonEvacuated,
+			reason: event.ReasonEvacuated,
 		},
 	}
 	for name, tt := range tests {
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -168,7 +168,7 @@
 	case d.hasTarget(r.Service()):
 		d.accept(now, s, r, work)
 	case d.allEvacuated(r.Service()):
-		d.refuse(s, id, StateRefused, ReasonEvacuated, defaultRetryAfter)
+		d.refuse(s, id, StateRefused, event.ReasonEvacuated, defaultRetryAfter)
 	case !d.hold(now, s):
 		d.refuse(s, id, StateRefused, "no_target", defaultRetryAfter)
 	}
--- a/internal/process/role/executor/evacuation.go
+++ b/internal/process/role/executor/evacuation.go
@@ -8,10 +8,6 @@
 	"greengagedoor.example/greengagedoor/internal/version/evacuation"
 )
 
-// evacuatedCause is the cause of a start that is rejected since the target's availability
-// zone is evacuated.
-const evacuatedCause = "evacuated"
-
 // zoneEvacuation is what the agent tells operators about the evacuation of its zone.
 type zoneEvacuation struct {
 	zone  string
@@ -73,5 +69,5 @@
 	e.rejected += len(s.queue)
 	s.logEvent(event.EvacuationBegan, event.F("zone", e.zone), event.F("revision", s.evacuated.Revision()), event.F("source", e.source),
 		event.F("runs", len(s.runs)-len(s.queue)), event.F("queued", len(s.queue)))
-	s.rejectQueued(evacuatedCause)
+	s.rejectQueued(event.CauseEvacuated)
 }
--- a/internal/process/role/executor/run.go
+++ b/internal/process/role/executor/run.go
@@ -55,7 +55,7 @@
 		return "leaving"
 	case s.inEvacuatedZone():
 		s.evacuation.rejected++
-		return evacuatedCause
+		return event.CauseEvacuated
 	case !s.target.usable():
 		return "target_not_usable"
 	case s.byTask[r.id.TaskName()] != nil:
