Give entries of an evacuated zone agents of the other zones

Cause: agents have five of eight connections in their own zone.

Change: agents of the other zones count the entries of an evacuated zone among those of their own, and an entry counts only agents that take work when it bounds their reports.

--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -139,8 +139,8 @@
 // Agents of other availability zones report less often where most are of the own zone,
 // since they get what these have no room for.
 func (d *Dispatch) reportInterval(a *agent) time.Duration {
-	interval := time.Duration(len(d.connected)) * time.Second / maxReports
-	if a.zone != d.hello.Zone() && 2*d.zoneAgents > len(d.connected) {
+	interval := time.Duration(d.workAgents) * time.Second / maxReports
+	if a.zone != d.hello.Zone() && 2*d.zoneAgents > d.workAgents {
 		interval *= 2
 	}
 	return max(interval, d.overload.highest())
@@ -271,12 +271,16 @@
 		event.F("silent_ms", (now-a.lastSeen).Milliseconds()), event.F("runs", len(a.runs)))
 }
 
-// countAgents counts the connected agents by the service of their target, and those of
-// the own availability zone unless that is evacuated.
+// countAgents counts the connected agents by the service of their target, those outside
+// evacuated availability zones, and those of the own zone among them.
 func (d *Dispatch) countAgents() {
 	clear(d.serviceAgents)
+	d.workAgents = 0
 	d.zoneAgents = 0
 	for _, a := range d.connected {
+		if !a.evacuated {
+			d.workAgents++
+		}
 		if a.zone == d.hello.Zone() && !a.evacuated {
 			d.zoneAgents++
 		}
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -81,7 +81,9 @@
 	connected []*agent
 	// serviceAgents is the number of connected agents by the service of their target.
 	serviceAgents map[string]int
-	// zoneAgents is the number of connected agents in the entry's own availability zone.
+	// workAgents is the number of connected agents outside evacuated availability zones, and
+	// zoneAgents that of those in the entry's own zone.
+	workAgents int
 	zoneAgents int
 	peers      map[uint64]*peer
 	jobs       map[string]*job
--- a/internal/process/role/dispatch/simulation/cluster_test.go
+++ b/internal/process/role/dispatch/simulation/cluster_test.go
@@ -71,7 +71,9 @@
 	estimate   time.Duration
 	milliCores int64
 	// label is the one that the targets of the job's tasks must have, "" for any.
-	label       string
+	label string
+	// zone is that of the entry that the job was submitted to, where it is compared.
+	zone        string
 	answered    bool
 	submittedAt time.Duration
 	answeredAt  time.Duration
--- a/internal/process/role/dispatch/simulation/crowd_test.go
+++ b/internal/process/role/dispatch/simulation/crowd_test.go
@@ -11,7 +11,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"greengagedoor.example/greengagedoor/internal/process/role/dispatch"
 	"greengagedoor.example/greengagedoor/internal/process/role/executor"
+	"greengagedoor.example/greengagedoor/internal/version/evacuation"
 )
 
 var (
@@ -31,8 +33,9 @@
 // crowdCores is the mean need of a task in thousandths of a core, a quarter of a target.
 const crowdCores = 7600
 
-// playCrowd plays a load peak on a fleet whose agents have a number of connections.
-func playCrowd(t *testing.T, links int) *cluster {
+// playCrowd plays a load peak on a fleet whose agents have a number of connections. If a
+// zone is evacuated before it, the load is that of the agents of the others.
+func playCrowd(t *testing.T, links int, evacuated string) *cluster {
 	const (
 		learn = 3 * time.Second
 		limit = 1500 * time.Millisecond
@@ -49,17 +52,31 @@
 	}
 	c.configure()
 	c.run(c.now + 2*time.Second)
+	working := len(c.agents)
+	if evacuated != "" {
+		for _, e := range c.entries {
+			e.handle(dispatch.EvacuationsRead(evacuation.New(2, []string{evacuated})))
+		}
+		working = 0
+		for _, a := range c.agents {
+			if a.zone != evacuated {
+				working++
+			}
+		}
+	}
 	end := c.now + learn + *crowdLength
 	for i, name := range names {
 		k := crowdKinds[name]
 		random := rand.New(rand.NewPCG(1, uint64(2+i)))
-		rate := k.perSecond * float64(*crowdAgents)
+		rate := k.perSecond * float64(working)
 		var submit func()
 		submit = func() {
 			j := c.draw(random, name, k)
 			j.milliCores = int64(crowdCores * spread(random, 0.2))
 			c.jobs[j.id] = j
-			c.submit(j, c.entries[random.IntN(len(c.entries))])
+			e := c.entries[random.IntN(len(c.entries))]
+			j.zone = e.zone
+			c.submit(j, e)
 			now := rate
 			if c.now < end-*crowdLength {
 				now /= 2
@@ -75,9 +92,15 @@
 }
 
 // crowdOutcome returns the shares of jobs that were served, and served within their
-// objective: 1.6 times their own run time and 60 ms, on a target of factor 1.
-func crowdOutcome(c *cluster) (served, inTime float64) {
+// objective: 1.6 times their own run time and 60 ms, on a target of factor 1. They are those
+// of callers of a zone, or of all callers.
+func crowdOutcome(c *cluster, zone string) (served, inTime float64) {
+	n := 0.0
 	for _, j := range c.jobs {
+		if zone != "" && j.zone != zone {
+			continue
+		}
+		n++
 		if !j.served() {
 			continue
 		}
@@ -86,7 +109,6 @@
 			inTime++
 		}
 	}
-	n := float64(len(c.jobs))
 	return served / n, inTime / n
 }
 
@@ -110,8 +132,8 @@
 		for name, links := range plays {
 			t.Run(fmt.Sprint(name, "_", links, "_links"), func(t *testing.T) {
 				t.Parallel()
-				c := playCrowd(t, links)
-				served, inTime := crowdOutcome(c)
+				c := playCrowd(t, links, "")
+				served, inTime := crowdOutcome(c, "")
 				t.Logf("%d links: %.3f of %d jobs served, %.3f in time", links, served, len(c.jobs), inTime)
 				results <- map[string]outcome{
 					name: {
@@ -134,3 +156,53 @@
 		So(all["bounded"].inTime, ShouldBeGreaterThanOrEqualTo, all["all"].inTime-tolerance)
 	})
 }
+
+// TestCrowdingOfEvacuatedZone guards against entries of an evacuated zone that lack agents:
+// most of those that they are connected to are in it. The same load is played with all
+// connections.
+func TestCrowdingOfEvacuatedZone(t *testing.T) {
+	// tolerance is the share of jobs that bounded connections may cost.
+	const (
+		tolerance = 0.05
+		zone      = "zone_0"
+	)
+	plays := map[string]int{
+		"bounded": executor.MinLinks,
+		"all":     *crowdEntries,
+	}
+	type result struct {
+		play   string
+		served float64
+		inTime float64
+	}
+	results := make(chan result, len(plays))
+	t.Run("plays", func(t *testing.T) {
+		for name, links := range plays {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				c := playCrowd(t, links, zone)
+				served, inTime := crowdOutcome(c, zone)
+				allServed, allInTime := crowdOutcome(c, "")
+				t.Logf("%d links: in the evacuated zone %.3f served, %.3f in time; everywhere %.3f and %.3f of %d jobs; %d connections closed on purpose",
+					links, served, inTime, allServed, allInTime, len(c.jobs), c.fleet.released)
+				results <- result{
+					play:   name,
+					served: served,
+					inTime: inTime,
+				}
+				Convey("no promise is broken", t, func() {
+					So(c.oracle.violations, ShouldBeEmpty)
+				})
+			})
+		}
+	})
+	all := map[string]result{}
+	for range plays {
+		r := <-results
+		all[r.play] = r
+	}
+	Convey("callers of the evacuated zone are served as well as with all connections", t, func() {
+		So(all["bounded"].served, ShouldBeGreaterThanOrEqualTo, all["all"].served-tolerance)
+		So(all["bounded"].inTime, ShouldBeGreaterThanOrEqualTo, all["all"].inTime-tolerance)
+	})
+}
--- a/internal/process/role/dispatch/simulation/fleet_test.go
+++ b/internal/process/role/dispatch/simulation/fleet_test.go
@@ -88,7 +88,8 @@
 	if a.c.fleet.links > 0 {
 		total = a.c.fleet.links
 	}
-	choice := subset.NewSize(total*2/3, total).Choose(subset.NewMember(a.name, a.zone), members)
+	self := subset.NewMember(a.name, a.zone)
+	choice := subset.NewSize(total*2/3, total).Choose(self, subset.CountAsOwn(self, members, a.s.Evacuated().Has))
 	for _, l := range sortedLinks(a.links) {
 		if !l.released && !choice.Keep(l.e.name) {
 			l.released = true
--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -12,6 +12,7 @@
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 	"greengagedoor.example/greengagedoor/internal/process/role/executor"
+	"greengagedoor.example/greengagedoor/internal/version/evacuation"
 )
 
 // The numbers of duties that call the target.
@@ -45,6 +46,8 @@
 	streams   map[uint64]*stream.Stream
 	connected atomic.Int64
 	drained   atomic.Bool
+	// evacuated is the set of evacuated zones by which connections are chosen.
+	evacuated evacuation.Set
 }
 
 // NewAgent returns an agent and its cleanup function. Serve adds the listener for
@@ -252,6 +255,14 @@
 	if n := out.Links(); n > 0 {
 		a.links.resize(n)
 	}
-	a.base.observer.evacuatedZones.Set(int64(len(a.executor.Evacuated().Zones())))
+	a.passEvacuated(a.executor.Evacuated())
 	a.drained.Store(a.executor.Drained())
 }
+
+// passEvacuated passes a changed set of evacuated zones to the duty that chooses connections.
+func (a *Agent) passEvacuated(s evacuation.Set) {
+	a.base.observer.evacuatedZones.Set(int64(len(s.Zones())))
+	if !s.SameZones(a.evacuated) && a.links.evacuate(s) {
+		a.evacuated = s
+	}
+}
--- a/internal/process/role/server/links.go
+++ b/internal/process/role/server/links.go
@@ -13,6 +13,7 @@
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 	"greengagedoor.example/greengagedoor/internal/process/role/executor"
 	"greengagedoor.example/greengagedoor/internal/process/subset"
+	"greengagedoor.example/greengagedoor/internal/version/evacuation"
 )
 
 // The numbers of outgoing connections, which do not grow with the fleet.
@@ -91,6 +92,13 @@
 	// symmetric is set for an entry. It is also connected to the entries that choose it,
 	// and of two entries the one with the lower address opens the connection.
 	symmetric bool
+	// evacuated is the set of evacuated availability zones, by which an agent chooses.
+	evacuated evacuation.Set
+}
+
+// zonesEvacuated is the message that an agent knows of another set of evacuated zones.
+type zonesEvacuated struct {
+	set evacuation.Set
 }
 
 // linksResized is the message that an agent is to be connected to a number of entries.
@@ -152,6 +160,14 @@
 	})
 }
 
+// evacuate passes the evacuated zones to the duty of an agent. It reports false if its ring
+// is full.
+func (l *links) evacuate(s evacuation.Set) bool {
+	return l.ring.TryPush(zonesEvacuated{
+		set: s,
+	}) == nil
+}
+
 // seedAddresses returns the seeds with the port of the process's own address,
 // since all processes of an installation use the same port.
 func seedAddresses(seeds []string, own string) []string {
@@ -238,6 +254,8 @@
 		}
 	case linesAsked:
 		m.reply <- l.lines(time.Now())
+	case zonesEvacuated:
+		l.evacuated = m.set
 	case linksResized:
 		l.size = agentSize(m.total)
 	case connectionOpened:
@@ -277,7 +295,7 @@
 	}
 	l.changed = false
 	before := l.choice
-	l.choice = l.size.Choose(l.self, members)
+	l.choice = l.size.Choose(l.self, subset.CountAsOwn(l.self, members, l.evacuated.Has))
 	if !l.choice.Equal(before) {
 		l.logEvent(event.LinksChosen, event.F("known", len(members)), event.F("chosen", l.choice.Len()), event.F("chosen_by", len(l.chosenBy)))
 	}
--- a/internal/process/subset/subset.go
+++ b/internal/process/subset/subset.go
@@ -65,6 +65,23 @@
 	return m.zone
 }
 
+// CountAsOwn returns the members as a process chooses among them while zones are evacuated.
+// The targets of such a zone take no work, so its entries would be left with the few
+// connections from elsewhere. Processes of the other zones count them among those of their
+// own, which spreads their connections over both.
+func CountAsOwn(self Member, members []Member, evacuated func(zone string) bool) []Member {
+	if evacuated(self.zone) {
+		return members
+	}
+	list := slices.Clone(members)
+	for i, m := range list {
+		if evacuated(m.zone) {
+			list[i].zone = self.zone
+		}
+	}
+	return list
+}
+
 // Size bounds the connections of a process.
 type Size struct {
 	ownZone int
--- a/internal/process/subset/subset_test.go
+++ b/internal/process/subset/subset_test.go
@@ -188,6 +188,62 @@
 	})
 }
 
+// TestCountAsOwn guards against entries of an evacuated zone that are left with few working
+// agents, and against a change of zones that opens connections in numbers.
+func TestCountAsOwn(t *testing.T) {
+	tests := map[string]struct {
+		entries   int
+		agents    int
+		zones     int
+		evacuated map[string]bool
+	}{
+		"85_hosts":         {entries: 13, agents: 72, zones: 3, evacuated: map[string]bool{zone(0): true}},
+		"85_hosts_2_zones": {entries: 13, agents: 72, zones: 3, evacuated: map[string]bool{zone(0): true, zone(1): true}},
+		"295_hosts":        {entries: 55, agents: 240, zones: 5, evacuated: map[string]bool{zone(1): true}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			Convey("entries have as many working agents in the zone as elsewhere, and agents change few connections", t, func() {
+				members := fleet(tt.entries, tt.zones)
+				isEvacuated := func(zone string) bool { return tt.evacuated[zone] }
+				size := subset.NewSize(5, 8)
+				working := map[string]int{}
+				opened, most, agents := 0, 0, 0
+				for i := range tt.agents {
+					self := subset.NewMember(fmt.Sprintf("agent_%d", i), zone(i%tt.zones))
+					if tt.evacuated[self.Zone()] {
+						So(subset.CountAsOwn(self, members, isEvacuated), ShouldResemble, members)
+						continue
+					}
+					agents++
+					before := size.Choose(self, members)
+					after := size.Choose(self, subset.CountAsOwn(self, members, isEvacuated))
+					So(after.Len(), ShouldEqual, before.Len())
+					n := 0
+					for _, m := range members {
+						if after.Dial(m.Address()) {
+							working[m.Address()]++
+						}
+						if after.Dial(m.Address()) && !before.Dial(m.Address()) {
+							n++
+						}
+					}
+					opened += n
+					most = max(most, n)
+				}
+				mean := float64(8*agents) / float64(tt.entries)
+				for _, m := range members {
+					if tt.evacuated[m.Zone()] {
+						So(working[m.Address()], ShouldBeGreaterThan, mean*0.6)
+					}
+				}
+				So(most, ShouldBeLessThanOrEqualTo, 5)
+				So(float64(opened)/float64(agents), ShouldBeLessThan, 3)
+			})
+		})
+	}
+}
+
 // TestChosenBy guards against two entries that disagree on whether they are connected.
 func TestChosenBy(t *testing.T) {
 	size := subset.NewSize(2, 4)
