--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -56,6 +56,8 @@
 	ConfigKept       Name = "config_kept"
 	ConfigRefusing   Name = "config_refusing"
 	ConfigCaughtUp   Name = "config_caught_up"
+	EvacuationBegan  Name = "evacuation_began"
+	EvacuationEnded  Name = "evacuation_ended"
 	SendDelayed      Name = "send_delayed"
 	SendResumed      Name = "send_resumed"
 	EntriesChanged   Name = "entries_changed"
@@ -69,6 +71,16 @@
 	LinesDropped     Name = "lines_dropped"
 )
 
+// The values of fields that package explain looks for.
+const (
+	// CauseEvacuated is the cause of a start that an agent refuses, since the availability
+	// zone of its target is evacuated.
+	CauseEvacuated = "evacuated"
+	// ReasonEvacuated is the reason of a job that an entry refuses, since its targets are all
+	// in evacuated zones.
+	ReasonEvacuated = "zones_evacuated"
+)
+
 var meanings = map[Name]string{
 	ProcessStarted:   "The process is serving; the line has its settings and addresses.",
 	ProcessStopping:  "The process received a stop signal and accepts no new work.",
@@ -107,6 +119,8 @@
 	ConfigKept:       "An agent has a copy of the configuration for entries that can't reach the store; the line has its source and size.",
 	ConfigRefusing:   "An entry refuses new jobs, or accepts them again, since a configuration that must be in force is not.",
 	ConfigCaughtUp:   "This process has the newest configuration version that it knows of again; the line has how long it was behind.",
+	EvacuationBegan:  "An availability zone is evacuated as far as this process knows, and gets no new work from it; the line has the source.",
+	EvacuationEnded:  "An availability zone was taken back and gets work again; the line has how long its evacuation lasted, and the starts there meanwhile, which must be 0.",
 	SendDelayed:      "Frames to another process wait to be written; the line has the process and the age of the oldest.",
 	SendResumed:      "Frames to other processes are written without delay again; the line has the highest age.",
 	ConfigInvalid:    "A stored configuration is invalid; the previous one stays active.",
--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -9,6 +9,7 @@
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/request/task"
+	"greengagedoor.example/greengagedoor/internal/version/evacuation"
 )
 
 // The limits of agents.
@@ -23,11 +24,15 @@
 
 // agent is the known state of an agent and its target.
 type agent struct {
-	name         string
-	incarnation  uint64
-	zone         string
-	session      uint64
-	target       frame.Target
+	name        string
+	incarnation uint64
+	zone        string
+	session     uint64
+	target      frame.Target
+	// warmUntil is when the target's warm-up ends, and warmUp what was left of it when this
+	// pass began.
+	warmUntil    time.Duration
+	warmUp       time.Duration
 	size         task.Resources
 	free         task.Resources
 	queuedStarts int
@@ -35,6 +40,10 @@
 	// leavesAt is the earliest time at which the target ends what it runs, 0 if it has not
 	// announced that it leaves.
 	leavesAt time.Duration
+	// evacuated is set while the agent is in an evacuated availability zone, and
+	// knownEvacuations is the newest set of those zones that it is known to have.
+	evacuated        bool
+	knownEvacuations evacuation.Set
 
 	// clock is the agent's clock in its last frame, which was received at lastSeen.
 	clock    time.Duration
@@ -75,7 +84,7 @@
 }
 
 func (a *agent) usable() bool {
-	return a.session != 0 && !a.leaving && a.target.Usable()
+	return a.session != 0 && !a.leaving && !a.evacuated && a.target.Usable()
 }
 
 // label returns the hardware label, which is the first label of the target.
@@ -116,8 +125,8 @@
 // frameDue reports whether a frame to the agent is due. Without content, a frame is only
 // an answer: it echoes the time of a frame of the agent, which keeps the session. One that
 // echoes the same time again would tell the agent nothing.
-func (a *agent) frameDue(now time.Duration, t Timing) bool {
-	if !a.introduced || len(a.starts)+len(a.stops)+len(a.cancels) > 0 {
+func (a *agent) frameDue(now time.Duration, t Timing, evacuated evacuation.Set) bool {
+	if !a.introduced || len(a.starts)+len(a.stops)+len(a.cancels) > 0 || evacuated.News(a.knownEvacuations) {
 		return true
 	}
 	interval := t.heartbeatInterval * 3 / 4
@@ -133,8 +142,8 @@
 // Agents of other availability zones report less often where most are of the own zone,
 // since they get what these have no room for.
 func (d *Dispatch) reportInterval(a *agent) time.Duration {
-	interval := time.Duration(len(d.connected)) * time.Second / maxReports
-	if a.zone != d.hello.Zone() && 2*d.zoneAgents > len(d.connected) {
+	interval := time.Duration(d.workAgents) * time.Second / maxReports
+	if a.zone != d.hello.Zone() && 2*d.zoneAgents > d.workAgents {
 		interval *= 2
 	}
 	return max(interval, d.overload.highest())
@@ -153,6 +162,10 @@
 	for _, s := range a.starts {
 		f.Starts = append(f.Starts, *s)
 	}
+	if d.evacuated.News(a.knownEvacuations) {
+		f.Evacuated = d.evacuated
+		a.knownEvacuations = d.evacuated
+	}
 	a.introduced = true
 	a.starts = nil
 	a.stops = nil
@@ -206,6 +219,8 @@
 	a.cleared = false
 	a.target = frame.Target{}
 	a.leavesAt = 0
+	a.knownEvacuations = evacuation.Set{}
+	d.reviewEvacuated(a)
 	d.sessions[o.session] = a
 	at := sort.Search(len(d.connected), func(i int) bool { return d.connected[i].session > a.session })
 	d.connected = slices.Insert(d.connected, at, a)
@@ -260,13 +275,17 @@
 		event.F("silent_ms", (now-a.lastSeen).Milliseconds()), event.F("runs", len(a.runs)))
 }
 
-// countAgents counts the connected agents by the service of their target, and those of
-// the own availability zone.
+// countAgents counts the connected agents by the service of their target, those outside
+// evacuated availability zones, and those of the own zone among them.
 func (d *Dispatch) countAgents() {
 	clear(d.serviceAgents)
+	d.workAgents = 0
 	d.zoneAgents = 0
 	for _, a := range d.connected {
-		if a.zone == d.hello.Zone() {
+		if !a.evacuated {
+			d.workAgents++
+		}
+		if a.zone == d.hello.Zone() && !a.evacuated {
 			d.zoneAgents++
 		}
 		if service := a.target.Service(); service != "" {
@@ -316,6 +335,7 @@
 	if p, ok := d.peers[message.session]; ok {
 		p.lastSeen = now
 		p.knownConfig = max(p.knownConfig, message.frame.ConfigVersion)
+		p.knownEvacuations = d.hearEvacuations(now, p.knownEvacuations, message.frame.Evacuated, p.name)
 		d.receiveConfiguration(now, message, p.name)
 		d.receiveCancels(now, p, message.frame.Cancels)
 		return
@@ -330,6 +350,7 @@
 	a.clock = max(a.clock, f.Clock)
 	a.leaving = f.Leaving
 	a.knownConfig = max(a.knownConfig, f.ConfigVersion)
+	a.knownEvacuations = d.hearEvacuations(now, a.knownEvacuations, f.Evacuated, a.name)
 	d.receiveConfiguration(now, message, a.name)
 	if f.Target != nil {
 		d.updateTarget(now, a, *f.Target)
--- a/internal/process/role/dispatch/simulation/cluster_test.go
+++ b/internal/process/role/dispatch/simulation/cluster_test.go
@@ -71,7 +71,9 @@
 	estimate   time.Duration
 	milliCores int64
 	// label is the one that the targets of the job's tasks must have, "" for any.
-	label       string
+	label string
+	// zone is that of the entry that the job was submitted to, where it is compared.
+	zone        string
 	answered    bool
 	submittedAt time.Duration
 	answeredAt  time.Duration
@@ -113,6 +115,8 @@
 	network *simNetwork
 	// store has the configuration that entries read; nil if entries are given theirs.
 	store *simStore
+	// evacuations has the operators' requests to evacuate zones; nil for none.
+	evacuations *simEvacuations
 }
 
 func newCluster(t *testing.T, seed uint64, entries, agents int, limit time.Duration) *cluster {
@@ -332,6 +336,9 @@
 			}
 		}
 	}
+	if o.c.evacuations != nil {
+		o.c.evacuations.check(t, id)
+	}
 	j := o.c.jobs[id.Job()]
 	if j == nil {
 		o.addViolation("task %s started, but its job was not submitted", id.TaskName())
--- a/internal/process/role/dispatch/target.go
+++ b/internal/process/role/dispatch/target.go
@@ -21,7 +21,10 @@
 		a.leavesAt = now + in
 		d.nextDepartureReview = now
 	}
-	if previous.Service() != t.Service() {
+	a.warmUntil = now + t.WarmUp()
+	a.warmUp = t.WarmUp()
+	d.reviewEvacuated(a)
+	if previous.Service() != t.Service() || previous.Zone() != t.Zone() {
 		d.countAgents()
 	}
 	if previous.Service() != t.Service() || !slices.Equal(previous.Labels(), t.Labels()) {
@@ -32,6 +35,13 @@
 	a.load = d.loadOf(a.label())
 }
 
+// updateWarmUps counts down what is left of the warm-up of targets.
+func (d *Dispatch) updateWarmUps(now time.Duration) {
+	for _, a := range d.connected {
+		a.warmUp = max(0, a.warmUntil-now)
+	}
+}
+
 // stopUnsuited stops the runs that the agent's target must not have since it is of another
 // kind: a start may have reached its present incarnation before the agent knew of that.
 func (d *Dispatch) stopUnsuited(a *agent) {
--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -12,6 +12,7 @@
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 	"greengagedoor.example/greengagedoor/internal/process/role/executor"
+	"greengagedoor.example/greengagedoor/internal/version/evacuation"
 )
 
 // The numbers of duties that call the target.
@@ -45,6 +46,8 @@
 	streams   map[uint64]*stream.Stream
 	connected atomic.Int64
 	drained   atomic.Bool
+	// evacuated is the set of evacuated zones by which connections are chosen.
+	evacuated evacuation.Set
 }
 
 // NewAgent returns an agent and its cleanup function. Serve adds the listener for
@@ -87,6 +90,9 @@
 	if err := b.add("station", "Runs the agent's state machine, which decides what the target runs.", ringGauge(a.ring), a.run); err != nil {
 		return err
 	}
+	if err := b.addEvacuationSection(a.ring); err != nil {
+		return err
+	}
 	for _, name := range numbered("orders", startDuties) {
 		if err := b.add(name, "Sends starts to the target.", ringGauge(a.starts), func(ctx context.Context) error {
 			return runCalls(ctx, a.starts, a.ring, calls.Send)
@@ -210,6 +216,8 @@
 		delete(a.streams, m.stream.Number())
 		a.connected.Store(int64(len(a.streams)))
 		a.handle(executor.SessionClosed(m.stream.Number()))
+	case linesAsked:
+		m.reply <- a.executor.DescribeEvacuations(a.base.clock())
 	case connectionReleased:
 		a.handle(executor.SessionReleased(m.stream))
 	}
@@ -247,5 +255,14 @@
 	if n := out.Links(); n > 0 {
 		a.links.resize(n)
 	}
+	a.passEvacuated(a.executor.Evacuated())
 	a.drained.Store(a.executor.Drained())
 }
+
+// passEvacuated passes a changed set of evacuated zones to the duty that chooses connections.
+func (a *Agent) passEvacuated(s evacuation.Set) {
+	a.base.observer.evacuatedZones.Set(int64(len(s.Zones())))
+	if !s.SameZones(a.evacuated) && a.links.evacuate(s) {
+		a.evacuated = s
+	}
+}
