Compare a run with the other runs of its job to learn the speed of its target

Runs were moved to, and tasks waited for, targets that only seemed faster.

Cause: each run's deviation from its estimate went into the factors of its label and target. Most of it is the job's: declared lengths are off by 40%, three of 100 jobs take seven times as long. The fastest of many equal targets was then one that got short jobs, and a label that got few runs kept its error, since all tasks of a job shift it together.

Change: at the end of a job its runs are compared with one another. What they have in common counts once per job, and for a target less, by the ratio of the spreads.

Not charged here: which of the equal targets a job gets.

--- a/internal/process/role/dispatch/estimate.go
+++ b/internal/process/role/dispatch/estimate.go
@@ -9,19 +9,9 @@
 const (
 	// defaultEstimate is the run time of a task that declares none.
 	defaultEstimate = 100 * time.Millisecond
-	// minRouteWeight, minLabelWeight and minTargetWeight are the minimum weights of one
-	// run, so that estimates follow a change within some tens of runs.
-	minRouteWeight  = 0.01
-	minLabelWeight  = 0.02
-	minTargetWeight = 0.08
-	// targetDecayTime is the time constant with which the factor of one target decays.
-	// A target that was slow for some time gets work again, which can show that it has
-	// recovered.
-	targetDecayTime = 10 * time.Second
-	// decayInterval is the least time between two steps of that decay.
-	decayInterval = 500 * time.Millisecond
-	// maxResidual limits the effect of one run on the factors of its label and target.
-	maxResidual = 0.7
+	// minRouteWeight is the minimum weight of one run, so that estimates follow a change
+	// within some tens of runs.
+	minRouteWeight = 0.01
 	// initialSlope is the slope of measured over declared run times until minRuns runs
 	// have been seen.
 	initialSlope = 0.6
@@ -102,16 +92,16 @@
 // label.
 type estimator struct {
 	routes    map[string]*routeModel
-	labels    map[string]*movingAverage
-	targets   map[string]*movingAverage
+	labels    map[string]*factor
+	targets   map[string]*factor
 	decayedAt time.Duration
 }
 
 func newEstimator() *estimator {
 	return &estimator{
 		routes:  map[string]*routeModel{},
-		labels:  map[string]*movingAverage{},
-		targets: map[string]*movingAverage{},
+		labels:  map[string]*factor{},
+		targets: map[string]*factor{},
 	}
 }
 
@@ -136,69 +126,20 @@
 	return getOrCreate(e.routes, name)
 }
 
-// speed is the factor of one target. It keeps the last result, since factors are
-// read far more often than they change.
-type speed struct {
-	label  *movingAverage
-	target *movingAverage
-	log    float64
-	factor float64
-}
-
-// speed returns the speed of a target.
-func (e *estimator) speed(label, target string) speed {
-	return speed{
-		label:  getOrCreate(e.labels, label),
-		target: getOrCreate(e.targets, target),
-		factor: 1,
-	}
-}
-
-// value returns the run time on the target relative to one of factor 1.
-func (s *speed) value() float64 {
-	if x := s.label.value + s.target.value; x != s.log {
-		s.log = x
-		s.factor = math.Exp(x)
-	}
-	return s.factor
-}
-
-// observe adds the run time of a successful run.
-func (e *estimator) observe(route, label, target string, estimate, ran time.Duration) {
+// observe adds the run time of a successful run to the model of its route. It returns
+// the residual, which is the logarithm of the measured over the expected run time; there is
+// none for the first run of a route.
+func (e *estimator) observe(route string, at speed, estimate, ran time.Duration) (float64, bool) {
 	if ran <= 0 {
-		return
+		return 0, false
 	}
 	m := getOrCreate(e.routes, route)
-	b := getOrCreate(e.labels, label)
-	t := getOrCreate(e.targets, target)
 	x := logDeclared(estimate)
-	y := math.Log(ran.Seconds())
-	own := y - b.value - t.value
-	if m.measured.count > 0 {
-		residual := math.Max(-maxResidual, math.Min(maxResidual, own-m.predict(x)))
-		b.add(b.value+residual, minLabelWeight)
-		t.add(t.value+residual, minTargetWeight)
-	}
+	own := math.Log(ran.Seconds()) - at.label.value - at.target.value
+	residual := own - m.predict(x)
+	known := m.measured.count > 0
 	m.add(x, own)
-}
-
-// decay reduces the factors of single targets, so that only those of their labels
-// remain.
-func (e *estimator) decay(now time.Duration) {
-	passed := now - e.decayedAt
-	if passed < decayInterval {
-		return
-	}
-	e.decayedAt = now
-	keep := math.Exp(-passed.Seconds() / targetDecayTime.Seconds())
-	for _, t := range e.targets {
-		t.value *= keep
-	}
-}
-
-// forget removes the factor of a target that no longer exists.
-func (e *estimator) forget(target string) {
-	delete(e.targets, target)
+	return residual, known
 }
 
 func fromLogSeconds(log float64) time.Duration {
--- a/internal/process/role/dispatch/health.go
+++ b/internal/process/role/dispatch/health.go
@@ -46,7 +46,12 @@
 	case task.EndDone:
 		s := j.work.Steps()[x.task.step]
 		d.observeRun(a, j, s, ran)
-		d.estimates.observe(j.route.Name(), a.label(), a.name, s.Estimate(), ran)
+		if r, ok := d.estimates.observe(j.route.Name(), a.speed, s.Estimate(), ran); ok {
+			j.residuals = append(j.residuals, runResidual{
+				speed: a.speed,
+				value: r,
+			})
+		}
 		a.health.failureRate *= 1 - failureWeight
 		if a.health.probationLeft > 0 {
 			a.health.probationLeft--
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -58,7 +58,9 @@
 	// observedRatio is the logarithm of the measured over the expected run time of the
 	// job's tasks.
 	observedRatio movingAverage
-	steps         []*step
+	// residuals are those of the job's successful runs.
+	residuals []runResidual
+	steps     []*step
 	// tasks are the tasks of all released steps, and ready those that can be placed.
 	tasks []*jobTask
 	ready []*jobTask
@@ -279,6 +281,7 @@
 	if reason != reasonCallersLeft {
 		d.fairness.observe(j.fairnessGroup, s == StateComplete && now <= j.due)
 	}
+	observeSpeeds(j.residuals, j.model.spread(), s == StateComplete)
 	stopped := d.stopRuns(j)
 	if s == StateComplete || s == StateFailed || s == StateCancelled {
 		d.keepOutcome(now, j.work.ID(), s)
