Judge a run by when it started, not by when its progress arrived

Runs were given up although they would have ended before the caller left.

Cause: a report of progress waits at the agent for its next frame, and the run goes on meanwhile. The entry added the rest of the run, as of the target's list, to the time at which it handled the report.

Change: the earliest end is the time at which the start was sent, or the heartbeat interval before the run time says, whichever is later, plus the lower bound of the run's length.

TestReportWaits fails before in the row waited. TestOverdue reported progress 300 ms late, which no agent does; the slow target is now occupied until the run starts, and the rows are as they were.

--- a/internal/process/role/dispatch/overdue_test.go
+++ b/internal/process/role/dispatch/overdue_test.go
@@ -83,9 +83,16 @@
 				fx.train()
 				fx.submit(2, "busy", fx.step(1, 30000))
 				So(fx.sessionOf["busy"], ShouldEqual, uint64(fastSession))
+				fx.submit(4, "busy_too", fx.step(1, 30000))
+				So(fx.sessionOf["busy_too"], ShouldEqual, uint64(slowSession))
 				fx.submit(1, "long", fx.step(1, 30000))
-				// The task waits until the fast target no longer gives a better chance.
 				fx.advance(300*ms, fastSession, slowSession)
+				started := fx.allStarts[len(fx.allStarts)-1].Number()
+				r := frame.NewFreeCapacity(30000, 65536, 0, 0, started)
+				fx.frame(slowSession, frame.Frame{
+					Ended:        []frame.Ended{frame.NewEnded(frame.NewRunID("busy_too", 0, 0, 1), int(task.EndDone), slowTime)},
+					FreeCapacity: &r,
+				})
 				So(fx.sessionOf["long"], ShouldEqual, uint64(slowSession))
 				fx.starts = nil
 				ran := 300 * ms
@@ -120,3 +127,43 @@
 		})
 	}
 }
+
+// TestReportWaits guards against a run that is given up although it ends in time, since
+// its report waited at the agent and the run went on meanwhile.
+func TestReportWaits(t *testing.T) {
+	tests := map[string]struct {
+		// percent of the work is done after ran; the entry hears of it at age.
+		percent int
+		ran     time.Duration
+		age     time.Duration
+		// queued is how long the start waited at the agent.
+		queued time.Duration
+		open   bool
+	}{
+		"at_once":           {percent: 32, ran: 480 * ms, age: 480 * ms, open: true},
+		"waited":            {percent: 32, ran: 480 * ms, age: 560 * ms, open: true},
+		"too_long":          {percent: 30, ran: 480 * ms, age: 560 * ms},
+		"queued_start":      {percent: 32, ran: 480 * ms, age: 880 * ms, queued: 320 * ms},
+		"queued_and_waited": {percent: 38, ran: 480 * ms, age: 720 * ms, queued: 160 * ms, open: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			Convey("the job is open as long as its run may end in time", t, func() {
+				fx := newFixture(t)
+				fx.version(1, 2)
+				fx.agent(fastSession, "one", "a", "r1")
+				fx.agent(slowSession, "other", "a", "r1")
+				fx.submit(1, "long", fx.step(1, 30000))
+				session := fx.sessionOf["long"]
+				id := frame.NewRunID("long", 0, 0, 1)
+				fx.advance(tt.queued, fastSession, slowSession)
+				fx.advance(tt.age-tt.queued, fastSession, slowSession)
+				fx.frame(session, frame.Frame{
+					Progress: []frame.Progress{frame.NewProgress(id, tt.percent, tt.ran)},
+				})
+				_, answered := fx.answers[1]
+				So(answered, ShouldEqual, !tt.open)
+			})
+		})
+	}
+}
--- a/internal/process/role/dispatch/progress.go
+++ b/internal/process/role/dispatch/progress.go
@@ -20,7 +20,8 @@
 	// moveDelay is the time to stop a run and to start its task elsewhere.
 	moveDelay = 60 * time.Millisecond
 	// progressLag is by how much a reported run time may exceed the time at which the
-	// percentage was measured. Starts and inventories take a few ms on the network.
+	// percentage was measured, and how long a report takes on its way. Starts, inventories
+	// and frames take a few ms on the network.
 	progressLag = 5 * time.Millisecond
 )
 
@@ -39,9 +40,10 @@
 	ran := max(0, p.RunTime()-progressLag)
 	// The percentage is rounded down, so the next percent may be almost done.
 	least := ran * 100 / time.Duration(p.Percent()+1)
+	start := d.earliestStart(now, x, p)
 	own := a.speed.value()
-	if now+least-ran <= j.deadline {
-		d.moveIfSafer(now, a, x, p, own)
+	if start+least <= j.deadline {
+		d.moveIfSafer(now, a, x, p, start, own)
 		return
 	}
 	best := time.Duration(float64(least) * d.fastestFactor(j.route.Service()) / own)
@@ -55,16 +57,23 @@
 	d.moveRun(a, x)
 }
 
+// earliestStart returns the earliest time at which a run may have started. A report tells
+// the progress at the time of the target's list. It then waits up to the heartbeat interval
+// for the agent's next frame, while the run goes on.
+func (d *Dispatch) earliestStart(now time.Duration, x *attempt, p frame.Progress) time.Duration {
+	return max(x.sent, now-p.RunTime()-d.timing.heartbeatInterval-progressLag)
+}
+
 // moveIfSafer moves a run that probably ends after the deadline, if another run on the
 // fastest target probably ends before it with time to spare.
-func (d *Dispatch) moveIfSafer(now time.Duration, a *agent, x *attempt, p frame.Progress, own float64) {
+func (d *Dispatch) moveIfSafer(now time.Duration, a *agent, x *attempt, p frame.Progress, start time.Duration, own float64) {
 	j := x.task.job
 	if p.Percent() < minMovePercent {
 		return
 	}
 	likely := p.RunTime() * 200 / time.Duration(2*p.Percent()+1)
 	slack := time.Duration(moveSlack * float64(likely))
-	if now+likely-p.RunTime()+slack <= j.deadline {
+	if start+likely+slack <= j.deadline {
 		return
 	}
 	best := time.Duration(float64(likely) * d.fastestFactor(j.route.Service()) / own)
--- a/internal/process/role/dispatch/simulation/cluster_test.go
+++ b/internal/process/role/dispatch/simulation/cluster_test.go
@@ -100,6 +100,8 @@
 	request uint64
 	version *route.Version
 	pending map[uint64]func(dispatch.Answer)
+	// reliable is set if no run fails by its own fault.
+	reliable bool
 	// trace has a line for each run that began and each answer, in their order.
 	trace []string
 	// callerTimeout is how long callers wait.
--- a/internal/process/role/dispatch/simulation/sizes_test.go
+++ b/internal/process/role/dispatch/simulation/sizes_test.go
@@ -98,23 +98,30 @@
 	return prefixes
 }
 
-// playPeak plays a load peak on three entries and eleven targets, of which three are
-// twice as fast as the others. All targets together can run slightly more than comes.
-func playPeak(t *testing.T, seed uint64, kinds map[string]jobKind) *cluster {
+// callerLimit is how long the callers of a load peak wait.
+const callerLimit = 1500 * time.Millisecond
+
+// targetKind is the hardware label of a target and its factor, which multiplies run times.
+type targetKind struct {
+	label  string
+	factor float64
+}
+
+// playPeak plays a load peak on the given targets. One in some tens of runs fails, unless
+// they are reliable.
+func playPeak(t *testing.T, seed uint64, kinds map[string]jobKind, targets []targetKind, entries int, reliable bool) *cluster {
 	const (
 		learn = 4 * time.Second
 		peak  = 12 * time.Second
-		limit = 1500 * time.Millisecond
 	)
-	c := newCluster(t, seed, 3, 11, limit)
+	c := newCluster(t, seed, entries, len(targets), callerLimit)
+	c.reliable = reliable
 	names := slices.Sorted(maps.Keys(kinds))
-	c.version = newVersion(t, 2, 2, limit, prefixesOf(names))
+	c.version = newVersion(t, 2, 2, callerLimit, prefixesOf(names))
 	var err error
 	for i, a := range c.agents {
-		a.target.factor = 1.2
-		if i%4 == 0 {
-			a.target.factor = 0.6
-		}
+		a.target.factor = targets[i].factor
+		a.target.labels = []string{targets[i].label, "r1"}
 		if a.target.size, err = task.NewResources(16000, 65536, 0); err != nil {
 			t.Fatal(err)
 		}
@@ -145,8 +152,26 @@
 	return c
 }
 
+// oneLabel returns eleven targets of one label, of which three are twice as fast as the
+// others.
+func oneLabel() []targetKind {
+	var targets []targetKind
+	for i := range 11 {
+		k := targetKind{
+			label:  "a",
+			factor: 1.2,
+		}
+		if i%4 == 0 {
+			k.factor = 0.6
+		}
+		targets = append(targets, k)
+	}
+	return targets
+}
+
 // TestLargestJobs guards against a load peak at which the largest jobs of a kind are
-// served less than half as often as the kind, which the users' gate fails.
+// served less than half as often as the kind, which the users' gate fails. All targets
+// together can run slightly more than comes.
 func TestLargestJobs(t *testing.T) {
 	kinds := map[string]jobKind{
 		"short":  {tasks: 8, length: 51 * time.Millisecond, perSecond: 50},
@@ -155,7 +180,7 @@
 	}
 	jobs := map[string][]*simJob{}
 	for seed := range uint64(*peaks) {
-		c := playPeak(t, seed+1, kinds)
+		c := playPeak(t, seed+1, kinds, oneLabel(), 3, false)
 		for _, j := range c.jobs {
 			jobs[j.kind] = append(jobs[j.kind], j)
 		}
--- a/internal/process/role/dispatch/simulation/target_test.go
+++ b/internal/process/role/dispatch/simulation/target_test.go
@@ -217,7 +217,7 @@
 			return
 		}
 		end := task.EndDone
-		if t.c.oneIn(50) {
+		if !t.c.reliable && t.c.oneIn(50) {
 			end = task.EndFailed
 		}
 		t.end(id, end)
