Start a replaced target with the speed of its hardware, and a flapping one with probes

The factor of a target was kept by the name of its agent, so that a new incarnation on other hardware was taken to be as slow as the last one. And each new incarnation, and each new connection of the same one, was trusted with full work: a target that ends every second lost all of it again and again.

A new incarnation now starts with the speed of its label. If the previous one ended within 8 s, the longest time for which a suspect target is kept from work, it gets one run at a time until three have succeeded. A new connection changes nothing.

--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -328,7 +328,7 @@
 	a.knownConfig = max(a.knownConfig, f.ConfigVersion)
 	d.receiveConfiguration(now, message, a.name)
 	if f.Target != nil {
-		d.updateTarget(a, *f.Target)
+		d.updateTarget(now, a, *f.Target)
 	}
 	if f.FreeCapacity != nil {
 		a.updateCapacity(*f.FreeCapacity)
--- a/internal/process/role/dispatch/target.go
+++ b/internal/process/role/dispatch/target.go
@@ -2,16 +2,21 @@
 
 import (
 	"slices"
+	"time"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 )
 
-// updateTarget takes over the description of an agent's target.
-func (d *Dispatch) updateTarget(a *agent, t frame.Target) {
+// updateTarget takes over the description of an agent's target. A new incarnation may run on
+// other hardware, so it starts with the speed of its label.
+func (d *Dispatch) updateTarget(now time.Duration, a *agent, t frame.Target) {
 	previous := a.target
+	if t.Service() != "" && t.Incarnation() != a.health.incarnation {
+		a.health = a.health.next(now, t.Incarnation())
+		d.estimates.forget(a.name)
+	}
 	if t.Incarnation() != previous.Incarnation() {
-		a.health = health{}
 		d.logEvent(event.TargetSeen, event.F("agent", a.name), event.F("target", t.Incarnation()), event.F("service", t.Service()), event.F("usable", t.Usable()))
 	}
 	a.target = t
