Count lost jobs from the logs, and those that no target could end in time

A site that loses jobs could not tell what it might win back. greengagedoor losses reads the logs of entries and agents and prints a table by second, kind, zone, entry and size class, and for each kind and its largest tenth the share that some target could have ended in time.

The lower figure is by the best estimate of the lengths, the upper one by their lower bound.

--- a/cmd/greengagedoor/main.go
+++ b/cmd/greengagedoor/main.go
@@ -117,6 +117,7 @@
 		cancelCommand(),
 		dumpCommand(),
 		explainCommand(),
+		lossesCommand(),
 		keyCommand(),
 		versionCommand(),
 		completionCommand(),
