Refuse a job at arrival when the queue before it takes the time it has

At a load peak nearly all callers were late and hardly any was told early: a queued job was refused after 45% of its time, by the probability of one task on the fastest target, without regard to the work before it.

Package admission decides on arrival from the work ahead in the queue, the room that is free for tasks of that need and the rate at which the entry's own runs free capacity. Accepted jobs are refused later only if capacity is lost.

--- /dev/null
+++ b/internal/process/role/dispatch/admission.go
@@ -0,0 +1,118 @@
+package dispatch
+
+import (
+	"time"
+
+	"greengagedoor.example/greengagedoor/internal/request/admission"
+	"greengagedoor.example/greengagedoor/internal/request/task"
+)
+
+// minRateRuns is the number of its own runs from which an entry knows the rate at which it
+// gets capacity. Below it, the first job of the queue waits in any case.
+const minRateRuns = 8
+
+// Decide is a decision on a job behind a backlog.
+type Decide func(now time.Duration, j admission.Job, ahead admission.Backlog, c admission.Capacity) admission.Decision
+
+// WithAdmission replaces the decisions whether a job is accepted, and whether it stays in
+// the queue until it starts.
+func (d *Dispatch) WithAdmission(decide, keep Decide) *Dispatch {
+	d.decide = decide
+	d.keep = keep
+	return d
+}
+
+// share is what an entry can get of the targets of a service.
+type share struct {
+	runs int
+	free float64
+	rate float64
+}
+
+// shareOf returns what the entry can get of the targets of a service for tasks of one
+// need. Each end of an own run frees capacity for the entry. So while targets are full,
+// the rate at which it gets capacity is that at which its own runs end, whatever other
+// entries use.
+func (d *Dispatch) shareOf(service string, need task.Resources) share {
+	var s share
+	for _, a := range d.connected {
+		if !a.usable() || a.target.Service() != service {
+			continue
+		}
+		held := task.Resources{}
+		for _, x := range a.runs {
+			if x.state != attemptLost {
+				held = held.Add(x.need)
+				s.runs++
+			}
+		}
+		free := coresOf(need) * float64(a.left.Quotient(need))
+		s.free += free
+		s.rate += (coresOf(held) + free) / a.speed.value()
+	}
+	return s
+}
+
+// backlogAhead returns the queued work of a service that precedes a rank.
+func (d *Dispatch) backlogAhead(service string, rank int64) admission.Backlog {
+	var b admission.Backlog
+	for _, j := range d.queue {
+		if j.rank > rank {
+			break
+		}
+		if j.route.Service() == service {
+			j.addTo(&b)
+		}
+	}
+	return b
+}
+
+// addTo adds the part of the job that has not been placed to a backlog.
+func (j *job) addTo(b *admission.Backlog) {
+	part := float64(j.width-len(j.tasks)+len(j.ready)) / float64(j.width)
+	b.Add(part*j.cores, part*j.coreSeconds)
+}
+
+// admission decides on a job that has not started, behind a backlog, with the entry's share
+// of the targets.
+func (d *Dispatch) admission(now time.Duration, j *job, ahead admission.Backlog, s share, decide Decide) admission.Decision {
+	work := admission.NewJob(j.cores, j.coreSeconds, j.fastestTime, j.model.spread(), j.usefulUntil)
+	if s.runs < minRateRuns && ahead.Jobs() == 0 {
+		return admission.Undecided(now, work)
+	}
+	return decide(now+d.overload.highest(), work, ahead, admission.NewCapacity(s.free, s.rate).Stalled(d.stalled(now)))
+}
+
+// stalled returns for how long no queued job has started.
+func (d *Dispatch) stalled(now time.Duration) time.Duration {
+	if len(d.queue) == 0 {
+		return 0
+	}
+	return now - max(d.queue[0].arrived, d.lastPlaced)
+}
+
+// firstNeed returns the need of the tasks of the first step.
+func (j *job) firstNeed() task.Resources {
+	return j.work.Steps()[0].Resources()
+}
+
+// refuseLost refuses the queued jobs that have not started and will be answered too late,
+// since targets have been lost or free no capacity since the job was accepted.
+func (d *Dispatch) refuseLost(now time.Duration) {
+	shares := map[string]share{}
+	backlogs := map[string]*admission.Backlog{}
+	for _, j := range append([]*job(nil), d.queue...) {
+		service := j.route.Service()
+		s, ok := shares[service]
+		if !ok {
+			s = d.shareOf(service, j.firstNeed())
+			shares[service] = s
+		}
+		ahead := getOrCreate(backlogs, service)
+		if x := d.admission(now, j, *ahead, s, d.keep); x.Reason() != "" && !j.started {
+			d.finish(now, j, StateRefused, string(x.Reason()))
+			continue
+		}
+		j.addTo(ahead)
+	}
+}
--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -149,6 +149,7 @@
 	})
 	for _, s := range a.starts {
 		f.Starts = append(f.Starts, *s)
+		d.lastPlaced = now
 	}
 	a.introduced = true
 	a.starts = nil
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -28,6 +28,7 @@
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/connection/transfer"
 	"greengagedoor.example/greengagedoor/internal/process/event"
+	"greengagedoor.example/greengagedoor/internal/request/admission"
 	"greengagedoor.example/greengagedoor/internal/request/task"
 	"greengagedoor.example/greengagedoor/internal/version/route"
 )
@@ -104,6 +105,11 @@
 	estimates    *estimator
 	fairness     *fairness
 	overload     overload
+	// decide decides whether a job is accepted, and keep whether it stays in the queue.
+	decide Decide
+	keep   Decide
+	// lastPlaced is when a task was last sent to an agent.
+	lastPlaced time.Duration
 	// loads has the load by hardware label, and lowestLoad the lowest of them, 1 if
 	// there is none. They were measured in this pass if loadMeasured is set.
 	loads        map[string]*hardwareLoad
@@ -158,6 +164,8 @@
 		estimates:     newEstimator(),
 		fairness:      newFairness(),
 		overload:      newOverload(timing),
+		decide:        admission.Decide,
+		keep:          admission.Keep,
 		passedOn:      newPassedOn(),
 	}
 }
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -50,8 +50,13 @@
 	latestStart time.Duration
 	rank        int64
 	demoted     bool
-	// coreSeconds is the expected work on a target of factor 1.
+	// expectedEnd is when the last task was expected to end when the job was accepted.
+	expectedEnd time.Duration
+	// coreSeconds is the expected work on a target of factor 1, and cores what all tasks
+	// together need. width is the number of tasks.
 	coreSeconds float64
+	cores       float64
+	width       int
 	// relativeSize is the work of the job relative to the mean of its route.
 	relativeSize  float64
 	fairnessGroup group
@@ -217,18 +222,32 @@
 		d.refuse(s, work.ID(), StateRefused, ReasonLeaving, d.retryAfter())
 		return
 	}
+	fields := []event.Field{
+		event.F("route", r.Name()),
+		event.F("expected_ms", j.fastestTime.Milliseconds()),
+		event.F("limit_ms", (j.deadline - now).Milliseconds()),
+		event.F("queued_ms", (now - j.arrived).Milliseconds()),
+		event.F("took_ms", (now - j.arrived).Milliseconds()),
+		event.F("size_class", j.fairnessGroup.sizeClass),
+	}
 	if d.unlikelyInTime(now, j) {
-		d.refuse(s, work.ID(), StateRefused, "too_long_for_caller", defaultRetryAfter, event.F("route", r.Name()),
-			event.F("expected_ms", j.fastestTime.Milliseconds()), event.F("limit_ms", (j.deadline-now).Milliseconds()),
-			event.F("queued_ms", (now-j.arrived).Milliseconds()), event.F("size_class", j.fairnessGroup.sizeClass))
+		d.refuse(s, work.ID(), StateRefused, "too_long_for_caller", defaultRetryAfter, fields...)
+		return
+	}
+	ahead := d.backlogAhead(r.Service(), j.rank)
+	admitted := d.admission(now, j, ahead, d.shareOf(r.Service(), j.firstNeed()), d.decide)
+	if admitted.Reason() != "" {
+		d.refuse(s, work.ID(), StateRefused, string(admitted.Reason()), admitted.RetryAfter(), append(fields,
+			event.F("expected_end_ms", (admitted.ExpectedEnd()-now).Milliseconds()), event.F("ahead_core_ms", int64(ahead.Work()*1000)))...)
 		return
 	}
+	j.expectedEnd = admitted.ExpectedEnd()
 	j.releaseSteps()
 	d.jobs[work.ID()] = j
 	d.nextDeadline = min(d.nextDeadline, j.deadline)
 	d.requests[s.request] = j
 	d.enqueue(j)
-	d.logAccepted(now, j)
+	d.logAccepted(now, j, ahead)
 }
 
 // releaseSteps makes the tasks of all steps ready whose prerequisites are done.
@@ -287,9 +306,15 @@
 	if s == StateRefused {
 		name = event.JobRefused
 	}
-	d.logEvent(name, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("route", j.route.Name()), event.F("state", s.String()),
-		event.F("reason", reason), event.F("took_ms", (now-j.arrived).Milliseconds()), event.F("late_ms", (now-j.due).Milliseconds()),
-		event.F("runs_stopped", stopped), event.F("size_class", j.fairnessGroup.sizeClass), event.F("tasks_done", j.tasksDone()))
+	fields := []event.Field{
+		event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("route", j.route.Name()), event.F("state", s.String()),
+		event.F("reason", reason), event.F("took_ms", (now - j.arrived).Milliseconds()), event.F("late_ms", (now - j.due).Milliseconds()),
+		event.F("runs_stopped", stopped), event.F("size_class", j.fairnessGroup.sizeClass), event.F("tasks_done", j.tasksDone()),
+	}
+	if s == StateComplete {
+		fields = append(fields, event.F("admission_error_ms", (now-j.expectedEnd).Milliseconds()))
+	}
+	d.logEvent(name, fields...)
 }
 
 func (j *job) tasksDone() int {
--- a/internal/process/role/dispatch/order.go
+++ b/internal/process/role/dispatch/order.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/process/event"
+	"greengagedoor.example/greengagedoor/internal/request/admission"
 	"greengagedoor.example/greengagedoor/internal/request/task"
 )
 
@@ -114,6 +115,7 @@
 	// The spread is a margin for estimates that are too low.
 	j.latestStart = j.due - time.Duration(float64(fast)*(1+j.model.spread()))
 	j.coreSeconds = d.jobWork(j)
+	j.width, j.cores = widthOf(j.work)
 	j.relativeSize = d.fairness.relativeSize(j.route.Name(), j.coreSeconds)
 	j.fairnessGroup = groupOf(j.route.Name(), j.relativeSize)
 	slack := time.Duration(rankSlackShare * float64(j.latestStart-j.arrived))
@@ -124,12 +126,24 @@
 func (d *Dispatch) jobWork(j *job) float64 {
 	sum := 0.0
 	for _, s := range j.work.Steps() {
-		cores := float64(s.Resources().MilliCores())/1000 + acceleratorCores*float64(s.Resources().Accelerators())
-		sum += cores * float64(s.Count()) * j.model.base(s.Estimate()).Seconds()
+		sum += coresOf(s.Resources()) * float64(s.Count()) * j.model.base(s.Estimate()).Seconds()
 	}
 	return sum
 }
 
+// widthOf returns the number of tasks of a job and the cores that they need together.
+func widthOf(work task.Job) (width int, cores float64) {
+	for _, s := range work.Steps() {
+		width += s.Count()
+		cores += coresOf(s.Resources()) * float64(s.Count())
+	}
+	return width, cores
+}
+
+func coresOf(r task.Resources) float64 {
+	return float64(r.MilliCores())/1000 + acceleratorCores*float64(r.Accelerators())
+}
+
 // unlikelyInTime reports whether a job that starts now has too low a probability of
 // a useful answer, even on the fastest target. The end of its last run waits for the
 // entry as long as other events.
@@ -152,10 +166,11 @@
 		return
 	}
 	d.nextReview = now + reviewInterval
+	d.refuseLost(now)
 	d.scratch = append(d.scratch[:0], d.queue...)
 	for _, j := range d.scratch {
 		if !j.started && (d.unlikelyInTime(now, j) || now-j.arrived > time.Duration(maxQueueShare*float64(j.deadline-j.arrived))) {
-			d.finish(now, j, StateRefused, "no_room_in_time")
+			d.finish(now, j, StateRefused, string(admission.ReasonTooLate))
 			continue
 		}
 		if d.hasOverdueTask(now, j) {
@@ -229,10 +244,11 @@
 }
 
 // logAccepted logs the schedule of an accepted job.
-func (d *Dispatch) logAccepted(now time.Duration, j *job) {
+func (d *Dispatch) logAccepted(now time.Duration, j *job, ahead admission.Backlog) {
 	d.logEvent(event.JobAccepted, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("route", j.route.Name()),
 		event.F("version", d.version.Number()), event.F("tasks", len(j.ready)), event.F("expected_ms", j.fastestTime.Milliseconds()),
 		event.F("due_ms", (j.due-now).Milliseconds()), event.F("limit_ms", (j.deadline-now).Milliseconds()), event.F("held", len(d.jobs)),
 		event.F("queued_ms", (now-j.arrived).Milliseconds()), event.F("size_class", j.fairnessGroup.sizeClass),
-		event.F("work_core_ms", int64(j.coreSeconds*1000)))
+		event.F("work_core_ms", int64(j.coreSeconds*1000)),
+		event.F("expected_end_ms", (j.expectedEnd-now).Milliseconds()), event.F("ahead_core_ms", int64(ahead.Work()*1000)))
 }
--- a/internal/process/role/dispatch/simulation/cluster_test.go
+++ b/internal/process/role/dispatch/simulation/cluster_test.go
@@ -111,6 +111,8 @@
 	frameBytes int
 	// network carries the frames; nil for links without a bound.
 	network *simNetwork
+	// capacityHiddenUntil is until when entries get no reports of free capacity.
+	capacityHiddenUntil time.Duration
 	// store has the configuration that entries read; nil if entries are given theirs.
 	store *simStore
 }
--- a/internal/process/role/dispatch/simulation/link_test.go
+++ b/internal/process/role/dispatch/simulation/link_test.go
@@ -65,6 +65,9 @@
 
 func (l *simLink) toEntry(f frame.Frame) {
 	f = l.c.transcode(f)
+	if l.c.now < l.c.capacityHiddenUntil {
+		f.FreeCapacity = nil
+	}
 	deliver := func() {
 		if l.entryOpen {
 			l.e.handle(dispatch.FrameReceived(l.number, f))
--- a/internal/process/role/server/observe.go
+++ b/internal/process/role/server/observe.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"runtime"
+	"slices"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/labstack/echo/v4"
@@ -23,13 +24,13 @@
 	sampleRingSize   = 4096
 )
 
-// latencies maps the events that have a histogram to the field with the value, in
-// ms.
-var latencies = map[event.Name]string{
-	event.JobEnded:   "took_ms",
-	event.TaskPlaced: "waited_ms",
-	event.RunStarted: "order_ms",
-	event.RunEnded:   "ran_ms",
+// latencies maps the events that have histograms to the fields with the values, in ms.
+var latencies = map[event.Name][]string{
+	event.JobEnded:   {"took_ms", "admission_error_ms"},
+	event.JobRefused: {"took_ms"},
+	event.TaskPlaced: {"waited_ms"},
+	event.RunStarted: {"order_ms"},
+	event.RunEnded:   {"ran_ms"},
 }
 
 // observer counts the events of a process and keeps latency histograms. The counters
@@ -37,6 +38,8 @@
 type observer struct {
 	vars   *expvar.Map
 	events *expvar.Map
+	// refusals counts refused jobs by reason.
+	refusals *expvar.Map
 	// servers has the counters of each HTTP server, by its name and the counter's.
 	servers *expvar.Map
 	// sentBytes has the bytes written to other processes, by the content of the frames.
@@ -58,6 +61,7 @@
 	o := &observer{
 		vars:       new(expvar.Map).Init(),
 		events:     new(expvar.Map).Init(),
+		refusals:   new(expvar.Map).Init(),
 		servers:    new(expvar.Map).Init(),
 		sentBytes:  new(expvar.Map).Init(),
 		sentFrames: new(expvar.Map).Init(),
@@ -66,6 +70,7 @@
 		ring:       r,
 	}
 	o.vars.Set("events", o.events)
+	o.vars.Set("refusals", o.refusals)
 	o.vars.Set("servers", o.servers)
 	o.vars.Set("sent_bytes", o.sentBytes)
 	o.vars.Set("sent_frames", o.sentFrames)
@@ -83,11 +88,22 @@
 // observe counts an event. If the ring is full, only a histogram sample is lost.
 func (o *observer) observe(n event.Note) {
 	o.events.Add(string(n.Name()), 1)
-	if latencies[n.Name()] != "" {
+	if n.Name() == event.JobRefused {
+		o.countRefusal(n)
+	}
+	if len(latencies[n.Name()]) > 0 {
 		_ = o.ring.TryPush(n)
 	}
 }
 
+func (o *observer) countRefusal(n event.Note) {
+	for _, f := range n.Fields() {
+		if reason, ok := f.Value().(string); ok && f.Key() == "reason" {
+			o.refusals.Add(reason, 1)
+		}
+	}
+}
+
 // count counts an occurrence at an HTTP server.
 func (o *observer) count(server string, c web.Counter) {
 	o.servers.Add(server+"_"+string(c), 1)
@@ -122,13 +138,13 @@
 }
 
 func (o *observer) record(histograms map[string]*hdrhistogram.Histogram, n event.Note) {
-	field := latencies[n.Name()]
+	fields := latencies[n.Name()]
 	for _, f := range n.Fields() {
 		ms, ok := f.Value().(int64)
-		if f.Key() != field || !ok {
+		if !ok || !slices.Contains(fields, f.Key()) {
 			continue
 		}
-		name := string(n.Name()) + "_" + field
+		name := string(n.Name()) + "_" + f.Key()
 		h, ok := histograms[name]
 		if !ok {
 			h = hdrhistogram.New(1, maxLatencyMS, latencyPrecision)
@@ -194,6 +210,14 @@
 	if err != nil {
 		return nil, err
 	}
+	refusals, err := dump.NewSection("refusals", "How often jobs were refused, by reason.", func() []string {
+		var lines []string
+		b.observer.refusals.Do(func(kv expvar.KeyValue) { lines = append(lines, kv.Key+" "+kv.Value.String()) })
+		return lines
+	})
+	if err != nil {
+		return nil, err
+	}
 	sent, err := dump.NewSection("sent", "The bytes written to other processes by content, and the age of the oldest frame that waits.", func() []string {
 		lines := []string{"unsent_age_ms " + b.observer.unsentAge.String()}
 		b.observer.sentBytes.Do(func(kv expvar.KeyValue) { lines = append(lines, kv.Key+" "+kv.Value.String()) })
@@ -202,6 +226,6 @@
 	if err != nil {
 		return nil, err
 	}
-	sections := []dump.Section{process, duties, events, sent}
+	sections := []dump.Section{process, duties, events, refusals, sent}
 	return dump.New(append(sections, b.sections...)...)
 }
