--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -161,6 +161,7 @@
 	})
 	for _, s := range a.starts {
 		f.Starts = append(f.Starts, *s)
+		d.lastPlaced = now
 	}
 	if d.evacuated.News(a.knownEvacuations) {
 		f.Evacuated = d.evacuated
