Bound the memory and the connections of clients that do not come to an end

Cause: nothing bounded what has arrived of requests that were not read whole. net/http reads heads of up to 1 MB, handlers read bodies to their end, and each connection takes a descriptor, so the number of clients decided on the memory of the process. The configuration's limits for heads and times were decoded and unused.

Change: each HTTP listener of an entry or an agent has a share of limits.memory_mb for the bytes that it holds of requests, and of the new limits.descriptors for open connections. Above a limit the connections with the least progress are closed, never one whose request was read whole; internal/process/intake decides, the server's duty carries it out. Heads and times follow the configuration. Bodies are read into a buffer that grows as they arrive; one whose announced size exceeds its limit or the room that is left is refused before it is read.

--- a/cmd/greengagedoor/platform.go
+++ b/cmd/greengagedoor/platform.go
@@ -7,8 +7,10 @@
 
 	"github.com/urfave/cli/v2"
 
+	"greengagedoor.example/greengagedoor/internal/process/intake"
 	"greengagedoor.example/greengagedoor/internal/process/role/server"
 	"greengagedoor.example/greengagedoor/internal/process/setting"
+	"greengagedoor.example/greengagedoor/internal/process/web"
 	"greengagedoor.example/greengagedoor/platform"
 )
 
@@ -42,6 +44,7 @@
 		return server.Settings{}, err
 	}
 	limitMemory(v.Number("limits", "memory_mb"))
+	s = s.WithResources(intake.NewResources(v.Number("limits", "memory_mb")<<20, int(v.Number("limits", "descriptors"))))
 	return s.AdvertisedAt(v.Text("listen", "advertised")).WithTimes(v.Milliseconds("times", "max_lease_ms"), time.Duration(v.Number("times", "grace_s"))*time.Second), nil
 }
 
@@ -110,7 +113,7 @@
 			return err
 		}
 		defer cleanup()
-		if err := e.Serve(v.Text("listen", "readiness"), "readiness", "Reports to the load balancer whether the entry accepts callers.", platform.ReadinessHandler(e.Ready)); err != nil {
+		if err := e.ServeAside(v.Text("listen", "readiness"), "readiness", "Reports to the load balancer whether the entry accepts callers.", platform.ReadinessHandler(e.Ready)); err != nil {
 			return err
 		}
 		// The last duty stops first, so callers get all the time that is left.
@@ -128,6 +131,8 @@
 		Submit: e.Submit,
 		Cancel: e.Cancel,
 		Query:  e.Query,
+		Fits:   web.Fits,
+		Hold:   web.Hold,
 		BodyBytes: func() int {
 			if v := e.Version(); v != nil {
 				return v.Limits().BodyBytes()
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -16,6 +16,7 @@
 	ProcessStopping Name = "process_stopping"
 	ProcessStopped  Name = "process_stopped"
 	ServerEnding    Name = "server_ending"
+	ServerCrowded   Name = "server_crowded"
 	SettingsChanged Name = "settings_changed"
 
 	JobAccepted  Name = "job_accepted"
@@ -73,6 +74,7 @@
 	ProcessStopping:  "The process received a stop signal and accepts no new work.",
 	ProcessStopped:   "The process has stopped.",
 	ServerEnding:     "A server is at a stage of its end; the line has its connections, the requests in flight, and the requests taken, refused and left without an answer since the stop signal.",
+	ServerCrowded:    "A server closed connections that made too little progress, at most one line in 10 s; the line has the last reason, how many were closed since the line before, and what is open and held.",
 	SettingsChanged:  "The settings file was reloaded.",
 	JobAccepted:      "An entry accepted a job and determined its route, deadline and rank.",
 	JobRefused:       "An entry refused a job before any run started; the line has the reason and the retry delay.",
--- /dev/null
+++ b/internal/process/intake/budget.go
@@ -0,0 +1,121 @@
+package intake
+
+import "sync/atomic"
+
+const (
+	// memoryPerByte is the memory that a process must have for each byte of requests that
+	// it may hold: buffers grow by doubling, and the garbage collector lets the heap grow.
+	memoryPerByte = 8
+	// memoryPerConnection is the memory that a process must have for each connection. An
+	// open connection with a request in progress takes about a quarter of it.
+	memoryPerConnection = 96 << 10
+	// shares is the number of parts into which memory and descriptors are divided. The
+	// main listener of a process gets mainShares, each other HTTP listener one, and
+	// the links to other processes linkShares. The rest is for files, the store and targets.
+	shares     = 16
+	mainShares = 8
+	linkShares = 3
+	// MinBytes is the least that a listener may hold, so that a request that is not
+	// exceptionally large is served on the smallest host.
+	MinBytes = 1 << 20
+)
+
+// Limits are the limits of one listener; 0 stands for none.
+type Limits struct {
+	bytes       int64
+	connections int
+}
+
+// Bytes returns how many bytes of requests the listener may hold.
+func (l Limits) Bytes() int64 {
+	return l.bytes
+}
+
+// Connections returns how many connections may be open.
+func (l Limits) Connections() int {
+	return l.connections
+}
+
+// Resources are what a process may use; 0 stands for no limit.
+type Resources struct {
+	memory      int64
+	descriptors int
+}
+
+// NewResources returns resources of a memory in bytes and a number of descriptors.
+func NewResources(memory int64, descriptors int) Resources {
+	return Resources{
+		memory:      memory,
+		descriptors: descriptors,
+	}
+}
+
+// Main returns the limits of the main listener of a process.
+func (r Resources) Main() Limits {
+	return r.part(mainShares)
+}
+
+// Side returns the limits of any other HTTP listener.
+func (r Resources) Side() Limits {
+	return r.part(1)
+}
+
+// Links returns the limits of the listener for other processes.
+func (r Resources) Links() Limits {
+	return r.part(linkShares)
+}
+
+func (r Resources) part(n int64) Limits {
+	var l Limits
+	if r.memory > 0 {
+		l.bytes = max(MinBytes, r.memory/memoryPerByte*n/shares)
+		l.connections = max(1, int(r.memory/memoryPerConnection*n/mainShares))
+	}
+	if r.descriptors > 0 {
+		c := max(1, int(int64(r.descriptors)*n/shares))
+		if l.connections == 0 || c < l.connections {
+			l.connections = c
+		}
+	}
+	return l
+}
+
+// Account counts the bytes that a listener holds. Any goroutine may use it.
+type Account struct {
+	limit int64
+	held  atomic.Int64
+}
+
+// NewAccount returns an account with the limit of a listener.
+func NewAccount(l Limits) *Account {
+	return &Account{
+		limit: l.bytes,
+	}
+}
+
+// Add counts bytes that are held, or no longer if n is negative, and reports whether
+// the listener stays within its limit.
+func (a *Account) Add(n int64) bool {
+	held := a.held.Add(n)
+	return a.limit == 0 || held <= a.limit
+}
+
+// Held returns the bytes that are held.
+func (a *Account) Held() int64 {
+	return a.held.Load()
+}
+
+// Excess returns how many bytes are held beyond seven eighths of the limit, so that
+// there is room again after they are freed, or 0 if the limit is not reached.
+func (a *Account) Excess() int64 {
+	if held := a.held.Load(); a.limit > 0 && held > a.limit {
+		return held - a.limit*7/8
+	}
+	return 0
+}
+
+// Fits reports whether n more bytes can be held, with an eighth of the limit to spare
+// for what is freed meanwhile.
+func (a *Account) Fits(n int64) bool {
+	return a.limit == 0 || a.held.Load()+n <= a.limit+a.limit/8
+}
--- a/internal/process/role/host/entry.go
+++ b/internal/process/role/host/entry.go
@@ -136,7 +136,7 @@
 	if err := e.common.observe(router, func() *duty.Table { return e.table }, e.entry, e.cluster.member, e.cluster.directory); err != nil {
 		return err
 	}
-	api, cleanup, err := web.ServeUntil(e.api, web.Ending{
+	api, cleanup, err := web.ServeUntil(e.api, web.Limits{}, web.Ending{
 		Leaving: e.leaving,
 		Limit:   web.ConstantLimit(web.ShutdownLimit),
 	}, "http", "Serves callers, operators and targets.", router)
--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -12,6 +12,7 @@
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 	"greengagedoor.example/greengagedoor/internal/process/role/executor"
+	"greengagedoor.example/greengagedoor/internal/process/web"
 )
 
 // The numbers of duties that call the target.
@@ -157,7 +158,9 @@
 
 // Serve adds a duty that serves the target's reports at an address.
 func (a *Agent) Serve(address, name, purpose string, h http.Handler) error {
-	return a.base.serveHTTP(address, name, purpose, h)
+	return a.base.serveHTTP(address, web.Limits{
+		Listener: a.base.settings.resources.Main(),
+	}, name, purpose, h)
 }
 
 // Run serves until ctx ends and no task runs, or the grace period is over.
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -11,8 +11,10 @@
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/connection/stream"
 	"greengagedoor.example/greengagedoor/internal/process/event"
+	"greengagedoor.example/greengagedoor/internal/process/intake"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 	"greengagedoor.example/greengagedoor/internal/process/role/dispatch"
+	"greengagedoor.example/greengagedoor/internal/process/web"
 	"greengagedoor.example/greengagedoor/internal/version/route"
 )
 
@@ -196,7 +198,33 @@
 
 // Serve adds a duty that serves an HTTP interface of the entry at an address.
 func (e *Entry) Serve(address, name, purpose string, h http.Handler) error {
-	return e.base.serveHTTP(address, name, purpose, h)
+	return e.base.serveHTTP(address, web.Limits{
+		Listener: e.base.settings.resources.Main(),
+		Request:  e.requestLimits,
+	}, name, purpose, h)
+}
+
+// ServeAside is Serve for a listener with a small part of the process's resources.
+func (e *Entry) ServeAside(address, name, purpose string, h http.Handler) error {
+	return e.base.serveHTTP(address, web.Limits{
+		Listener: e.base.settings.resources.Side(),
+	}, name, purpose, h)
+}
+
+// requestLimits returns the limits of requests in the configuration.
+func (e *Entry) requestLimits() web.RequestLimits {
+	v := e.Version()
+	if v == nil {
+		return web.RequestLimits{}
+	}
+	l := v.Limits()
+	return web.RequestLimits{
+		HeadBytes: l.HeaderBytes(),
+		Times: intake.Times{
+			Head: l.HeaderTimeout(),
+			Idle: l.IdleTimeout(),
+		},
+	}
 }
 
 // Run serves until ctx ends and all accepted requests are answered, or the grace
--- a/internal/process/role/server/server.go
+++ b/internal/process/role/server/server.go
@@ -25,6 +25,7 @@
 	"greengagedoor.example/greengagedoor/internal/process/dump"
 	"greengagedoor.example/greengagedoor/internal/process/duty"
 	"greengagedoor.example/greengagedoor/internal/process/event"
+	"greengagedoor.example/greengagedoor/internal/process/intake"
 	"greengagedoor.example/greengagedoor/internal/process/keyspace"
 	"greengagedoor.example/greengagedoor/internal/process/log"
 	"greengagedoor.example/greengagedoor/internal/process/role/dispatch"
@@ -69,6 +70,8 @@
 	// configApply is the time in which a confirmed configuration must be in force; 0 for
 	// the dispatcher's default.
 	configApply time.Duration
+	// resources are what the process may use; the zero value has no limits.
+	resources intake.Resources
 }
 
 // NewSettings returns the settings of a process: its name, its availability zone,
@@ -111,6 +114,12 @@
 	return s
 }
 
+// WithResources returns the settings with what the process may use.
+func (s Settings) WithResources(r intake.Resources) Settings {
+	s.resources = r
+	return s
+}
+
 // AdvertisedAt returns the settings of a process that others reach at a different
 // address than the one it listens on. An empty address changes nothing.
 func (s Settings) AdvertisedAt(address string) Settings {
@@ -220,7 +229,9 @@
 	if err != nil {
 		return err
 	}
-	return b.serveHTTP(b.settings.metrics, "metrics", "Serves metrics and the state dump.", h)
+	return b.serveHTTP(b.settings.metrics, web.Limits{
+		Listener: b.settings.resources.Side(),
+	}, "metrics", "Serves metrics and the state dump.", h)
 }
 
 // log writes and counts an event.
@@ -248,13 +259,13 @@
 	}
 }
 
-// serveHTTP adds a duty that serves h at an address.
-func (b *base) serveHTTP(address, name, purpose string, h http.Handler) error {
+// serveHTTP adds a duty that serves h at an address within limits.
+func (b *base) serveHTTP(address string, limits web.Limits, name, purpose string, h http.Handler) error {
 	l, _, err := web.Listen(address)
 	if err != nil {
 		return err
 	}
-	d, cleanup, err := web.ServeUntil(l, web.Ending{
+	d, cleanup, err := web.ServeUntil(l, limits, web.Ending{
 		Leaving:  b.leaving,
 		Lingered: b.lingered,
 		Limit:    b.untilCut,
--- a/internal/process/setting/platform.go
+++ b/internal/process/setting/platform.go
@@ -14,6 +14,7 @@
 		row("store", "address", "store", "The platform's key-value store.").address(),
 		row("store", "timeout_ms", "store-timeout-ms", "How long one call of the store may take.").number(1000, 10, 60_000, "ms"),
 		row("limits", "memory_mb", "memory-mb", "The memory that the process may use; the garbage collector works harder close to it.").number(128, 32, 1<<20, "MB"),
+		row("limits", "descriptors", "descriptors", "The descriptors that the process may open, for files, listeners and connections; 0 if only memory bounds the connections.").number(0, 0, 1<<20, "descriptors"),
 		row("times", "max_lease_ms", "max-lease-ms", "The longest lease that targets grant to what they run.").number(1000, 200, 60_000, "ms"),
 		row("times", "grace_s", "grace-s", "The time that a process has to end after SIGTERM.").number(6, 1, 600, "s"),
 	}
--- a/internal/process/web/connection.go
+++ b/internal/process/web/connection.go
@@ -4,11 +4,16 @@
 	"context"
 	"net"
 	"sync/atomic"
+
+	"greengagedoor.example/greengagedoor/internal/process/intake"
 )
 
 // The states of a connection.
 const (
 	connectionIdle int32 = iota
+	// connectionPartial is the state while a part of a request was read and every request
+	// before it has its answer.
+	connectionPartial
 	connectionBusy
 	connectionClosed
 )
@@ -27,6 +32,20 @@
 	entered  atomic.Int64
 	returned atomic.Int64
 	ended    atomic.Bool
+	// received and held count the bytes that were read and that take memory; inBody is set
+	// while the request in progress has its head.
+	received atomic.Int64
+	held     atomic.Int64
+	inBody   atomic.Bool
+	// lingers is set if the client may still send when its refusal is written.
+	lingers atomic.Bool
+	// done is the number of requests whose answers are written, kept the count of framing
+	// that is contained in held, headLimit the limit of heads, and failed the error of
+	// further reads. They belong to the reader.
+	done      int64
+	kept      int64
+	headLimit int
+	failed    error
 	// counted is set once the requests without an answer are counted; it belongs to the
 	// server's duty.
 	counted bool
@@ -46,29 +65,63 @@
 // Read reads from the connection and counts the requests in what was read. It
 // returns no byte of a request that begins after the connection was closed as idle.
 func (c *connection) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	if c.failed != nil {
+		return c.readFailed(p)
+	}
+	n, err := c.Conn.Read(p[:min(len(p), maxReadBytes)])
 	if n == 0 {
 		return n, err
 	}
-	if !c.state.CompareAndSwap(connectionIdle, connectionBusy) && c.state.Load() == connectionClosed {
+	if !c.begin() {
 		return 0, net.ErrClosed
 	}
 	whole := c.framing.whole
 	c.framing.read(p[:n])
+	c.received.Add(int64(n))
 	c.begun.Store(c.framing.begun)
 	c.whole.Store(c.framing.whole)
+	c.inBody.Store(c.framing.state != inHeader)
 	for range c.framing.whole - whole {
 		c.server.requestRead()
 	}
-	return n, err
+	c.settle()
+	return c.admitted(p, n, err)
+}
+
+// begin marks the connection as busy, unless it was closed.
+func (c *connection) begin() bool {
+	for {
+		s := c.state.Load()
+		if s == connectionClosed {
+			return false
+		}
+		if c.state.CompareAndSwap(s, connectionBusy) {
+			return true
+		}
+	}
+}
+
+// settle marks a busy connection whose only unanswered request was read in part. One
+// whose bytes are no request is left to net/http.
+func (c *connection) settle() {
+	if c.framing.begun > c.framing.whole && c.framing.state != unframed && c.framing.whole <= c.done {
+		c.state.CompareAndSwap(connectionBusy, connectionPartial)
+	}
 }
 
 // Close closes the connection and tells the server.
 func (c *connection) Close() error {
-	if c.ended.CompareAndSwap(false, true) {
-		c.server.connectionEnded(c)
+	if !c.ended.CompareAndSwap(false, true) {
+		return c.Conn.Close()
+	}
+	if c.lingers.Load() && !c.server.stopped.Load() {
+		c.linger(make([]byte, lingerBytes))
 	}
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.release()
+	c.server.freeSlot()
+	c.server.connectionEnded(c)
+	return err
 }
 
 // CloseWrite ends the sending direction; net/http looks for this method when it
@@ -98,9 +151,18 @@
 
 // answered marks the connection as idle, unless it has part of a further request.
 func (c *connection) answered() {
+	c.release()
+	c.done = c.entered.Load()
 	if c.begun.Load() <= c.entered.Load() {
 		c.state.CompareAndSwap(connectionBusy, connectionIdle)
+		return
 	}
+	c.settle()
+}
+
+// release ends what the connection holds.
+func (c *connection) release() {
+	c.server.account.Add(-c.held.Swap(0))
 }
 
 // closeIdle closes the connection if it is idle.
@@ -110,6 +172,36 @@
 	}
 }
 
+// evict closes the connection unless a request was read whole.
+func (c *connection) evict() bool {
+	if c.state.CompareAndSwap(connectionIdle, connectionClosed) || c.state.CompareAndSwap(connectionPartial, connectionClosed) {
+		_ = c.Conn.Close()
+		return true
+	}
+	return false
+}
+
+// sample returns the state of the connection for the decision which one is closed.
+func (c *connection) sample() intake.Sample[*connection] {
+	x := intake.Sample[*connection]{
+		Key:      c,
+		Phase:    intake.Answering,
+		Received: c.received.Load(),
+		Held:     c.held.Load(),
+		Requests: c.whole.Load(),
+	}
+	switch c.state.Load() {
+	case connectionIdle:
+		x.Phase = intake.Waiting
+	case connectionPartial:
+		x.Phase = intake.InHead
+		if c.inBody.Load() {
+			x.Phase = intake.InBody
+		}
+	}
+	return x
+}
+
 // countingListener accepts connections that count their requests.
 type countingListener struct {
 	net.Listener
@@ -117,13 +209,18 @@
 }
 
 func (l countingListener) Accept() (net.Conn, error) {
+	if err := l.server.takeSlot(); err != nil {
+		return nil, err
+	}
 	nc, err := l.Listener.Accept()
 	if err != nil {
+		l.server.freeSlot()
 		return nil, err
 	}
 	c := &connection{
-		Conn:   nc,
-		server: l.server,
+		Conn:      nc,
+		server:    l.server,
+		headLimit: l.server.limits.request().HeadBytes,
 	}
 	l.server.connectionOpened(c)
 	return c, nil
--- a/internal/process/web/counter.go
+++ b/internal/process/web/counter.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/process/event"
+	"greengagedoor.example/greengagedoor/internal/process/intake"
 )
 
 // Counter is the name of a counter of a server.
@@ -15,12 +16,36 @@
 	RequestsTaken      Counter = "requests_taken_leaving"
 	RequestsRefused    Counter = "requests_refused_leaving"
 	RequestsUnanswered Counter = "requests_unanswered"
+
+	RefusedHead     Counter = "refused_head"
+	RefusedMemory   Counter = "refused_memory"
+	ClosedSlowHead  Counter = "closed_slow_head"
+	ClosedStalled   Counter = "closed_stalled_body"
+	ClosedIdle      Counter = "closed_idle"
+	ClosedMemory    Counter = "closed_memory_full"
+	ClosedForOthers Counter = "closed_connections_full"
 )
 
+// closedFor has the counter for each reason to close a connection.
+var closedFor = map[intake.Reason]Counter{
+	intake.SlowHead:       ClosedSlowHead,
+	intake.StalledBody:    ClosedStalled,
+	intake.Idle:           ClosedIdle,
+	intake.MemoryFull:     ClosedMemory,
+	intake.ConnectionFull: ClosedForOthers,
+}
+
 var counterMeanings = map[Counter]string{
 	RequestsTaken:      "Requests that were read whole after the stop signal.",
 	RequestsRefused:    "Requests that were answered with 503 after the stop signal.",
 	RequestsUnanswered: "Requests that were read whole and whose connection this process closed without their answer.",
+	RefusedHead:        "Requests whose head exceeds the limit, answered with 431.",
+	RefusedMemory:      "Requests that were not read to their end or not decoded because the listener held too much; nothing of them has run.",
+	ClosedSlowHead:     "Connections that were closed because no whole head arrived in time.",
+	ClosedStalled:      "Connections that were closed because no byte of a body arrived for a time.",
+	ClosedIdle:         "Connections that were closed because no further request arrived in time.",
+	ClosedMemory:       "Connections with part of a request that were closed because the listener held too much.",
+	ClosedForOthers:    "Connections without a whole request that were closed because a client waited for room.",
 }
 
 // Meaning returns a one-sentence description for operators.
--- a/internal/process/web/framing.go
+++ b/internal/process/web/framing.go
@@ -38,6 +38,11 @@
 	// have been read.
 	begun int64
 	whole int64
+	// kept counts the bytes of heads and bodies, without the lengths of chunks. headBytes
+	// are those of the present head, emptyBytes those of empty lines before it.
+	kept       int64
+	headBytes  int
+	emptyBytes int
 }
 
 // read advances by the next bytes of the connection.
@@ -48,6 +53,7 @@
 			n := min(f.length, int64(len(p)))
 			p = p[n:]
 			f.length -= n
+			f.kept += n
 			if f.length == 0 {
 				f.dataEnded()
 			}
@@ -76,9 +82,12 @@
 	if f.state == inHeader && !f.started {
 		// A server ignores empty lines before a request.
 		if p[0] == '\r' || p[0] == '\n' {
+			f.emptyBytes++
 			return p[1:]
 		}
 		f.started = true
+		f.headBytes = 0
+		f.emptyBytes = 0
 		f.chunked = false
 		f.length = 0
 		f.begun++
@@ -88,6 +97,11 @@
 	if n >= 0 {
 		part = p[:n]
 	}
+	if f.state == inHeader {
+		taken := min(len(part)+1, len(p))
+		f.headBytes += taken
+		f.kept += int64(taken)
+	}
 	if n >= 0 && len(f.line) == 0 {
 		f.lineEnded(bytes.TrimSuffix(part, carriageReturn))
 		return p[n+1:]
--- a/internal/process/web/run.go
+++ b/internal/process/web/run.go
@@ -20,10 +20,27 @@
 		})
 	}()
 	leaving, lingered := s.ending.Leaving, s.ending.Lingered
+	sweep := time.NewTimer(sweepInterval)
+	defer sweep.Stop()
+	sweeping := true
 	for {
+		if !sweeping && len(s.connections) > 0 {
+			sweep.Reset(sweepInterval)
+			sweeping = true
+		}
 		select {
 		case c := <-s.changes.Out():
 			s.apply(c)
+			if c.connection == nil {
+				sweep.Reset(0)
+				sweeping = true
+			}
+		case <-sweep.C:
+			next := s.sweep()
+			sweeping = next > 0
+			if sweeping {
+				sweep.Reset(next)
+			}
 		case <-leaving:
 			leaving = nil
 			s.leftAt.Store(time.Since(s.began).Nanoseconds())
@@ -46,11 +63,16 @@
 }
 
 func (s *server) apply(c change) {
+	if c.connection == nil {
+		return
+	}
 	if c.open {
 		s.connections[c.connection] = true
+		s.intake.Opened(time.Since(s.began), c.connection)
 		return
 	}
 	delete(s.connections, c.connection)
+	s.intake.Ended(c.connection)
 	s.countUnanswered(c.connection)
 }
 
@@ -69,6 +91,7 @@
 func (s *server) stop(l net.Listener, served <-chan error) {
 	s.stopped.Store(true)
 	s.noteStage(stageStopping)
+	s.endAccepting()
 	_ = l.Close()
 	limit := time.NewTimer(s.ending.Limit())
 	defer limit.Stop()
@@ -91,6 +114,9 @@
 		case <-settle.C:
 			settled = true
 		case <-ticker.C:
+			if s.pressed.Load() {
+				s.sweep()
+			}
 		case <-limit.C:
 			if overtime {
 				s.cut()
--- a/internal/process/web/stop_test.go
+++ b/internal/process/web/stop_test.go
@@ -30,7 +30,7 @@
 				l, address, err := web.Listen("127.0.0.1:0")
 				So(err, ShouldBeNil)
 				entered := make(chan struct{})
-				d, cleanup, err := web.ServeUntil(l, web.Ending{
+				d, cleanup, err := web.ServeUntil(l, web.Limits{}, web.Ending{
 					Limit:    web.ConstantLimit(50 * time.Millisecond),
 					Overtime: tt.overtime,
 				}, "front", "Answers late.", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
--- a/internal/process/web/web.go
+++ b/internal/process/web/web.go
@@ -19,15 +19,12 @@
 
 	"greengagedoor.example/greengagedoor/internal/process/duty"
 	"greengagedoor.example/greengagedoor/internal/process/event"
+	"greengagedoor.example/greengagedoor/internal/process/intake"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 )
 
 // The limits of a server.
 const (
-	// headerTimeout closes connections that do not send request headers.
-	headerTimeout = 10 * time.Second
-	// idleTimeout closes connections without a further request.
-	idleTimeout = 2 * time.Minute
 	// SettleTime is how long a stopping server waits for the first request of an open
 	// connection.
 	SettleTime = 250 * time.Millisecond
@@ -81,7 +78,8 @@
 	Count func(Counter)
 }
 
-// change is the message that a connection was opened or has ended.
+// change is the message that a connection was opened or has ended, or that the listener
+// holds too much if it has no connection.
 type change struct {
 	connection *connection
 	open       bool
@@ -91,6 +89,7 @@
 type server struct {
 	name    string
 	ending  Ending
+	limits  Limits
 	http    *http.Server
 	changes *ring.Ring[change]
 	// life ends when the duty no longer reads changes.
@@ -98,6 +97,23 @@
 	endLife context.CancelFunc
 	// connections belongs to the duty.
 	connections map[*connection]bool
+	// intake, samples, closes (the connections closed since the last log line) and notedAt
+	// (its time) belong to the duty, too.
+	intake  *intake.State[*connection]
+	samples []intake.Sample[*connection]
+	closes  int
+	notedAt time.Duration
+	account *intake.Account
+	// slots has a message for each open connection and one for the next client; nil
+	// without a limit.
+	slots chan struct{}
+	// pressed is set while the listener holds too much or has no room, waiting while a
+	// client waits for room.
+	pressed atomic.Bool
+	waiting atomic.Bool
+	// accepting ends when the listener closes.
+	accepting    context.Context
+	endAccepting context.CancelFunc
 	// lingered is set when idle connections are closed.
 	lingered atomic.Bool
 	// stopped is set when the duty stops.
@@ -119,13 +135,13 @@
 // stops, it calls limit and waits that long for requests in flight. Connections
 // without a request do not delay the stop.
 func Serve(l net.Listener, limit func() time.Duration, name, purpose string, h http.Handler) (duty.Duty, func(), error) {
-	return ServeUntil(l, Ending{
+	return ServeUntil(l, Limits{}, Ending{
 		Limit: limit,
 	}, name, purpose, h)
 }
 
-// ServeUntil is Serve for a process that announces its end.
-func ServeUntil(l net.Listener, ending Ending, name, purpose string, h http.Handler) (duty.Duty, func(), error) {
+// ServeUntil is Serve for a process that announces its end, with limits.
+func ServeUntil(l net.Listener, limits Limits, ending Ending, name, purpose string, h http.Handler) (duty.Duty, func(), error) {
 	changes, err := ring.New[change](name, changeRingSize)
 	if err != nil {
 		return duty.Duty{}, func() { _ = l.Close() }, err
@@ -133,16 +149,22 @@
 	s := &server{
 		name:        name,
 		ending:      ending,
+		limits:      limits,
 		changes:     changes,
+		intake:      intake.NewState[*connection](),
+		account:     intake.NewAccount(limits.Listener),
 		connections: map[*connection]bool{},
 		began:       time.Now(),
 	}
 	s.life, s.endLife = context.WithCancel(context.Background())
+	s.accepting, s.endAccepting = context.WithCancel(s.life)
+	if n := limits.Listener.Connections(); n > 0 {
+		s.slots = make(chan struct{}, n+1)
+	}
+	// The duty enforces the times of connections, which may change.
 	s.http = &http.Server{
-		Handler:           s.handler(h),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		ConnContext:       withConnection,
+		Handler:     s.handler(h),
+		ConnContext: withConnection,
 		ConnState: func(nc net.Conn, state http.ConnState) {
 			if c, ok := nc.(*connection); ok && state == http.StateIdle {
 				c.answered()
--- a/internal/process/web/web_test.go
+++ b/internal/process/web/web_test.go
@@ -88,7 +88,7 @@
 		leaving, lingered := make(chan struct{}), make(chan struct{})
 		notes := make(chan event.Note, 10)
 		counted := make(chan web.Counter, 10)
-		d, cleanup, err := web.ServeUntil(l, web.Ending{
+		d, cleanup, err := web.ServeUntil(l, web.Limits{}, web.Ending{
 			Leaving:  leaving,
 			Lingered: lingered,
 			Limit:    web.ConstantLimit(100 * time.Millisecond),
