Limit connections between processes, and end what net/http might frame otherwise

Cause: the listener for other processes accepted any number of connections, streams and headers. The counts of requests on a connection, which now decide whether it may be closed, differed from net/http where readers of HTTP differ: chunks in HTTP/1.0, folded fields, long values, signs and empty lines between chunks. A request that is thought to be incomplete could be closed while its job runs, and one that is thought to be whole would never be closed.

Change: a limit of connections, streams, header sizes and the time without a stream for links; a connection whose bytes may be framed in two ways is ended. The dump has a section intake with what each listener has open and holds, and the settings check refuses fewer than 64 descriptors.

--- a/internal/connection/stream/grpc.go
+++ b/internal/connection/stream/grpc.go
@@ -33,6 +33,12 @@
 	// keepaliveTime is both the idle time after which the server pings a peer and
 	// the time after which it closes the connection without an answer.
 	keepaliveTime = 10 * time.Second
+	// unusedTime is how long a peer may stay connected without a stream.
+	unusedTime = 10 * time.Second
+	// maxStreams bounds the streams of a connection; a peer opens one.
+	maxStreams = 2
+	// maxHeadBytes bounds the headers of a stream, which are the method and the authority.
+	maxHeadBytes = 8 << 10
 	// StopLimit bounds the end of a server. gRPC would wait for the handshake of its
 	// connections, whose peers may have become unreachable.
 	StopLimit = 100 * time.Millisecond
@@ -92,13 +98,16 @@
 		grpc.MaxRecvMsgSize(frame.MaxBytes),
 		// Stop waits for connections that have not completed their handshake.
 		grpc.ConnectionTimeout(helloTimeout),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.MaxHeaderListSize(maxHeadBytes),
 		grpc.InitialWindowSize(windowBytes),
 		grpc.InitialConnWindowSize(windowBytes),
 		grpc.WriteBufferSize(bufferBytes),
 		grpc.ReadBufferSize(bufferBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{
-			Time:    keepaliveTime,
-			Timeout: keepaliveTime,
+			MaxConnectionIdle: unusedTime,
+			Time:              keepaliveTime,
+			Timeout:           keepaliveTime,
 		}),
 	)
 	d := streamDesc
--- a/internal/process/intake/budget.go
+++ b/internal/process/intake/budget.go
@@ -80,24 +80,46 @@
 	return l
 }
 
-// Account counts the bytes that a listener holds. Any goroutine may use it.
+// Account counts the bytes that a listener holds and its open connections. Any goroutine
+// may use it.
 type Account struct {
-	limit int64
-	held  atomic.Int64
+	limits      Limits
+	held        atomic.Int64
+	connections atomic.Int64
 }
 
-// NewAccount returns an account with the limit of a listener.
+// NewAccount returns an account with the limits of a listener.
 func NewAccount(l Limits) *Account {
 	return &Account{
-		limit: l.bytes,
+		limits: l,
 	}
 }
 
+// Limits returns the limits of the listener.
+func (a *Account) Limits() Limits {
+	return a.limits
+}
+
+// Opened counts a connection.
+func (a *Account) Opened() {
+	a.connections.Add(1)
+}
+
+// Ended counts the end of a connection.
+func (a *Account) Ended() {
+	a.connections.Add(-1)
+}
+
+// Connections returns the number of open connections.
+func (a *Account) Connections() int64 {
+	return a.connections.Load()
+}
+
 // Add counts bytes that are held, or no longer if n is negative, and reports whether
 // the listener stays within its limit.
 func (a *Account) Add(n int64) bool {
 	held := a.held.Add(n)
-	return a.limit == 0 || held <= a.limit
+	return a.limits.bytes == 0 || held <= a.limits.bytes
 }
 
 // Held returns the bytes that are held.
@@ -108,8 +130,8 @@
 // Excess returns how many bytes are held beyond seven eighths of the limit, so that
 // there is room again after they are freed, or 0 if the limit is not reached.
 func (a *Account) Excess() int64 {
-	if held := a.held.Load(); a.limit > 0 && held > a.limit {
-		return held - a.limit*7/8
+	if held := a.held.Load(); a.limits.bytes > 0 && held > a.limits.bytes {
+		return held - a.limits.bytes*7/8
 	}
 	return 0
 }
@@ -117,5 +139,5 @@
 // Fits reports whether n more bytes can be held, with an eighth of the limit to spare
 // for what is freed meanwhile.
 func (a *Account) Fits(n int64) bool {
-	return a.limit == 0 || a.held.Load()+n <= a.limit+a.limit/8
+	return a.limits.bytes == 0 || a.held.Load()+n <= a.limits.bytes+a.limits.bytes/8
 }
--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -159,7 +159,7 @@
 // Serve adds a duty that serves the target's reports at an address.
 func (a *Agent) Serve(address, name, purpose string, h http.Handler) error {
 	return a.base.serveHTTP(address, web.Limits{
-		Listener: a.base.settings.resources.Main(),
+		Account: a.base.account(name, a.base.settings.resources.Main()),
 	}, name, purpose, h)
 }
 
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -199,15 +199,15 @@
 // Serve adds a duty that serves an HTTP interface of the entry at an address.
 func (e *Entry) Serve(address, name, purpose string, h http.Handler) error {
 	return e.base.serveHTTP(address, web.Limits{
-		Listener: e.base.settings.resources.Main(),
-		Request:  e.requestLimits,
+		Account: e.base.account(name, e.base.settings.resources.Main()),
+		Request: e.requestLimits,
 	}, name, purpose, h)
 }
 
 // ServeAside is Serve for a listener with a small part of the process's resources.
 func (e *Entry) ServeAside(address, name, purpose string, h http.Handler) error {
 	return e.base.serveHTTP(address, web.Limits{
-		Listener: e.base.settings.resources.Side(),
+		Account: e.base.account(name, e.base.settings.resources.Side()),
 	}, name, purpose, h)
 }
 
--- a/internal/process/role/server/observe.go
+++ b/internal/process/role/server/observe.go
@@ -202,6 +202,10 @@
 	if err != nil {
 		return nil, err
 	}
-	sections := []dump.Section{process, duties, events, sent}
+	held, err := b.intakeSection()
+	if err != nil {
+		return nil, err
+	}
+	sections := []dump.Section{process, duties, events, sent, held}
 	return dump.New(append(sections, b.sections...)...)
 }
--- a/internal/process/role/server/server.go
+++ b/internal/process/role/server/server.go
@@ -173,6 +173,8 @@
 	cleanups []func()
 	// sections are parts of the dump beside those of each process.
 	sections []dump.Section
+	// accounts have what each listener holds. They are added before the process runs.
+	accounts []namedAccount
 	// graceEnd is when the grace period ends; nil before the stop signal.
 	graceEnd atomic.Pointer[time.Time]
 	// leaving is closed at the stop signal, lingered when the linger time is over.
@@ -230,7 +232,7 @@
 		return err
 	}
 	return b.serveHTTP(b.settings.metrics, web.Limits{
-		Listener: b.settings.resources.Side(),
+		Account: b.account("metrics", b.settings.resources.Side()),
 	}, "metrics", "Serves metrics and the state dump.", h)
 }
 
@@ -287,6 +289,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", b.settings.link)
 	}
+	l = stream.Limit(l, b.account("link", b.settings.resources.Links()), func() { b.observer.servers.Add("link_"+string(web.RefusedConnection), 1) })
 	return b.add("streams", "Accepts connections of other processes.", nil, func(ctx context.Context) error {
 		failed, cleanup := stream.Serve(l, b.hello, h)
 		defer cleanup()
--- a/internal/process/setting/platform.go
+++ b/internal/process/setting/platform.go
@@ -1,6 +1,9 @@
 package setting
 
-import "strings"
+import (
+	"fmt"
+	"strings"
+)
 
 // platformCommon returns the settings of every process on the users' platform.
 func platformCommon() []Setting {
@@ -29,7 +32,7 @@
 			row("listen", "readiness", "readiness", "Where the load balancer asks whether the entry takes callers.").address(),
 			row("times", "config_apply_ms", "config-apply-ms", "The time in which a confirmed configuration must be in force everywhere. An entry that knows for half of it of a version that it lacks refuses new jobs.").number(2000, 200, 600_000, "ms"),
 		),
-		crossCheck: distinctListeners,
+		crossCheck: checkPlatform,
 	}
 }
 
@@ -40,10 +43,22 @@
 		settings: append(platformCommon(),
 			row("listen", "reports", "reports", "Where the target on this host reports its state.").address(),
 		),
-		crossCheck: distinctListeners,
+		crossCheck: checkPlatform,
 	}
 }
 
+// minDescriptors is the least with which each listener gets connections and the process
+// its own files.
+const minDescriptors = 64
+
+func checkPlatform(v *Values) []Fault {
+	faults := distinctListeners(v)
+	if n := v.Number("limits", "descriptors"); n > 0 && n < minDescriptors {
+		faults = append(faults, v.invalid("limits", "descriptors", fmt.Sprintf("0 or at least %d", minDescriptors))...)
+	}
+	return faults
+}
+
 // distinctListeners reports listeners with the same address.
 func distinctListeners(v *Values) []Fault {
 	var faults []Fault
--- a/internal/process/setting/setting_test.go
+++ b/internal/process/setting/setting_test.go
@@ -109,6 +109,27 @@
 	}
 }
 
+// TestDescriptors guards against so few descriptors that a listener gets none.
+func TestDescriptors(t *testing.T) {
+	tests := map[string]struct {
+		descriptors string
+		allowed     bool
+	}{
+		"no_limit": {descriptors: "0", allowed: true},
+		"enough":   {descriptors: "64", allowed: true},
+		"too_few":  {descriptors: "63"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			Convey("the number is checked", t, func() {
+				file := writeFile(t, "[process]\nname = a\navailability_zone = a\n[listen]\nlink = 127.0.0.1:1\nreports = 127.0.0.1:2\n[store]\naddress = 127.0.0.1:3\n")
+				_, err := setting.Load(setting.PlatformAgent(), setting.NewSources(file, nil, map[string]string{"descriptors": tt.descriptors}))
+				So(err == nil, ShouldEqual, tt.allowed)
+			})
+		})
+	}
+}
+
 // TestOrder guards against a source that overrides one of higher precedence.
 func TestOrder(t *testing.T) {
 	Convey("flags override the environment, which overrides the file", t, func() {
--- a/internal/process/web/connection.go
+++ b/internal/process/web/connection.go
@@ -119,6 +119,7 @@
 	}
 	err := c.Conn.Close()
 	c.release()
+	c.server.account.Ended()
 	c.server.freeSlot()
 	c.server.connectionEnded(c)
 	return err
@@ -222,6 +223,7 @@
 		server:    l.server,
 		headLimit: l.server.limits.request().HeadBytes,
 	}
+	l.server.account.Opened()
 	l.server.connectionOpened(c)
 	return c, nil
 }
--- a/internal/process/web/counter.go
+++ b/internal/process/web/counter.go
@@ -24,6 +24,8 @@
 	ClosedIdle      Counter = "closed_idle"
 	ClosedMemory    Counter = "closed_memory_full"
 	ClosedForOthers Counter = "closed_connections_full"
+	// RefusedConnection is counted for listeners that do not wait for room.
+	RefusedConnection Counter = "refused_connections"
 )
 
 // closedFor has the counter for each reason to close a connection.
@@ -46,6 +48,8 @@
 	ClosedIdle:         "Connections that were closed because no further request arrived in time.",
 	ClosedMemory:       "Connections with part of a request that were closed because the listener held too much.",
 	ClosedForOthers:    "Connections without a whole request that were closed because a client waited for room.",
+
+	RefusedConnection: "Connections of other processes that were closed at once because the listener had as many as it may.",
 }
 
 // Meaning returns a one-sentence description for operators.
--- a/internal/process/web/framing.go
+++ b/internal/process/web/framing.go
@@ -11,6 +11,8 @@
 
 var (
 	carriageReturn   = []byte("\r")
+	http11           = []byte(" HTTP/1.1")
+	chunkedEncoding  = []byte("chunked")
 	contentLength    = []byte("Content-Length")
 	transferEncoding = []byte("Transfer-Encoding")
 )
@@ -22,18 +24,25 @@
 	inBody
 	inChunkSize
 	inChunk
+	inChunkEnd
 	inTrailer
-	// unframed is a connection whose bytes are no request; the server ends it.
+	// unframed is a connection whose bytes are no request, or one whose end is not certain
+	// to be where net/http finds it; the server ends the connection.
 	unframed
 )
 
-// framing finds where requests begin and end in the bytes of a connection.
+// framing finds where requests begin and end in the bytes of a connection. It accepts no
+// folded fields, no bare line feeds in chunked bodies and no chunks before HTTP/1.1, of
+// which readers differ in their opinion.
 type framing struct {
 	state   framingState
 	line    []byte
 	started bool
-	chunked bool
-	length  int64
+	// first is set in the request line, version11 once it ends in HTTP/1.1.
+	first     bool
+	version11 bool
+	chunked   bool
+	length    int64
 	// begun and whole are the numbers of requests of which the first and the last byte
 	// have been read.
 	begun int64
@@ -65,7 +74,7 @@
 
 func (f *framing) dataEnded() {
 	if f.state == inChunk {
-		f.state = inChunkSize
+		f.state = inChunkEnd
 		return
 	}
 	f.requestEnded()
@@ -86,6 +95,7 @@
 			return p[1:]
 		}
 		f.started = true
+		f.first = true
 		f.headBytes = 0
 		f.emptyBytes = 0
 		f.chunked = false
@@ -103,26 +113,42 @@
 		f.kept += int64(taken)
 	}
 	if n >= 0 && len(f.line) == 0 {
-		f.lineEnded(bytes.TrimSuffix(part, carriageReturn))
+		f.lineEnded(part)
 		return p[n+1:]
 	}
-	f.line = append(f.line, part[:min(len(part), maxKeptLine-len(f.line))]...)
+	f.keep(part)
 	if n < 0 {
 		return nil
 	}
-	f.lineEnded(bytes.TrimSuffix(f.line, carriageReturn))
+	f.lineEnded(f.line)
 	f.line = f.line[:0]
 	return p[n+1:]
 }
 
-func (f *framing) lineEnded(line []byte) {
+// keep adds a part of a line up to a limit: the beginning of a line with a field or a
+// length, the end of the request line with the version.
+func (f *framing) keep(part []byte) {
+	if !f.first {
+		f.line = append(f.line, part[:min(len(part), maxKeptLine-len(f.line))]...)
+		return
+	}
+	f.line = append(f.line, part[max(0, len(part)-maxKeptLine):]...)
+	if over := len(f.line) - maxKeptLine; over > 0 {
+		f.line = append(f.line[:0], f.line[over:]...)
+	}
+}
+
+// lineEnded takes a line without its line feed.
+func (f *framing) lineEnded(raw []byte) {
+	line := bytes.TrimSuffix(raw, carriageReturn)
+	if f.state != inHeader {
+		f.chunkLine(line, len(line) < len(raw))
+		return
+	}
 	switch {
-	case f.state == inChunkSize:
-		f.chunkSize(line)
-	case f.state == inTrailer:
-		if len(line) == 0 {
-			f.requestEnded()
-		}
+	case f.first:
+		f.first = false
+		f.version11 = bytes.HasSuffix(line, http11)
 	case len(line) > 0:
 		f.field(line)
 	case f.chunked:
@@ -134,24 +160,42 @@
 	}
 }
 
-func (f *framing) chunkSize(line []byte) {
-	if len(line) == 0 {
-		return
+// chunkLine takes a line of a chunked body. A line that was kept in part has no end that
+// is known, and no meaning beyond its beginning.
+func (f *framing) chunkLine(line []byte, terminated bool) {
+	switch {
+	case !terminated && len(line) < maxKeptLine:
+		f.state = unframed
+	case f.state == inChunkSize:
+		f.chunkSize(line)
+	case f.state == inChunkEnd && len(line) > 0:
+		f.state = unframed
+	case f.state == inChunkEnd:
+		f.state = inChunkSize
+	case len(line) == 0:
+		f.requestEnded()
 	}
+}
+
+func (f *framing) chunkSize(line []byte) {
 	digits, _, _ := bytes.Cut(line, []byte(";"))
-	n, err := strconv.ParseInt(string(bytes.TrimSpace(digits)), 16, 64)
+	n, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 63)
 	switch {
-	case err != nil || n < 0:
+	case err != nil:
 		f.state = unframed
 	case n == 0:
 		f.state = inTrailer
 	default:
-		f.length = n
+		f.length = int64(n)
 		f.state = inChunk
 	}
 }
 
 func (f *framing) field(line []byte) {
+	if line[0] == ' ' || line[0] == '\t' {
+		f.state = unframed
+		return
+	}
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok {
 		return
@@ -166,6 +210,9 @@
 		}
 		f.length = n
 	case bytes.EqualFold(name, transferEncoding):
-		f.chunked = bytes.EqualFold(value, []byte("chunked"))
+		f.chunked = true
+		if !f.version11 || !bytes.EqualFold(value, chunkedEncoding) {
+			f.state = unframed
+		}
 	}
 }
--- a/internal/process/web/limits.go
+++ b/internal/process/web/limits.go
@@ -56,7 +56,8 @@
 
 // Limits are the limits of a server.
 type Limits struct {
-	Listener intake.Limits
+	// Account has the limits of the listener and counts what it holds; nil for none.
+	Account *intake.Account
 	// Request returns the limits in force; nil for the defaults.
 	Request func() RequestLimits
 }
--- a/internal/process/web/limits_test.go
+++ b/internal/process/web/limits_test.go
@@ -48,7 +48,7 @@
 				ran := make(chan bool, 10)
 				address := serveLimited(t, web.Limits{
 					// The least memory that a listener has.
-					Listener: intake.NewResources(1, 0).Main(),
+					Account: intake.NewAccount(intake.NewResources(1, 0).Main()),
 					Request: func() web.RequestLimits {
 						return web.RequestLimits{
 							HeadBytes: headBytes,
@@ -99,7 +99,7 @@
 	Convey("the unused connection goes", t, func() {
 		entered, end := make(chan struct{}), make(chan struct{})
 		address := serveLimited(t, web.Limits{
-			Listener: intake.NewResources(0, 4).Main(),
+			Account: intake.NewAccount(intake.NewResources(0, 4).Main()),
 		}, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/long" {
 				close(entered)
--- a/internal/process/web/web.go
+++ b/internal/process/web/web.go
@@ -142,6 +142,9 @@
 
 // ServeUntil is Serve for a process that announces its end, with limits.
 func ServeUntil(l net.Listener, limits Limits, ending Ending, name, purpose string, h http.Handler) (duty.Duty, func(), error) {
+	if limits.Account == nil {
+		limits.Account = intake.NewAccount(intake.Limits{})
+	}
 	changes, err := ring.New[change](name, changeRingSize)
 	if err != nil {
 		return duty.Duty{}, func() { _ = l.Close() }, err
@@ -152,13 +155,13 @@
 		limits:      limits,
 		changes:     changes,
 		intake:      intake.NewState[*connection](),
-		account:     intake.NewAccount(limits.Listener),
+		account:     limits.Account,
 		connections: map[*connection]bool{},
 		began:       time.Now(),
 	}
 	s.life, s.endLife = context.WithCancel(context.Background())
 	s.accepting, s.endAccepting = context.WithCancel(s.life)
-	if n := limits.Listener.Connections(); n > 0 {
+	if n := limits.Account.Limits().Connections(); n > 0 {
 		s.slots = make(chan struct{}, n+1)
 	}
 	// The duty enforces the times of connections, which may change.
