Leave room for the program's own pages below the memory limit

Cause: the runtime's limit was 80% of limits.memory_mb, but the resident memory also has the pages of the program file, about 16 MB, which that limit does not count. While clients send much that is dropped at once, the heap with its garbage comes close to the limit, and the sum close to the memory of the host: 137.5 MB of 144 with 3,000 connections with endless heads at an agent's reports, 123.5 MB with chunks of one byte at an entry.

Change: the runtime may use 80% of what is left after 16 MB, at least half of all.

--- a/cmd/greengagedoor/platform.go
+++ b/cmd/greengagedoor/platform.go
@@ -19,9 +19,14 @@
 	// gcPercent lets the heap triple between collections. The live heap is small
 	// compared with the memory of the host.
 	gcPercent = 200
-	// memoryShare is the percentage of the memory limit that the Go runtime may use.
-	// The rest is for stacks of the C library and socket buffers.
+	// programMegabytes is for the pages of the program file and of the C library, which the
+	// limit of the Go runtime does not count.
+	programMegabytes = 16
+	// memoryShare is the percentage of the other memory that the Go runtime may use. The
+	// rest is for stacks of the C library and socket buffers.
 	memoryShare = 80
+	// minMemoryShare is the percentage of all memory that it may use on the smallest hosts.
+	minMemoryShare = 50
 )
 
 func platformCommand() *cli.Command {
@@ -52,7 +57,7 @@
 // memory is free and more often near the limit.
 func limitMemory(megabytes int64) {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(megabytes << 20 * memoryShare / 100)
+	debug.SetMemoryLimit(max((megabytes-programMegabytes)<<20*memoryShare, megabytes<<20*minMemoryShare) / 100)
 }
 
 func newDependencies(c *cli.Context, t setting.Table, v *setting.Values) (server.Dependencies, func()) {
