--- a/internal/process/role/server/observe.go
+++ b/internal/process/role/server/observe.go
@@ -230,6 +230,10 @@
 	if err != nil {
 		return nil, err
 	}
-	sections := []dump.Section{process, duties, events, refusals, sent}
+	held, err := b.intakeSection()
+	if err != nil {
+		return nil, err
+	}
+	sections := []dump.Section{process, duties, events, refusals, sent, held}
 	return dump.New(append(sections, b.sections...)...)
 }
