--- a/internal/process/role/server/entries_test.go
+++ b/internal/process/role/server/entries_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"strings"
@@ -84,23 +85,29 @@
 // against a deletion that is read as a value.
 func TestPollOperators(t *testing.T) {
 	tests := map[string]struct {
+		prefix  string
 		changes []keyspace.Change
 		want    []string
+		watched string
 	}{
-		"value":      {changes: []keyspace.Change{keyspace.NewChange(keyspace.NewItem("op/config", []byte("a"), 3), false)}, want: []string{"op/config"}},
-		"deletion":   {changes: []keyspace.Change{keyspace.NewChange(keyspace.NewItem("op/config", nil, 3), true)}},
-		"beside_odd": {changes: []keyspace.Change{keyspace.NewChange(keyspace.NewInvalidItem("", errors.New("odd")), false), keyspace.NewChange(keyspace.NewItem("op/config", []byte("a"), 3), false)}, want: []string{"", "op/config"}},
-		"other_key":  {changes: []keyspace.Change{keyspace.NewChange(keyspace.NewItem("op/other", []byte("a"), 3), false)}},
+		"value":                  {changes: []keyspace.Change{keyspace.NewChange(keyspace.NewItem("op/config", []byte("a"), 3), false)}, want: []string{"op/config"}},
+		"deletion":               {changes: []keyspace.Change{keyspace.NewChange(keyspace.NewItem("op/config", nil, 3), true)}},
+		"beside_odd":             {changes: []keyspace.Change{keyspace.NewChange(keyspace.NewInvalidItem("", errors.New("odd")), false), keyspace.NewChange(keyspace.NewItem("op/config", []byte("a"), 3), false)}, want: []string{"", "op/config"}},
+		"evacuations_are_served": {prefix: "op/", watched: "op/"},
+		"other_key":              {changes: []keyspace.Change{keyspace.NewChange(keyspace.NewItem("op/other", []byte("a"), 3), false)}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			Convey("each value of the key is passed on, and each odd item logged", t, func() {
 				var got []string
+				watched := ""
 				w := configurationWatch{
 					deps: Dependencies{
 						ConfigurationKey: "op/config",
+						OperatorsPrefix:  tt.prefix,
 						Store: keyspace.Store{
-							Watch: func(context.Context, string, int64, time.Duration) ([]keyspace.Change, int64, error) {
+							Watch: func(_ context.Context, prefix string, _ int64, _ time.Duration) ([]keyspace.Change, int64, error) {
+								watched = prefix
 								return tt.changes, 9, nil
 							},
 						},
@@ -116,6 +123,7 @@
 					w.pass(context.Background(), c, 0, false)
 				}
 				So(got, ShouldResemble, tt.want)
+				So(watched, ShouldEqual, cmp.Or(tt.watched, "op/config"))
 			})
 		})
 	}
--- a/internal/process/setting/setting_test.go
+++ b/internal/process/setting/setting_test.go
@@ -109,6 +109,39 @@
 	}
 }
 
+// TestUnsetEvacuation guards against an entry that does not start where the platform has no
+// bound for evacuations and renders an empty value.
+func TestUnsetEvacuation(t *testing.T) {
+	sample, err := os.ReadFile("../../../samples/platform_entry.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := map[string]struct {
+		value string
+		want  int64
+		fault bool
+	}{
+		"empty":    {value: "", want: 0},
+		"off":      {value: " 0", want: 0},
+		"set":      {value: " 5000", want: 5000},
+		"negative": {value: " -1", fault: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			Convey("an empty value turns evacuations off", t, func() {
+				file := filepath.Join(t.TempDir(), "s.ini")
+				text := strings.Replace(string(sample), "evacuate_ms = 5000", "evacuate_ms ="+tt.value, 1)
+				So(os.WriteFile(file, []byte(text), 0o600), ShouldBeNil)
+				v, err := setting.Load(setting.PlatformEntry(), setting.NewSources(file, nil, nil))
+				So(err != nil, ShouldEqual, tt.fault)
+				if err == nil {
+					So(v.Number("times", "evacuate_ms"), ShouldEqual, tt.want)
+				}
+			})
+		})
+	}
+}
+
 // TestOrder guards against a source that overrides one of higher precedence.
 func TestOrder(t *testing.T) {
 	Convey("flags override the environment, which overrides the file", t, func() {
