Bound the wait of a job by a share of its commitment

A share of the time in which an answer is of use let each kind wait for about the same time, so that kinds with long commitments, which rank last, were refused most: at a crest in short jobs 0.53 of the long ones.

--- a/internal/process/role/dispatch/admission.go
+++ b/internal/process/role/dispatch/admission.go
@@ -76,7 +76,7 @@
 // admission decides on a job that has not started, behind a backlog, with the entry's share
 // of the targets.
 func (d *Dispatch) admission(now time.Duration, j *job, ahead admission.Backlog, s share, decide Decide) admission.Decision {
-	work := admission.NewJob(j.cores, j.coreSeconds, j.fastestTime, j.model.spread(), j.usefulUntil)
+	work := admission.NewJob(j.cores, j.coreSeconds, j.fastestTime, j.model.spread()).WithTimes(j.due, j.usefulUntil)
 	if s.runs < minRateRuns && ahead.Jobs() == 0 {
 		return admission.Undecided(now, work)
 	}
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -7,8 +7,7 @@
 // arrives, and so is roughly when its last task will end.
 //
 // A short queue is enough to keep the targets busy. So a job is refused at once if the
-// queue before it takes more than a small share of the time in which its answer is of
-// use, or if that answer would come too late. The own size of a job has no part in the
+// queue before it takes more than a small share of the time of its commitment, or if that answer would come too late. The own size of a job has no part in the
 // former, so that large jobs are refused no sooner than small ones. Without a queue no
 // job is refused.
 //
@@ -25,10 +24,10 @@
 
 // The parameters of admission.
 const (
-	// maxWaitShare is the share of the time in which an answer is of use that a job may
-	// wait. It keeps targets busy between the ends of two runs, and leaves the rest to the
-	// run, whose length is known the least.
-	maxWaitShare = 0.025
+	// maxWaitShare is the share of the time of its commitment that a job may wait. It keeps
+	// targets busy between the ends of two runs, and leaves the rest to the run, whose
+	// length is known the least.
+	maxWaitShare = 0.06
 	// minQueue is the number of jobs that may wait in any case, since a short wait can't be
 	// told from a long one by so few.
 	minQueue = 4
@@ -129,22 +128,30 @@
 	work        float64
 	runTime     time.Duration
 	spread      float64
+	due         time.Duration
 	usefulUntil time.Duration
 }
 
 // NewJob returns a job whose tasks need cores in total and do an amount of work. The run
 // time is the expected one of its longest chain of tasks on a fast target, and spread the
-// standard deviation of its logarithm. From usefulUntil on, an answer is of no use.
-func NewJob(cores, work float64, runTime time.Duration, spread float64, usefulUntil time.Duration) Job {
+// standard deviation of its logarithm.
+func NewJob(cores, work float64, runTime time.Duration, spread float64) Job {
 	return Job{
-		cores:       cores,
-		work:        work,
-		runTime:     runTime,
-		spread:      spread,
-		usefulUntil: usefulUntil,
+		cores:   cores,
+		work:    work,
+		runTime: runTime,
+		spread:  spread,
 	}
 }
 
+// WithTimes returns the job with the time of its commitment, and that from which an
+// answer is of no use.
+func (j Job) WithTimes(due, usefulUntil time.Duration) Job {
+	j.due = due
+	j.usefulUntil = usefulUntil
+	return j
+}
+
 // Decision is the result for one job.
 type Decision struct {
 	reason      Reason
@@ -177,7 +184,7 @@
 // Decide decides on a job that arrives now, behind a backlog.
 func Decide(now time.Duration, j Job, ahead Backlog, c Capacity) Decision {
 	d := Keep(now, j, ahead, c)
-	if ahead.jobs >= minQueue && c.wait(ahead) > scale(j.usefulUntil-now, maxWaitShare) {
+	if ahead.jobs >= minQueue && c.wait(ahead) > scale(j.due-now, maxWaitShare) {
 		d.reason = ReasonBacklog
 	}
 	return d
--- a/internal/request/admission/admission_test.go
+++ b/internal/request/admission/admission_test.go
@@ -14,8 +14,8 @@
 func TestDecide(t *testing.T) {
 	const now = time.Minute
 	// small is a job of two tasks, large one of twenty that are four times as long.
-	small := NewJob(3, 0.6, 200*ms, 0.4, now+1200*ms)
-	large := NewJob(30, 24, 800*ms, 0.4, now+1500*ms)
+	small := NewJob(3, 0.6, 200*ms, 0.4).WithTimes(now+400*ms, now+1200*ms)
+	large := NewJob(30, 24, 800*ms, 0.4).WithTimes(now+500*ms, now+1500*ms)
 	tests := map[string]struct {
 		job        Job
 		queued     int
