--- a/internal/process/role/dispatch/admission.go
+++ b/internal/process/role/dispatch/admission.go
@@ -109,7 +109,11 @@
 			shares[service] = s
 		}
 		ahead := getOrCreate(backlogs, service)
-		if x := d.admission(now, j, *ahead, s, d.keep); x.Reason() != "" && !j.started {
+		if j.started {
+			j.addTo(ahead)
+			continue
+		}
+		if x := d.admission(now, j, *ahead, s, d.keep); x.Reason() != "" {
 			d.finish(now, j, StateRefused, string(x.Reason()))
 			continue
 		}
