Let tasks wait for the rack with their data where that pays

Cause: a task whose data is on one rack started elsewhere whenever that rack was full, at a run time that was taken as 1.5 times as long in every deployment, while the platform sets 1.5 to 3. It then occupied a target for that much longer.

Change: the factor is the setting placement.remote_factor, and it applies to the run time on the target in question. Runs away from their data no longer distort the factors of targets.

--- a/cmd/greengagedoor/platform.go
+++ b/cmd/greengagedoor/platform.go
@@ -101,6 +101,16 @@
 	})
 }
 
+// entrySettings adds the settings that only entries have.
+func entrySettings(s server.Settings, v *setting.Values) server.Settings {
+	s = s.WithConfigApply(v.Milliseconds("times", "config_apply_ms")).
+		WithRemoteFactor(v.Decimal("placement", "remote_factor"))
+	if v.Text("placement", "wait_for_rack") == "off" {
+		return s.WithoutWaits()
+	}
+	return s
+}
+
 func platformEntryCommand() *cli.Command {
 	return roleCommand(setting.PlatformEntry(), "run the entry for callers", func(c *cli.Context, v *setting.Values) error {
 		s, err := commonSettings(v)
@@ -112,7 +122,7 @@
 		if v.Number("times", "evacuate_ms") > 0 {
 			dependencies.OperatorsPrefix = platform.OperatorsPrefix
 		}
-		e, cleanup, err := server.NewEntry(s.WithConfigApply(v.Milliseconds("times", "config_apply_ms")), dependencies)
+		e, cleanup, err := server.NewEntry(entrySettings(s, v), dependencies)
 		if err != nil {
 			return err
 		}
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -29,6 +29,7 @@
 	TaskOverdue  Name = "task_overdue"
 	TaskUnsuited Name = "task_unsuited"
 	TaskRescued  Name = "task_rescued"
+	TaskWaited   Name = "task_waited"
 
 	OverloadBegan Name = "overload_began"
 	OverloadEnded Name = "overload_ended"
@@ -99,6 +100,7 @@
 	TaskOverdue:      "A run cannot end while its caller still waits; it moves to a faster target, or its job is abandoned.",
 	TaskUnsuited:     "The target of a run turned out to be of another kind than the task needs; the run is stopped and the task is placed again.",
 	TaskRescued:      "A run is stopped since its target leaves before the run probably ends; the task is placed again. The line has the time until the target leaves and by how much the probability of an answer in time rises.",
+	TaskWaited:       "A task waited for a place on the rack with its data while there was room elsewhere; the line has the expected and the real wait, its limit and its outcome.",
 	OverloadBegan:    "Events wait too long for an entry that is short of processor time; it refuses new jobs.",
 	OverloadEnded:    "Events no longer wait too long for the entry; it accepts jobs again.",
 	RunStarted:       "A target accepted a run.",
--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -357,7 +357,7 @@
 		d.updateTarget(now, a, *f.Target)
 	}
 	if f.FreeCapacity != nil {
-		a.updateCapacity(*f.FreeCapacity)
+		d.updateCapacity(now, a, *f.FreeCapacity)
 	}
 	for _, id := range f.Started {
 		if x, ok := a.runs[id]; ok {
--- a/internal/process/role/dispatch/attempt.go
+++ b/internal/process/role/dispatch/attempt.go
@@ -83,6 +83,7 @@
 	}
 	t.attempt = nil
 	j := t.job
+	d.observeRoom(now, a, -x.need.MilliCores())
 	d.observe(now, a, x, end, ran)
 	if j.ended {
 		return
--- a/internal/process/role/dispatch/departure.go
+++ b/internal/process/role/dispatch/departure.go
@@ -71,7 +71,7 @@
 	base := d.baseTime(x.task)
 	spread := j.model.spread()
 	if x.projectedTime > 0 {
-		base = time.Duration(float64(x.projectedTime) / a.speed.value())
+		base = time.Duration(float64(x.projectedTime) / (a.speed.value() * d.distance(a, s)))
 		spread = moveSlack
 	}
 	best := time.Duration(0)
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -42,6 +42,9 @@
 	configApply       time.Duration
 }
 
+// defaultRemoteFactor applies where no factor for tasks away from their data is set.
+const defaultRemoteFactor = 1.5
+
 // defaultConfigApply is the time in which a confirmed configuration must be in force
 // everywhere, where none is set.
 const defaultConfigApply = 2 * time.Second
@@ -115,6 +118,14 @@
 	keep   Decide
 	// lastPlaced is when a task was last sent to an agent.
 	lastPlaced time.Duration
+	// remoteFactor is the run time of a task away from its data over that beside it.
+	remoteFactor float64
+	// neverWait is set if tasks do not wait for the rack with their data.
+	neverWait bool
+	// waitingFor counts the tasks that wait for a place on a rack in this pass.
+	waitingFor map[string]int
+	// freed has the room that runs of other entries free on each rack.
+	freed map[string]*freedRoom
 	// loads has the load by hardware label, and lowestLoad the lowest of them, 1 if
 	// there is none. They were measured in this pass if loadMeasured is set.
 	loads        map[string]*hardwareLoad
@@ -179,7 +190,26 @@
 		passedOn:       newPassedOn(),
 		decide:         admission.Decide,
 		keep:           admission.Keep,
+		remoteFactor:   defaultRemoteFactor,
+		waitingFor:     map[string]int{},
+		freed:          map[string]*freedRoom{},
+	}
+}
+
+// WithRemoteFactor sets the factor by which a task takes longer on another rack than the
+// one with its data. Zero keeps the default. It returns the state machine.
+func (d *Dispatch) WithRemoteFactor(f float64) *Dispatch {
+	if f > 0 {
+		d.remoteFactor = f
 	}
+	return d
+}
+
+// WithoutWaits makes tasks start at once where there is room, whatever rack has their
+// data. It returns the state machine.
+func (d *Dispatch) WithoutWaits() *Dispatch {
+	d.neverWait = true
+	return d
 }
 
 // Handle processes events in their order and returns the actions to perform. It
--- a/internal/process/role/dispatch/dispatch_test.go
+++ b/internal/process/role/dispatch/dispatch_test.go
@@ -30,6 +30,8 @@
 	configs  []dispatch.ReceivedConfig
 	// evacuated has the revisions of the sets of evacuated zones that were sent.
 	evacuated []int64
+	// waitOutcome is the outcome of the last wait of a task that was logged.
+	waitOutcome string
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -63,6 +65,9 @@
 		}
 	}
 	fx.configs = append(fx.configs, out.Configs()...)
+	for _, n := range out.Notes() {
+		fx.noteWait(n)
+	}
 }
 
 func (fx *fixture) version(number int64, attempts int) {
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -97,6 +97,7 @@
 	// progress of a run that was stopped because only a faster target can end the task
 	// in time. It is 0 before such a run.
 	measuredTime time.Duration
+	wait         wait
 	attempt      *attempt
 	done         bool
 }
@@ -299,6 +300,7 @@
 	}
 	delete(d.jobs, j.work.ID())
 	d.dequeue(j)
+	d.endWaits(now, j)
 	if reason != reasonCallersLeft {
 		d.fairness.observe(j.fairnessGroup, s == StateComplete && now <= j.due)
 	}
--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -76,6 +76,7 @@
 		return
 	}
 	d.findCandidates(now)
+	clear(d.waitingFor)
 	d.scratch = append(d.scratch[:0], d.queue...)
 	blocked := 0
 	for _, j := range d.scratch {
@@ -111,7 +112,15 @@
 			rest = append(rest, t)
 			continue
 		}
+		if d.stillWaits(now, t) {
+			rest = append(rest, t)
+			continue
+		}
 		a := d.chooseAgent(now, t)
+		if a != nil && d.shouldWait(now, t, a) {
+			rest = append(rest, t)
+			continue
+		}
 		if a == nil {
 			rest = append(rest, j.ready[i:]...)
 			placedAll = false
@@ -202,10 +211,7 @@
 // expectedTime returns the expected run time on an agent, including cold start,
 // transfers from another rack, and the penalty of another availability zone.
 func (d *Dispatch) expectedTime(a *agent, s task.Step, base time.Duration) time.Duration {
-	x := time.Duration(float64(base)*a.speed.value()) + a.warmUp
-	if s.Rack() != "" && a.rack() != s.Rack() {
-		x += base / 2
-	}
+	x := time.Duration(float64(base)*a.speed.value()*d.distance(a, s)) + a.warmUp
 	if a.zone != d.hello.Zone() {
 		x += zonePenalty
 	}
@@ -272,6 +278,7 @@
 	}
 	d.countStart(a)
 	t.attempt = x
+	d.endWait(now, t, a)
 	j.started = true
 	a.runs[x.id] = x
 	d.running[t.name] = x
--- a/internal/process/role/dispatch/progress.go
+++ b/internal/process/role/dispatch/progress.go
@@ -41,7 +41,7 @@
 	// The percentage is rounded down, so the next percent may be almost done.
 	least := ran * 100 / time.Duration(p.Percent()+1)
 	start := d.earliestStart(now, x, p)
-	own := a.speed.value()
+	own := a.speed.value() * d.distance(a, j.work.Steps()[x.task.step])
 	if start+least <= j.deadline {
 		d.moveIfSafer(now, a, x, p, start, own)
 		return
@@ -98,7 +98,7 @@
 func (d *Dispatch) observeProjection(a *agent, x *attempt) {
 	j := x.task.job
 	s := j.work.Steps()[x.task.step]
-	expected := float64(j.model.base(s.Estimate())) * a.speed.value()
+	expected := float64(j.model.base(s.Estimate())) * a.speed.value() * d.distance(a, s)
 	if j.observedRatio.count > 0 || expected <= 0 {
 		return
 	}
--- a/internal/process/role/dispatch/simulation/cluster_test.go
+++ b/internal/process/role/dispatch/simulation/cluster_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
+	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/role/dispatch"
 	"greengagedoor.example/greengagedoor/internal/request/task"
 	"greengagedoor.example/greengagedoor/internal/version/route"
@@ -73,7 +74,9 @@
 	// label is the one that the targets of the job's tasks must have, "" for any.
 	label string
 	// zone is that of the entry that the job was submitted to, where it is compared.
-	zone        string
+	zone string
+	// rack has the data of the job's tasks; empty if they have none.
+	rack        string
 	answered    bool
 	submittedAt time.Duration
 	answeredAt  time.Duration
@@ -121,6 +124,15 @@
 	store *simStore
 	// evacuations has the operators' requests to evacuate zones; nil for none.
 	evacuations *simEvacuations
+	// remoteFactor is the run time of tasks away from their data over that beside it, 0 for
+	// the usual one. neverWait is set if entries do not wait for the rack with the data.
+	remoteFactor float64
+	neverWait    bool
+	// waits are the logged waits of tasks, and ended the logged ends of jobs.
+	waits []event.Note
+	ended []event.Note
+	// away counts the runs away from their data.
+	away int
 }
 
 func newCluster(t *testing.T, seed uint64, entries, agents int, limit time.Duration) *cluster {
@@ -289,7 +301,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	e.handle(dispatch.Submitted(dispatch.NewSubmission("", "", j.path(), c.callerTimeout).WithWork("spec", []task.Step{step.WithLabel(j.label)}).WithRequest(n)))
+	e.handle(dispatch.Submitted(dispatch.NewSubmission("", "", j.path(), c.callerTimeout).WithWork("spec", []task.Step{step.WithLabel(j.label).WithRack(j.rack)}).WithRequest(n)))
 	c.after(c.callerTimeout, func() {
 		if _, open := c.pending[n]; !open {
 			return
--- a/internal/process/role/dispatch/simulation/process_test.go
+++ b/internal/process/role/dispatch/simulation/process_test.go
@@ -62,7 +62,10 @@
 func (e *simEntry) start() {
 	e.incarnation++
 	e.d = dispatch.New(frame.NewHello(e.name, e.incarnation, e.zone, e.name, frame.RoleEntry),
-		dispatch.NewTiming(sessionTimeout, executor.NewTiming(lease, sessionTimeout, heartbeatInterval).RunsEndWithin(), heartbeatInterval))
+		dispatch.NewTiming(sessionTimeout, executor.NewTiming(lease, sessionTimeout, heartbeatInterval).RunsEndWithin(), heartbeatInterval)).WithRemoteFactor(e.c.remoteFactor)
+	if e.c.neverWait {
+		e.d.WithoutWaits()
+	}
 	e.links = map[uint64]*simLink{}
 	e.peerLinks = map[uint64]*simPeerLink{}
 	e.requests = map[uint64]*simJob{}
@@ -162,6 +165,12 @@
 		if n.Name() == event.SessionLost {
 			e.sessionsLost++
 		}
+		switch n.Name() {
+		case event.TaskWaited:
+			e.c.waits = append(e.c.waits, n)
+		case event.JobEnded:
+			e.c.ended = append(e.c.ended, n)
+		}
 	}
 	for _, a := range out.Answers() {
 		if reply, ok := e.c.pending[a.Request()]; ok {
--- a/internal/process/role/dispatch/simulation/target_test.go
+++ b/internal/process/role/dispatch/simulation/target_test.go
@@ -207,7 +207,7 @@
 	t.c.oracle.began(t, id)
 	t.served = true
 	t.used = t.used.Add(need)
-	length := time.Duration(float64(t.c.length(id)) * t.factor)
+	length := time.Duration(float64(t.c.length(id)) * t.factor * t.distance(id))
 	if t.c.now < t.coldUntil {
 		length *= 2
 	}
@@ -235,6 +235,15 @@
 	})
 }
 
+// distance returns the factor by which a run takes longer than on the rack with its data.
+func (t *simTarget) distance(id task.Run) float64 {
+	if j := t.c.jobs[id.Job()]; j == nil || j.rack == "" || slices.Contains(t.labels, j.rack) {
+		return 1
+	}
+	t.c.away++
+	return t.c.remoteFactor
+}
+
 func (t *simTarget) extend(expires time.Duration) {
 	expires = min(expires, t.clock()+time.Second)
 	for _, r := range t.running {
--- a/internal/process/role/dispatch/target.go
+++ b/internal/process/role/dispatch/target.go
@@ -58,7 +58,7 @@
 	}
 }
 
-func (a *agent) updateCapacity(r frame.FreeCapacity) {
+func (d *Dispatch) updateCapacity(now time.Duration, a *agent, r frame.FreeCapacity) {
 	a.free = resourcesOrZero(r.Amounts())
 	a.queuedStarts = r.Queued()
 	kept := a.unreported[:0]
@@ -68,5 +68,7 @@
 		}
 	}
 	a.unreported = kept
+	before := a.left
 	a.updateLeft()
+	d.observeRoom(now, a, a.left.MilliCores()-before.MilliCores())
 }
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -101,7 +101,7 @@
 	}
 	e := &Entry{
 		base:     b,
-		dispatch: dispatch.New(b.hello, s.dispatchTiming()),
+		dispatch: s.newDispatch(b.hello),
 		ring:     r,
 		streams:  map[uint64]*stream.Stream{},
 		hellos:   map[uint64]frame.Hello{},
--- a/internal/process/role/server/observe.go
+++ b/internal/process/role/server/observe.go
@@ -31,6 +31,7 @@
 	event.TaskPlaced: {"waited_ms"},
 	event.RunStarted: {"order_ms"},
 	event.RunEnded:   {"ran_ms"},
+	event.TaskWaited: {"waited_ms"},
 }
 
 // observer counts the events of a process and keeps latency histograms. The counters
@@ -48,6 +49,8 @@
 	sentFrames *expvar.Map
 	// links counts connections to entries by what became of them.
 	links *expvar.Map
+	// waits counts the waits of tasks for a better place by their outcome.
+	waits *expvar.Map
 	// unsentAge is the age of the oldest frame that waits to be written, in ms.
 	unsentAge *expvar.Int
 	// evacuatedZones is the number of evacuated availability zones that the process knows of.
@@ -71,6 +74,7 @@
 		evacuatedZones: new(expvar.Int),
 		ring:           r,
 		refusals:       new(expvar.Map).Init(),
+		waits:          new(expvar.Map).Init(),
 	}
 	o.vars.Set("events", o.events)
 	o.vars.Set("refusals", o.refusals)
@@ -78,6 +82,7 @@
 	o.vars.Set("sent_bytes", o.sentBytes)
 	o.vars.Set("sent_frames", o.sentFrames)
 	o.vars.Set("links", o.links)
+	o.vars.Set("waits", o.waits)
 	o.vars.Set("unsent_age_ms", o.unsentAge)
 	o.vars.Set("evacuated_zones", o.evacuatedZones)
 	o.vars.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
@@ -92,18 +97,22 @@
 // observe counts an event. If the ring is full, only a histogram sample is lost.
 func (o *observer) observe(n event.Note) {
 	o.events.Add(string(n.Name()), 1)
-	if n.Name() == event.JobRefused {
-		o.countRefusal(n)
+	switch n.Name() {
+	case event.JobRefused:
+		countBy(o.refusals, n, "reason")
+	case event.TaskWaited:
+		countBy(o.waits, n, "outcome")
 	}
 	if len(latencies[n.Name()]) > 0 {
 		_ = o.ring.TryPush(n)
 	}
 }
 
-func (o *observer) countRefusal(n event.Note) {
+// countBy counts an event in m by the text of one of its fields.
+func countBy(m *expvar.Map, n event.Note, field string) {
 	for _, f := range n.Fields() {
-		if reason, ok := f.Value().(string); ok && f.Key() == "reason" {
-			o.refusals.Add(reason, 1)
+		if text, ok := f.Value().(string); ok && f.Key() == field {
+			m.Add(text, 1)
 		}
 	}
 }
@@ -230,6 +239,14 @@
 	if err != nil {
 		return nil, err
 	}
-	sections := []dump.Section{process, duties, events, refusals, sent}
+	waits, err := dump.NewSection("waits", "The waits of tasks for a better place by their outcome.", func() []string {
+		var lines []string
+		b.observer.waits.Do(func(kv expvar.KeyValue) { lines = append(lines, kv.Key+" "+kv.Value.String()) })
+		return lines
+	})
+	if err != nil {
+		return nil, err
+	}
+	sections := []dump.Section{process, duties, events, refusals, sent, waits}
 	return dump.New(append(sections, b.sections...)...)
 }
--- a/internal/process/role/server/server.go
+++ b/internal/process/role/server/server.go
@@ -72,6 +72,11 @@
 	configApply time.Duration
 	// resources are what the process may use; the zero value has no limits.
 	resources intake.Resources
+	// remoteFactor is the run time away from a task's data over that beside it; 0 for
+	// the dispatcher's default.
+	remoteFactor float64
+	// neverWait is set if tasks do not wait for the rack with their data.
+	neverWait bool
 }
 
 // NewSettings returns the settings of a process: its name, its availability zone,
@@ -120,6 +125,29 @@
 	return s
 }
 
+// WithRemoteFactor returns the settings with the factor by which a task takes longer on
+// another rack than the one with its data. Zero keeps the default.
+func (s Settings) WithRemoteFactor(f float64) Settings {
+	s.remoteFactor = f
+	return s
+}
+
+// WithoutWaits returns the settings of an entry whose tasks do not wait for the rack with
+// their data.
+func (s Settings) WithoutWaits() Settings {
+	s.neverWait = true
+	return s
+}
+
+// newDispatch returns the dispatcher of an entry.
+func (s Settings) newDispatch(hello frame.Hello) *dispatch.Dispatch {
+	d := dispatch.New(hello, s.dispatchTiming()).WithRemoteFactor(s.remoteFactor)
+	if s.neverWait {
+		return d.WithoutWaits()
+	}
+	return d
+}
+
 // AdvertisedAt returns the settings of a process that others reach at a different
 // address than the one it listens on. An empty address changes nothing.
 func (s Settings) AdvertisedAt(address string) Settings {
--- a/internal/process/setting/load.go
+++ b/internal/process/setting/load.go
@@ -58,6 +58,16 @@
 	return n
 }
 
+// Decimal returns the value of a number that may have a fraction, or 0 if it is empty or
+// another kind of setting.
+func (v *Values) Decimal(section, key string) float64 {
+	n, err := strconv.ParseFloat(v.Text(section, key), 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // List returns the elements of a comma-separated setting, without empty ones.
 func (v *Values) List(section, key string) []string {
 	var list []string
--- a/internal/process/setting/platform.go
+++ b/internal/process/setting/platform.go
@@ -29,6 +29,8 @@
 			row("listen", "readiness", "readiness", "Where the load balancer asks whether the entry takes callers.").address(),
 			row("times", "config_apply_ms", "config-apply-ms", "The time in which a confirmed configuration must be in force everywhere. An entry that knows for half of it of a version that it lacks refuses new jobs.").number(2000, 200, 600_000, "ms"),
 			row("times", "evacuate_ms", "evacuate-ms", "The time in which no more work may start in an availability zone whose evacuation was confirmed; 0 or empty where none is ever evacuated, so that requests for it are not read.").number(0, 0, 600_000, "ms").optional(),
+			row("placement", "remote_factor", "remote-factor", "How many times as long a task takes on another rack than the one with its data. Empty for the default.").decimal(1.5, 1, 10, "").optional(),
+			row("placement", "wait_for_rack", "wait-for-rack", "Whether a task may wait for a place on the rack with its data while there is room elsewhere.").choice("on", "off"),
 		),
 		crossCheck: distinctListeners,
 	}
--- a/internal/process/setting/setting.go
+++ b/internal/process/setting/setting.go
@@ -195,6 +195,18 @@
 	return s
 }
 
+// decimal restricts the value to a number from low to high that may have a fraction.
+func (s Setting) decimal(def, low, high float64, unit string) Setting {
+	s.def = strconv.FormatFloat(def, 'f', -1, 64)
+	s.unit = unit
+	s.allowed = strconv.FormatFloat(low, 'f', -1, 64) + " to " + strconv.FormatFloat(high, 'f', -1, 64) + ", with or without a fraction"
+	s.check = func(v string) bool {
+		n, err := strconv.ParseFloat(v, 64)
+		return err == nil && n >= low && n <= high
+	}
+	return s
+}
+
 // choice restricts the value to a list; the first one is the default.
 func (s Setting) choice(values ...string) Setting {
 	s.def = values[0]
