Keep slow targets free of late work where places are scarce

Cause: a task waited for the fastest target only if it was clearly more likely to be in time there after 120 ms, whatever the load. At a load peak most tasks therefore started on slow targets where they were late, and kept from them others that would have been in time there.

Change: where another task waits for each place, no wait is charged against a target that is clearly faster. With room for others the rule is as before.

--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -6,6 +6,7 @@
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/process/event"
+	"greengagedoor.example/greengagedoor/internal/request/placement"
 	"greengagedoor.example/greengagedoor/internal/request/task"
 )
 
@@ -39,10 +40,8 @@
 	freeLoadLimit = 0.6
 	speedWeight   = 0.05
 	// minWaitGain is the gain in the probability of ending in time for which a task
-	// waits expectedWait for the fastest target. Under load, runs end on each target
-	// every few ms.
-	minWaitGain  = 0.1
-	expectedWait = 120 * time.Millisecond
+	// waits for the fastest target.
+	minWaitGain = 0.1
 	// maxReportAge is the age of an agent's last frame from which it gets no new work,
 	// since a start would expire before it arrives.
 	maxReportAge = 300 * time.Millisecond
@@ -232,15 +231,16 @@
 		return 0, false
 	}
 	inTime := probabilityWithin(j.due-now, x, spread)
-	if x > j.fastestTime+expectedWait && inTime+minWaitGain < probabilityWithin(j.due-now-expectedWait, j.fastestTime, spread) {
+	d.measureLoad()
+	u := scarcity(a.load.share())
+	wait := placement.Charge(x, j.fastestTime, u)
+	if x > j.fastestTime+wait && inTime+minWaitGain < probabilityWithin(j.due-now-wait, j.fastestTime, spread) {
 		return 0, false
 	}
 	late := 1 - inTime
 	if t.avoidAgents[a.name] {
 		late += avoidWeight
 	}
-	d.measureLoad()
-	u := scarcity(a.load.share())
 	return jobValue(j.relativeSize)*(lateWeight*late+lossWeight*(1-useful)) + loadWeight*u*u + x.Seconds()*speedWeight, true
 }
 
--- a/internal/request/placement/placement_test.go
+++ b/internal/request/placement/placement_test.go
@@ -142,3 +142,26 @@
 		})
 	}
 }
+
+// TestCharge guards against runs that are late on slow targets while others wait for
+// them, and against waits for a target that only seems faster.
+func TestCharge(t *testing.T) {
+	tests := map[string]struct {
+		here     time.Duration
+		scarcity float64
+		want     time.Duration
+	}{
+		"slower_and_scarce":     {here: 140 * ms, scarcity: 0.5, want: 0},
+		"slower_with_room":      {here: 140 * ms, scarcity: 0.4, want: 120 * ms},
+		"within_error":          {here: 125 * ms, scarcity: 1, want: 120 * ms},
+		"far_slower_with_room":  {here: 400 * ms, scarcity: 0, want: 120 * ms},
+		"far_slower_and_scarce": {here: 400 * ms, scarcity: 1, want: 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			Convey("the charge depends on what the run takes from others", t, func() {
+				So(placement.Charge(tt.here, 100*ms, tt.scarcity), ShouldEqual, tt.want)
+			})
+		})
+	}
+}
