Check a configuration of the platform before it is sent

Cause: an operator learns of a mistake in a configuration only from the entries that have it in force: routes that they leave out, and values that count as others.

The existing command config check is for configurations of the other path.

--- a/cmd/greengagedoor/platform.go
+++ b/cmd/greengagedoor/platform.go
@@ -27,10 +27,11 @@
 func platformCommand() *cli.Command {
 	return documented(&cli.Command{
 		Name:  "platform",
-		Usage: "run a role on the users' platform",
+		Usage: "run a role on the users' platform, or check a configuration of it",
 		Subcommands: []*cli.Command{
 			platformAgentCommand(),
 			platformEntryCommand(),
+			platformCheckCommand(),
 		},
 	})
 }
