--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -6,6 +6,7 @@
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/process/event"
+	"greengagedoor.example/greengagedoor/internal/request/placement"
 	"greengagedoor.example/greengagedoor/internal/request/task"
 )
 
@@ -39,10 +40,8 @@
 	freeLoadLimit = 0.6
 	speedWeight   = 0.05
 	// minWaitGain is the gain in the probability of ending in time for which a task
-	// waits expectedWait for the fastest target. Under load, runs end on each target
-	// every few ms.
-	minWaitGain  = 0.1
-	expectedWait = 120 * time.Millisecond
+	// waits for the fastest target.
+	minWaitGain = 0.1
 	// maxReportAge is the age of an agent's last frame from which it gets no new work,
 	// since a start would expire before it arrives.
 	maxReportAge = 300 * time.Millisecond
@@ -76,6 +75,7 @@
 		return
 	}
 	d.findCandidates(now)
+	clear(d.waitingFor)
 	d.scratch = append(d.scratch[:0], d.queue...)
 	blocked := 0
 	for _, j := range d.scratch {
@@ -111,7 +111,15 @@
 			rest = append(rest, t)
 			continue
 		}
+		if d.stillWaits(now, t) {
+			rest = append(rest, t)
+			continue
+		}
 		a := d.chooseAgent(now, t)
+		if a != nil && d.shouldWait(now, t, a) {
+			rest = append(rest, t)
+			continue
+		}
 		if a == nil {
 			rest = append(rest, j.ready[i:]...)
 			placedAll = false
@@ -202,10 +210,7 @@
 // expectedTime returns the expected run time on an agent, including cold start,
 // transfers from another rack, and the penalty of another availability zone.
 func (d *Dispatch) expectedTime(a *agent, s task.Step, base time.Duration) time.Duration {
-	x := time.Duration(float64(base)*a.speed.value()) + a.warmUp
-	if s.Rack() != "" && a.rack() != s.Rack() {
-		x += base / 2
-	}
+	x := time.Duration(float64(base)*a.speed.value()*d.distance(a, s)) + a.warmUp
 	if a.zone != d.hello.Zone() {
 		x += zonePenalty
 	}
@@ -226,15 +231,16 @@
 		return 0, false
 	}
 	inTime := probabilityWithin(j.due-now, x, spread)
-	if x > j.fastestTime+expectedWait && inTime+minWaitGain < probabilityWithin(j.due-now-expectedWait, j.fastestTime, spread) {
+	d.measureLoad()
+	u := scarcity(a.load.share())
+	wait := placement.Charge(x, j.fastestTime, u)
+	if x > j.fastestTime+wait && inTime+minWaitGain < probabilityWithin(j.due-now-wait, j.fastestTime, spread) {
 		return 0, false
 	}
 	late := 1 - inTime
 	if t.avoidAgents[a.name] {
 		late += avoidWeight
 	}
-	d.measureLoad()
-	u := scarcity(a.load.share())
 	return jobValue(j.relativeSize)*(lateWeight*late+lossWeight*(1-useful)) + loadWeight*u*u + x.Seconds()*speedWeight, true
 }
 
@@ -272,6 +278,7 @@
 	}
 	d.countStart(a)
 	t.attempt = x
+	d.endWait(now, t, a)
 	j.started = true
 	a.runs[x.id] = x
 	d.running[t.name] = x
--- a/internal/process/role/server/observe.go
+++ b/internal/process/role/server/observe.go
@@ -2,7 +2,6 @@
 
 import (
 	"expvar"
-	"fmt"
 	"net/http"
 	"runtime"
 	"slices"
@@ -11,7 +10,6 @@
 	"github.com/labstack/echo/v4"
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
-	"greengagedoor.example/greengagedoor/internal/process/dump"
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/process/ring"
 	"greengagedoor.example/greengagedoor/internal/process/web"
@@ -31,6 +29,7 @@
 	event.TaskPlaced: {"waited_ms"},
 	event.RunStarted: {"order_ms"},
 	event.RunEnded:   {"ran_ms"},
+	event.TaskWaited: {"waited_ms"},
 }
 
 // observer counts the events of a process and keeps latency histograms. The counters
@@ -48,6 +47,8 @@
 	sentFrames *expvar.Map
 	// links counts connections to entries by what became of them.
 	links *expvar.Map
+	// waits counts the waits of tasks for a better place by their outcome.
+	waits *expvar.Map
 	// unsentAge is the age of the oldest frame that waits to be written, in ms.
 	unsentAge *expvar.Int
 	// evacuatedZones is the number of evacuated availability zones that the process knows of.
@@ -71,6 +72,7 @@
 		evacuatedZones: new(expvar.Int),
 		ring:           r,
 		refusals:       new(expvar.Map).Init(),
+		waits:          new(expvar.Map).Init(),
 	}
 	o.vars.Set("events", o.events)
 	o.vars.Set("refusals", o.refusals)
@@ -78,6 +80,7 @@
 	o.vars.Set("sent_bytes", o.sentBytes)
 	o.vars.Set("sent_frames", o.sentFrames)
 	o.vars.Set("links", o.links)
+	o.vars.Set("waits", o.waits)
 	o.vars.Set("unsent_age_ms", o.unsentAge)
 	o.vars.Set("evacuated_zones", o.evacuatedZones)
 	o.vars.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
@@ -92,18 +95,22 @@
 // observe counts an event. If the ring is full, only a histogram sample is lost.
 func (o *observer) observe(n event.Note) {
 	o.events.Add(string(n.Name()), 1)
-	if n.Name() == event.JobRefused {
-		o.countRefusal(n)
+	switch n.Name() {
+	case event.JobRefused:
+		countBy(o.refusals, n, "reason")
+	case event.TaskWaited:
+		countBy(o.waits, n, "outcome")
 	}
 	if len(latencies[n.Name()]) > 0 {
 		_ = o.ring.TryPush(n)
 	}
 }
 
-func (o *observer) countRefusal(n event.Note) {
+// countBy counts an event in m by the text of one of its fields.
+func countBy(m *expvar.Map, n event.Note, field string) {
 	for _, f := range n.Fields() {
-		if reason, ok := f.Value().(string); ok && f.Key() == "reason" {
-			o.refusals.Add(reason, 1)
+		if text, ok := f.Value().(string); ok && f.Key() == field {
+			m.Add(text, 1)
 		}
 	}
 }
@@ -183,57 +190,3 @@
 	})
 	return e, nil
 }
-
-func (b *base) dump() (*dump.Dump, error) {
-	process, err := dump.NewSection("process", "Name, availability zone and addresses.", func() []string {
-		s := b.settings
-		return []string{
-			"name = " + s.name, "zone = " + s.zone, "link = " + s.link, "advertised = " + s.advertised,
-			fmt.Sprintf("boot = %d", b.hello.Incarnation()), fmt.Sprintf("seeds = %v", s.seeds),
-		}
-	})
-	if err != nil {
-		return nil, err
-	}
-	duties, err := dump.NewSection("duties", "Each duty with depth, size and rejections of its ring.", func() []string {
-		var lines []string
-		for _, d := range b.duties {
-			depth, size, rejected := d.Gauge()
-			lines = append(lines, fmt.Sprintf("%s depth=%d size=%d rejected=%d: %s", d.Name(), depth, size, rejected, d.Purpose()))
-		}
-		return lines
-	})
-	if err != nil {
-		return nil, err
-	}
-	events, err := dump.NewSection("events", "How often each event was logged.", func() []string {
-		var lines []string
-		b.observer.events.Do(func(kv expvar.KeyValue) { lines = append(lines, kv.Key+" "+kv.Value.String()) })
-		return lines
-	})
-	if err != nil {
-		return nil, err
-	}
-	refusals, err := dump.NewSection("refusals", "How often jobs were refused, by reason.", func() []string {
-		var lines []string
-		b.observer.refusals.Do(func(kv expvar.KeyValue) { lines = append(lines, kv.Key+" "+kv.Value.String()) })
-		return lines
-	})
-	if err != nil {
-		return nil, err
-	}
-	sent, err := dump.NewSection("sent", "The bytes written to other processes by content, and the age of the oldest frame that waits.", func() []string {
-		lines := []string{"unsent_age_ms " + b.observer.unsentAge.String()}
-		b.observer.sentBytes.Do(func(kv expvar.KeyValue) { lines = append(lines, kv.Key+" "+kv.Value.String()) })
-		return lines
-	})
-	if err != nil {
-		return nil, err
-	}
-	held, err := b.intakeSection()
-	if err != nil {
-		return nil, err
-	}
-	sections := []dump.Section{process, duties, events, refusals, sent, held}
-	return dump.New(append(sections, b.sections...)...)
-}
