Trust a new incarnation of a target, and keep a suspect one suspect

A target whose previous incarnation ended within 8 s got one run at a time. This withdraws it.

What stays: a new incarnation starts with the speed of its label, and a suspect target stays suspect when its agent connects anew.

--- a/internal/process/role/dispatch/health.go
+++ b/internal/process/role/dispatch/health.go
@@ -17,9 +17,6 @@
 	// minEjection and maxEjection bound for how long an ejected target gets no work.
 	minEjection = time.Second
 	maxEjection = 8 * time.Second
-	// minLifetime is the time in use from which the end of a target says nothing about its
-	// successor. It is that for which a suspect target is kept from work at most.
-	minLifetime = maxEjection
 	// maxProbes is the number of concurrent runs of a target on probation.
 	maxProbes = 1
 	// probationRuns is the number of successful runs that end the probation.
@@ -29,26 +26,12 @@
 // health is the state of an incarnation of a target as its runs have shown it.
 type health struct {
 	incarnation   string
-	since         time.Duration
 	failureRate   float64
 	ejection      time.Duration
 	ejectedUntil  time.Duration
 	probationLeft int
 }
 
-// next returns the health of the next incarnation. If this one ended soon, that one likely
-// will, with all the work that it has got, so it is on probation first.
-func (h health) next(now time.Duration, incarnation string) health {
-	n := health{
-		incarnation: incarnation,
-		since:       now,
-	}
-	if h.incarnation != "" && now-h.since < minLifetime {
-		n.probationLeft = probationRuns
-	}
-	return n
-}
-
 // admits reports whether the target may get one more run.
 func (h health) admits(now time.Duration, running int) bool {
 	if now < h.ejectedUntil {
--- a/internal/process/role/dispatch/target.go
+++ b/internal/process/role/dispatch/target.go
@@ -13,7 +13,9 @@
 func (d *Dispatch) updateTarget(now time.Duration, a *agent, t frame.Target) {
 	previous := a.target
 	if t.Service() != "" && t.Incarnation() != a.health.incarnation {
-		a.health = a.health.next(now, t.Incarnation())
+		a.health = health{
+			incarnation: t.Incarnation(),
+		}
 		d.estimates.forget(a.name)
 	}
 	if t.Incarnation() != previous.Incarnation() {
