Serve small requests beside clients that connect again at once

Cause: with clients that send again as soon as they are closed, the listener stays at its limit of memory. A small job then found no memory for its decoding and was refused for as long as they went on, and thousands of new connections a second took the processor and filled the heap with garbage.

Change: a request of up to 8 KB needs no room, since the number of connections bounds them; a listener under pressure accepts at most 1,000 connections a second; listeners for clients of the installation itself take heads of 16 KB.

go test -count=1 ./platform/intake passes with the crowd and the bounds unchanged.

--- a/internal/process/role/server/agent.go
+++ b/internal/process/role/server/agent.go
@@ -166,6 +166,7 @@
 func (a *Agent) Serve(address, name, purpose string, h http.Handler) error {
 	return a.base.serveHTTP(address, web.Limits{
 		Account: a.base.account(name, a.base.settings.resources.Main()),
+		Request: smallHeads,
 	}, name, purpose, h)
 }
 
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -215,6 +215,7 @@
 func (e *Entry) ServeAside(address, name, purpose string, h http.Handler) error {
 	return e.base.serveHTTP(address, web.Limits{
 		Account: e.base.account(name, e.base.settings.resources.Side()),
+		Request: smallHeads,
 	}, name, purpose, h)
 }
 
--- a/internal/process/role/server/server.go
+++ b/internal/process/role/server/server.go
@@ -268,6 +268,7 @@
 	}
 	return b.serveHTTP(b.settings.metrics, web.Limits{
 		Account: b.account("metrics", b.settings.resources.Side()),
+		Request: smallHeads,
 	}, "metrics", "Serves metrics and the state dump.", h)
 }
 
@@ -296,6 +297,13 @@
 	}
 }
 
+// smallHeads returns the limits of requests of clients that are part of an installation.
+func smallHeads() web.RequestLimits {
+	return web.RequestLimits{
+		HeadBytes: web.SmallHeadBytes,
+	}
+}
+
 // serveHTTP adds a duty that serves h at an address within limits.
 func (b *base) serveHTTP(address string, limits web.Limits, name, purpose string, h http.Handler) error {
 	l, _, err := web.Listen(address)
--- a/internal/process/web/limits.go
+++ b/internal/process/web/limits.go
@@ -14,6 +14,8 @@
 const (
 	// DefaultHeadBytes bounds a head, of which ordinary clients send up to some KB.
 	DefaultHeadBytes = 64 << 10
+	// SmallHeadBytes bounds the heads of clients that are part of an installation.
+	SmallHeadBytes = 16 << 10
 	// DefaultHeadTime bounds the time to the end of a head.
 	DefaultHeadTime = 10 * time.Second
 	// DefaultBodyTime bounds the time without a byte of a body.
@@ -86,7 +88,7 @@
 // Fits reports whether the listener of a request has memory for n more bytes.
 func Fits(ctx context.Context, n int64) bool {
 	c := connectionOf(ctx)
-	return c == nil || c.server.account.Fits(n-c.held.Load())
+	return c == nil || n <= freeBytes || c.server.account.Fits(n-c.held.Load())
 }
 
 // Hold sets the memory that a request takes, in place of the bytes that were read of
@@ -97,7 +99,7 @@
 		return true
 	}
 	more := n - c.held.Load()
-	if more > 0 && !c.server.account.Fits(more) {
+	if n > freeBytes && more > 0 && !c.server.account.Fits(more) {
 		c.server.press()
 		c.server.count(RefusedMemory)
 		return false
--- a/internal/process/web/pressure.go
+++ b/internal/process/web/pressure.go
@@ -13,6 +13,9 @@
 	sweepInterval = time.Second
 	// pressedInterval is the same while the listener holds too much or has no room.
 	pressedInterval = 10 * time.Millisecond
+	// acceptInterval is the least time between two connections meanwhile, so that clients
+	// that connect again at once do not take all of the processor.
+	acceptInterval = time.Millisecond
 	// crowdedInterval is the least time between two log lines.
 	crowdedInterval = 10 * time.Second
 )
@@ -25,8 +28,18 @@
 	}
 }
 
-// takeSlot waits until there is room for a connection.
+// takeSlot waits until there is room for a connection, and a little longer while the
+// listener is pressed.
 func (s *server) takeSlot() error {
+	if s.pressed.Load() {
+		pause := time.NewTimer(acceptInterval)
+		defer pause.Stop()
+		select {
+		case <-pause.C:
+		case <-s.accepting.Done():
+			return net.ErrClosed
+		}
+	}
 	if s.slots == nil {
 		return nil
 	}
