Ask again that the largest possible jobs are served, on more peaks

TestUnevenTargets had its bound for the largest tenth of equal targets lowered from 0.95 to 0.9, since one of 18 jobs was lost: with so few, 0.95 allows none. TestCrest asks again that the largest tenth is served, not only accepted, at least half as often as the possible jobs of its kind; both are checked now.

--- a/internal/process/role/dispatch/simulation/crest_test.go
+++ b/internal/process/role/dispatch/simulation/crest_test.go
@@ -304,6 +304,7 @@
 					So(own[kind].served(), ShouldBeGreaterThan, 0)
 					if largest := own[kind+"_largest"]; largest.jobs >= 10 {
 						So(largest.accepted(), ShouldBeGreaterThanOrEqualTo, own[kind+"_possible"].accepted()/2)
+						So(largest.served(), ShouldBeGreaterThanOrEqualTo, own[kind+"_possible"].served()/2)
 					}
 				}
 			})
--- a/internal/process/role/dispatch/simulation/uneven_test.go
+++ b/internal/process/role/dispatch/simulation/uneven_test.go
@@ -7,9 +7,14 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
 	"greengagedoor.example/greengagedoor/internal/request/task"
 )
 
+// unevenPeaks is the least number of load peaks of TestUnevenTargets. Few jobs of the
+// largest tenth are possible in one peak, so that one job decides on a share.
+const unevenPeaks = 5
+
 // transferTime is the time that the messages about a job take beside its runs.
 const transferTime = 20 * time.Millisecond
 
@@ -63,7 +68,7 @@
 	}{
 		"equal": {
 			targets: alternate(72, targetKind{label: "a", factor: 1}, targetKind{label: "b", factor: 1}),
-			fastest: 1, served: 0.995, largest: 0.9, moves: 0.1,
+			fastest: 1, served: 0.995, largest: 0.95, moves: 0.1,
 		},
 		"two_speeds": {
 			targets: alternate(72, targetKind{label: "a", factor: 1}, targetKind{label: "a", factor: 1}, targetKind{label: "b", factor: 2.4}),
@@ -75,7 +80,7 @@
 			var jobs []*simJob
 			possible := map[*simJob]bool{}
 			moves, tasks := 0, 0
-			for seed := range uint64(*peaks) {
+			for seed := range uint64(max(*peaks, unevenPeaks)) {
 				c := playPeak(t, seed+1, kinds, tt.targets, 3, true)
 				moves += c.moves()
 				for _, j := range c.jobs {
