Free a full listener of connections that only seem to be answering

A client could pin a connection for good, and with as many as the listener permits keep all others out: with a line feed after an answered POST, since the bytes of the empty line marked the connection as busy with a request; with OPTIONS *, which net/http answers without the handler that counts answers; and by not reading its answers. net/http's own idle time, which ended the first two, had been replaced by the limits of the listener.

An empty line leaves a connection idle, OPTIONS goes to the handler, and a part of an answer must be read within 10 s. What a refused or closed connection held is released at once: it was counted for up to a second, in which the listener closed connections of other clients for memory that was free already. Refusals of announced sizes are counted.

TestPinnedConnections fails before in its rows line_feed and options.

--- a/internal/process/web/connection.go
+++ b/internal/process/web/connection.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"greengagedoor.example/greengagedoor/internal/process/intake"
 )
@@ -101,24 +102,36 @@
 	}
 }
 
-// settle marks a busy connection whose only unanswered request was read in part. One
-// whose bytes are no request is left to net/http.
+// settle marks a busy connection whose only unanswered request was read in part, or that
+// has sent only empty lines since its last answer. One whose bytes are not a request is left
+// to net/http.
 func (c *connection) settle() {
-	if c.framing.begun > c.framing.whole && c.framing.state != unframed && c.framing.whole <= c.done {
+	switch {
+	case c.framing.state == unframed || c.framing.whole > c.done:
+	case c.framing.begun > c.framing.whole:
 		c.state.CompareAndSwap(connectionBusy, connectionPartial)
+	default:
+		c.state.CompareAndSwap(connectionBusy, connectionIdle)
 	}
 }
 
+// Write writes a part of an answer. A client that does not read its answers would keep its
+// connection for good.
+func (c *connection) Write(p []byte) (int, error) {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(answerTime))
+	return c.Conn.Write(p)
+}
+
 // Close closes the connection and tells the server.
 func (c *connection) Close() error {
 	if !c.ended.CompareAndSwap(false, true) {
 		return c.Conn.Close()
 	}
+	c.release()
 	if c.lingers.Load() && !c.server.stopped.Load() {
 		c.linger(make([]byte, lingerBytes))
 	}
 	err := c.Conn.Close()
-	c.release()
 	c.server.account.Ended()
 	c.server.freeSlot()
 	c.server.connectionEnded(c)
@@ -176,6 +189,8 @@
 // evict closes the connection unless a request was read whole.
 func (c *connection) evict() bool {
 	if c.state.CompareAndSwap(connectionIdle, connectionClosed) || c.state.CompareAndSwap(connectionPartial, connectionClosed) {
+		// The duty must not close others for bytes that are dropped.
+		c.release()
 		_ = c.Conn.Close()
 		return true
 	}
--- a/internal/process/web/limits.go
+++ b/internal/process/web/limits.go
@@ -32,6 +32,8 @@
 	maxReadBytes = 32 << 10
 	// maxEmptyBytes bounds the empty lines before a request.
 	maxEmptyBytes = 64
+	// answerTime is how long a client may take to read a part of an answer.
+	answerTime = 10 * time.Second
 	// refusalTime is how long a client that still sends may take to read a refusal.
 	refusalTime = 500 * time.Millisecond
 	// lingerBytes is the size of the buffer for what is dropped meanwhile.
@@ -88,7 +90,11 @@
 // Fits reports whether the listener of a request has memory for n more bytes.
 func Fits(ctx context.Context, n int64) bool {
 	c := connectionOf(ctx)
-	return c == nil || n <= freeBytes || c.server.account.Fits(n-c.held.Load())
+	if c == nil || n <= freeBytes || c.server.account.Fits(n-c.held.Load()) {
+		return true
+	}
+	c.server.count(RefusedMemory)
+	return false
 }
 
 // Hold sets the memory that a request takes, in place of the bytes that were read of
@@ -141,6 +147,9 @@
 // answered.
 func (c *connection) fail(p []byte, n int, err error) (int, error) {
 	c.failed = err
+	if err == ErrRefused {
+		c.release()
+	}
 	if c.framing.whole > c.done {
 		return n, nil
 	}
--- a/internal/process/web/limits_test.go
+++ b/internal/process/web/limits_test.go
@@ -132,6 +132,42 @@
 	})
 }
 
+// TestPinnedConnections guards against connections that count as answering for good after
+// their answer, so that a full listener can't close any of them for a new client.
+func TestPinnedConnections(t *testing.T) {
+	tests := map[string]struct {
+		request string
+		// then is sent after the answer.
+		then string
+	}{
+		"nothing_more":  {request: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"},
+		"line_feed":     {request: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", then: "\r\n"},
+		"options":       {request: "OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n"},
+		"partial_again": {request: "GET / HTTP/1.1\r\nHost: a\r\n\r\n", then: "GET /"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			Convey("a new client is served", t, func() {
+				address := serveLimited(t, web.Limits{
+					Account: intake.NewAccount(intake.NewResources(0, 4).Main()),
+				}, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+				for range 6 {
+					c, err := net.Dial("tcp", address)
+					So(err, ShouldBeNil)
+					defer func() { _ = c.Close() }()
+					So(c.SetDeadline(time.Now().Add(10*time.Second)), ShouldBeNil)
+					_, err = io.WriteString(c, tt.request)
+					So(err, ShouldBeNil)
+					_, err = http.ReadResponse(bufio.NewReader(c), nil)
+					So(err, ShouldBeNil)
+					_, err = io.WriteString(c, tt.then)
+					So(err, ShouldBeNil)
+				}
+			})
+		})
+	}
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/internal/process/web/web.go
+++ b/internal/process/web/web.go
@@ -168,6 +168,8 @@
 	s.http = &http.Server{
 		Handler:     s.handler(h),
 		ConnContext: withConnection,
+		// The requests of net/http's own handler would not be counted as answered.
+		DisableGeneralOptionsHandler: true,
 		ConnState: func(nc net.Conn, state http.ConnState) {
 			if c, ok := nc.(*connection); ok && state == http.StateIdle {
 				c.answered()
