Mend decisions that left tasks waiting, moved them for nothing or refused them

- A run that was lost with its connection counted as one that was being stopped if its target had given notice, so its task hung to the caller's deadline and blocked the next submission of the job (TestLostRunsStayLost).
- Runs moved for the free capacity of suspect targets, which get no work: their task started again 860 ms later (TestSuspectTargetsHaveNoRoom).
- At a load peak, tasks whose rack or label only slow targets have waited for a run time that no target offers, and the jobs behind them with them (TestRackWithoutTargets).
The same run time moved runs to a rack without targets, where they were given up.
- A target that was overdue counted as staying (TestLeaveTime/overdue).
- A quiet entry, or one whose targets were unusable for 20 ms, refused all but the first of a few jobs; one job that waits for a label that no target has made wide jobs be refused beside idle targets; jobs that had waited for the entry were refused as a backlog with an empty queue.
Free capacity now counts only on agents that can get work, and a stall only for its service and while nothing is free.
- Queued jobs were judged by the need of the first one of their service.
- Two decisions depended on the order of a map, and losses on that of its files.

All but the last three rows' tests fail on the code before. Ruled out: the run time of the fastest suitable target for all tasks, in place of that of the job; TestSimulation/all_at_any_time then left two targets without work.

LeavingIn is WithLeavesIn, Undecided is Accept, distance is remoteFactorOn.

--- a/cmd/greengagedoor/platform.go
+++ b/cmd/greengagedoor/platform.go
@@ -133,7 +133,7 @@
 			return err
 		}
 		defer cleanup()
-		if err := e.ServeAside(v.Text("listen", "readiness"), "readiness", "Reports to the load balancer whether the entry accepts callers.", platform.ReadinessHandler(e.Ready)); err != nil {
+		if err := e.ServeSide(v.Text("listen", "readiness"), "readiness", "Reports to the load balancer whether the entry accepts callers.", platform.ReadinessHandler(e.Ready)); err != nil {
 			return err
 		}
 		// The last duty stops first, so callers get all the time that is left.
--- a/internal/connection/frame/frame.go
+++ b/internal/connection/frame/frame.go
@@ -108,9 +108,9 @@
 	return t
 }
 
-// LeavingIn returns the target with the least time for which it still runs what it has,
+// WithLeavesIn returns the target with the least time for which it still runs what it has,
 // 0 if it has not announced that it leaves.
-func (t Target) LeavingIn(d time.Duration) Target {
+func (t Target) WithLeavesIn(d time.Duration) Target {
 	t.leavesIn = d
 	return t
 }
--- a/internal/connection/frame/frame_test.go
+++ b/internal/connection/frame/frame_test.go
@@ -20,7 +20,7 @@
 // fullFrame returns a frame with every field set.
 func fullFrame() frame.Frame {
 	h := frame.NewHello("agent_1", 7, "zone", "10.0.0.1:7400", frame.RoleAgent)
-	t := frame.NewTarget("i-1@5", "service", "zone", []string{"a", "r1"}, true).WithCapacity(32000, 65536, 2).WithWarmUp(time.Second).LeavingIn(2 * time.Second)
+	t := frame.NewTarget("i-1@5", "service", "zone", []string{"a", "r1"}, true).WithCapacity(32000, 65536, 2).WithWarmUp(time.Second).WithLeavesIn(2 * time.Second)
 	r := frame.NewFreeCapacity(-5, 6, 7, 8, 9)
 	p := frame.NewConfig(4, []byte("packed")).Piece(2, 3)
 	q := frame.NewConfigRequest(7, 8)
--- a/internal/process/losses/bound.go
+++ b/internal/process/losses/bound.go
@@ -5,8 +5,8 @@
 	"slices"
 )
 
-// largestShare is the share of a kind's jobs that are its largest by work.
-const largestShare = 10
+// A kind's largest jobs are one in largestDivisor, by work.
+const largestDivisor = 10
 
 // Bound is how many jobs of a kind, or of its largest tenth, no target could have ended in
 // time, not even alone.
@@ -30,10 +30,12 @@
 // Served is the number of jobs that were answered with success, in time or late.
 func (b Bound) Served() int { return b.served }
 
-// Certain is the number of jobs with a task whose run time, by its lower bound, exceeds
-// their time. Probable counts the best estimate, and so includes Certain.
+// Certain returns the number of jobs with a task whose run time, by its lower bound, exceeds
+// their time.
 func (b Bound) Certain() int { return b.certain }
 
+// Probable returns the number of jobs whose run time exceeds their time by the best estimate.
+// It includes Certain.
 func (b Bound) Probable() int { return b.probable }
 
 // Unknown is the number of jobs that did not end and of whose run time nothing is known.
@@ -55,8 +57,8 @@
 	var list []Bound
 	for _, name := range names {
 		jobs := kinds[name]
-		slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(b.work(), a.work()) })
-		list = append(list, bound(name, false, jobs, factors, fastest), bound(name, true, jobs[:(len(jobs)+largestShare-1)/largestShare], factors, fastest))
+		slices.SortFunc(jobs, func(a, b *job) int { return cmp.Or(cmp.Compare(b.work(), a.work()), cmp.Compare(a.id, b.id)) })
+		list = append(list, bound(name, false, jobs, factors, fastest), bound(name, true, jobs[:(len(jobs)+largestDivisor-1)/largestDivisor], factors, fastest))
 	}
 	return list
 }
--- a/internal/process/losses/job.go
+++ b/internal/process/losses/job.go
@@ -27,6 +27,7 @@
 const progressLag = 5 * time.Millisecond
 
 type job struct {
+	id        string
 	entry     string
 	route     string
 	at        time.Time
@@ -37,8 +38,10 @@
 	declaredWork float64
 	outcome      Outcome
 	left         bool
-	took         time.Duration
-	runs         map[string]*run
+	// endedAt is when the entry that counts ended the job.
+	endedAt time.Time
+	took    time.Duration
+	runs    map[string]*run
 }
 
 // outcomeWithRuns returns the outcome, with runs lost with their targets taken into account.
--- a/internal/process/losses/log.go
+++ b/internal/process/losses/log.go
@@ -54,6 +54,7 @@
 	zones map[string]string
 }
 
+// New returns a Log without jobs.
 func New() *Log {
 	return &Log{
 		jobs:  map[string]*job{},
@@ -110,6 +111,11 @@
 // end records the outcome of a job, which it may have before it was accepted.
 func (l *Log) end(x record) {
 	j := l.job(x)
+	if x.Time.Before(j.endedAt) {
+		return
+	}
+	j.endedAt = x.Time
+	j.entry = x.Process
 	if j.at.IsZero() {
 		j.at = x.Time
 		j.sizeClass = x.SizeClass
@@ -129,17 +135,20 @@
 	}
 }
 
-// job returns the job of a line of its entry. A job that is submitted again counts with its
-// last entry.
+// job returns the job of a line of its entry. A job that is submitted again counts with the
+// entry that ended it last, whatever the order of the files.
 func (l *Log) job(x record) *job {
 	j, ok := l.jobs[x.Job]
 	if !ok {
 		j = &job{
+			id:   x.Job,
 			runs: map[string]*run{},
 		}
 		l.jobs[x.Job] = j
 	}
-	j.entry = x.Process
+	if j.endedAt.IsZero() {
+		j.entry = x.Process
+	}
 	if x.Route != "" {
 		j.route = x.Route
 	}
--- a/internal/process/role/dispatch/admission.go
+++ b/internal/process/role/dispatch/admission.go
@@ -8,7 +8,7 @@
 )
 
 // minRateRuns is the number of its own runs from which an entry knows the rate at which it
-// gets capacity. Below it, the first job of the queue waits in any case.
+// gets capacity. Below it, a few jobs wait in any case.
 const minRateRuns = 8
 
 // Decide is a decision on a job behind a backlog.
@@ -33,7 +33,7 @@
 // need. Each end of an own run frees capacity for the entry. So while targets are full,
 // the rate at which it gets capacity is that at which its own runs end, whatever other
 // entries use.
-func (d *Dispatch) shareOf(service string, need task.Resources) share {
+func (d *Dispatch) shareOf(now time.Duration, service string, need task.Resources) share {
 	var s share
 	for _, a := range d.connected {
 		if !a.usable() || a.target.Service() != service {
@@ -46,7 +46,10 @@
 				s.runs++
 			}
 		}
-		free := coresOf(need) * float64(a.left.Quotient(need))
+		free := 0.0
+		if a.open(now) {
+			free = coresOf(need) * float64(a.left.Quotient(need))
+		}
 		s.free += free
 		s.rate += (coresOf(held) + free) / a.speed.value()
 	}
@@ -77,18 +80,20 @@
 // of the targets.
 func (d *Dispatch) admission(now time.Duration, j *job, ahead admission.Backlog, s share, decide Decide) admission.Decision {
 	work := admission.NewJob(j.cores, j.coreSeconds, j.fastestTime, j.model.spread()).WithTimes(j.due, j.usefulUntil)
-	if s.runs < minRateRuns && ahead.Jobs() == 0 {
-		return admission.Undecided(now, work)
+	if s.runs < minRateRuns && ahead.Jobs() < admission.MinQueue {
+		return admission.Accept(now, work)
 	}
-	return decide(now+d.overload.highest(), work, ahead, admission.NewCapacity(s.free, s.rate).Stalled(d.stalled(now)))
+	return decide(now+d.overload.highest(), work, ahead, admission.NewCapacity(s.free, s.rate).Stalled(d.stalled(now, j.route.Service())))
 }
 
-// stalled returns for how long no queued job has started.
-func (d *Dispatch) stalled(now time.Duration) time.Duration {
-	if len(d.queue) == 0 {
-		return 0
+// stalled returns for how long no task of a service has started while jobs wait for it.
+func (d *Dispatch) stalled(now time.Duration, service string) time.Duration {
+	for _, j := range d.queue {
+		if j.route.Service() == service {
+			return max(0, now-max(j.arrived, d.lastPlaced[service]))
+		}
 	}
-	return now - max(d.queue[0].arrived, d.lastPlaced)
+	return 0
 }
 
 // firstNeed returns the need of the tasks of the first step.
@@ -96,17 +101,27 @@
 	return j.work.Steps()[0].Resources()
 }
 
-// refuseLost refuses the queued jobs that have not started and will be answered too late,
-// since targets have been lost or free no capacity since the job was accepted.
-func (d *Dispatch) refuseLost(now time.Duration) {
-	shares := map[string]share{}
+// shareKey identifies what an entry can get of a service for tasks of one need.
+type shareKey struct {
+	service string
+	need    task.Resources
+}
+
+// refuseTooLate refuses queued jobs that have not started and whose answer would come too
+// late, because targets were lost or free no capacity.
+func (d *Dispatch) refuseTooLate(now time.Duration) {
+	shares := map[shareKey]share{}
 	backlogs := map[string]*admission.Backlog{}
 	for _, j := range append([]*job(nil), d.queue...) {
 		service := j.route.Service()
-		s, ok := shares[service]
+		k := shareKey{
+			service: service,
+			need:    j.firstNeed(),
+		}
+		s, ok := shares[k]
 		if !ok {
-			s = d.shareOf(service, j.firstNeed())
-			shares[service] = s
+			s = d.shareOf(now, service, k.need)
+			shares[k] = s
 		}
 		ahead := getOrCreate(backlogs, service)
 		if j.started {
--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -161,7 +161,6 @@
 	})
 	for _, s := range a.starts {
 		f.Starts = append(f.Starts, *s)
-		d.lastPlaced = now
 	}
 	if d.evacuated.News(a.knownEvacuations) {
 		f.Evacuated = d.evacuated
@@ -336,7 +335,7 @@
 	if p, ok := d.peers[message.session]; ok {
 		p.lastSeen = now
 		p.knownConfig = max(p.knownConfig, message.frame.ConfigVersion)
-		p.knownEvacuations = d.hearEvacuations(now, p.knownEvacuations, message.frame.Evacuated, p.name)
+		p.knownEvacuations = d.receiveEvacuations(now, p.knownEvacuations, message.frame.Evacuated, p.name)
 		d.receiveConfiguration(now, message, p.name)
 		d.receiveCancels(now, p, message.frame.Cancels)
 		return
@@ -351,7 +350,7 @@
 	a.clock = max(a.clock, f.Clock)
 	a.leaving = f.Leaving
 	a.knownConfig = max(a.knownConfig, f.ConfigVersion)
-	a.knownEvacuations = d.hearEvacuations(now, a.knownEvacuations, f.Evacuated, a.name)
+	a.knownEvacuations = d.receiveEvacuations(now, a.knownEvacuations, f.Evacuated, a.name)
 	d.receiveConfiguration(now, message, a.name)
 	if f.Target != nil {
 		d.updateTarget(now, a, *f.Target)
--- a/internal/process/role/dispatch/attempt.go
+++ b/internal/process/role/dispatch/attempt.go
@@ -36,6 +36,11 @@
 	targetIncarnation string
 }
 
+// startedAt returns when the run began, or when its start was sent if that is not known.
+func (x *attempt) startedAt() time.Duration {
+	return cmp.Or(x.began, x.sent)
+}
+
 // attemptsWhere returns the attempts for which ok holds, sorted by run id.
 func (a *agent) attemptsWhere(ok func(*attempt) bool) []*attempt {
 	var list []*attempt
--- a/internal/process/role/dispatch/departure.go
+++ b/internal/process/role/dispatch/departure.go
@@ -36,10 +36,10 @@
 	if len(leaving) == 0 {
 		return
 	}
-	room := d.freeRoom()
+	room := d.freeRoom(now)
 	var rescues []rescue
 	for _, a := range leaving {
-		for _, x := range a.attemptsWhere(func(x *attempt) bool { return !x.task.job.ended }) {
+		for _, x := range a.attemptsWhere(func(x *attempt) bool { return x.state != attemptLost && !x.task.job.ended }) {
 			if x.state == attemptStopping {
 				// Its task takes the free capacity that it was stopped for.
 				room.take(x)
@@ -66,12 +66,12 @@
 func (d *Dispatch) rescueGain(now time.Duration, a *agent, x *attempt, room freeRoom) float64 {
 	j := x.task.job
 	s := j.work.Steps()[x.task.step]
-	ran := now - cmp.Or(x.began, x.sent)
-	expected := cmp.Or(x.projectedTime, x.expected)
+	ran := now - x.startedAt()
+	expected := x.totalTime()
 	base := d.baseTime(x.task)
 	spread := j.model.spread()
 	if x.projectedTime > 0 {
-		base = time.Duration(float64(x.projectedTime) / (a.speed.value() * d.distance(a, s)))
+		base = time.Duration(float64(x.projectedTime) / (a.speed.value() * d.remoteFactorOn(a, s)))
 		spread = moveSlack
 	}
 	best := time.Duration(0)
@@ -95,17 +95,17 @@
 	j := x.attempt.task.job
 	d.logEvent(event.TaskRescued, event.F("job", j.work.ID()), event.F("trace", j.trace), event.F("run", x.attempt.id.String()),
 		event.F("agent", a.name), event.F("target", a.target.Incarnation()), event.F("leaves_ms", (a.leavesAt-now).Milliseconds()),
-		event.F("ran_ms", (now-cmp.Or(x.attempt.began, x.attempt.sent)).Milliseconds()), event.F("gain_percent", int(x.gain*100)))
+		event.F("ran_ms", (now-x.attempt.startedAt()).Milliseconds()), event.F("gain_percent", int(x.gain*100)))
 	d.moveRun(a, x.attempt)
 }
 
 // freeRoom is the free capacity of the agents that take work.
 type freeRoom map[*agent]task.Resources
 
-func (d *Dispatch) freeRoom() freeRoom {
+func (d *Dispatch) freeRoom(now time.Duration) freeRoom {
 	room := freeRoom{}
 	for _, a := range d.connected {
-		if a.usable() {
+		if a.open(now) {
 			room[a] = a.left
 		}
 	}
--- a/internal/process/role/dispatch/departure_test.go
+++ b/internal/process/role/dispatch/departure_test.go
@@ -15,7 +15,7 @@
 
 // notice reports that the target of an agent leaves, with its 30 cores in use by runs.
 func (fx *fixture) notice(session uint64, name string, in time.Duration) {
-	t := frame.NewTarget("i-"+name, "service", "zone", []string{"a", "r1"}, false).WithCapacity(30000, 65536, 0).LeavingIn(in)
+	t := frame.NewTarget("i-"+name, "service", "zone", []string{"a", "r1"}, false).WithCapacity(30000, 65536, 0).WithLeavesIn(in)
 	fx.frame(session, frame.Frame{
 		Target: &t,
 	})
@@ -101,8 +101,8 @@
 	}
 }
 
-// TestNoticeTakenBack guards against runs that move from a target that stays after all.
-func TestNoticeTakenBack(t *testing.T) {
+// TestNoticeWithdrawn guards against runs that move from a target that stays after all.
+func TestNoticeWithdrawn(t *testing.T) {
 	Convey("a run stays on a target that no longer leaves", t, func() {
 		fx := newFixture(t)
 		fx.longVersion(1)
@@ -115,3 +115,44 @@
 		So(fx.stops, ShouldBeEmpty)
 	})
 }
+
+// TestLostRunsStayLost guards against a job that hangs to its deadline: a run that was lost
+// with its connection must not count as one that is being stopped, since no end of it is
+// reported.
+func TestLostRunsStayLost(t *testing.T) {
+	Convey("the task of a lost run on a leaving target starts elsewhere", t, func() {
+		fx := newFixture(t)
+		fx.longVersion(1)
+		fx.agent(1, "leaving_1", "a", "r1")
+		fx.longJobs(1, 3000, 4*time.Second, 9*time.Second)
+		fx.agent(2, "staying", "a", "r1")
+		fx.advance(100*ms, 1, 2)
+		fx.handle(dispatch.SessionClosed(1))
+		fx.handle(dispatch.SessionOpened(3, frame.NewHello("leaving_1", 1, "zone", "", frame.RoleAgent)))
+		fx.notice(3, "leaving_1", 2*time.Second)
+		fx.advance(1500*ms, 2, 3)
+		So(fx.stops, ShouldBeEmpty)
+		So(fx.sessionOf["job_0"], ShouldEqual, uint64(2))
+	})
+}
+
+// TestSuspectTargetsHaveNoRoom guards against a run that is stopped for free capacity on a
+// target that gets no work.
+func TestSuspectTargetsHaveNoRoom(t *testing.T) {
+	Convey("a run stays while only a suspect target has free capacity", t, func() {
+		fx := newFixture(t)
+		fx.longVersion(1)
+		fx.agent(2, "suspect", "a", "r1")
+		for i := range 3 {
+			fx.submit(uint64(500+i), fmt.Sprintf("failing_%d", i), fx.step(1, 1000))
+			fx.end(2, task.EndFailed)
+		}
+		fx.agent(1, "leaving_1", "a", "r1")
+		fx.longJobs(1, 3000, 4*time.Second, 6*time.Second)
+		So(fx.sessionOf["job_0"], ShouldEqual, uint64(1))
+		fx.advance(100*ms, 1, 2)
+		fx.notice(1, "leaving_1", 2*time.Second)
+		fx.advance(60*ms, 1, 2)
+		So(fx.stops, ShouldBeEmpty)
+	})
+}
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -116,8 +116,8 @@
 	// decide decides whether a job is accepted, and keep whether it stays in the queue.
 	decide Decide
 	keep   Decide
-	// lastPlaced is when a task was last sent to an agent.
-	lastPlaced time.Duration
+	// lastPlaced is when a task of each service was last placed.
+	lastPlaced map[string]time.Duration
 	// remoteFactor is the run time of a task away from its data over that beside it.
 	remoteFactor float64
 	// neverWait is set if tasks do not wait for the rack with their data.
@@ -184,6 +184,7 @@
 		finished:       map[string]finishedJob{},
 		loads:          map[string]*hardwareLoad{},
 		evacuatedZones: map[string]*evacuatedZone{},
+		lastPlaced:     map[string]time.Duration{},
 		estimates:      newEstimator(),
 		fairness:       newFairness(),
 		overload:       newOverload(timing),
--- a/internal/process/role/dispatch/evacuation.go
+++ b/internal/process/role/dispatch/evacuation.go
@@ -39,12 +39,12 @@
 	return lines
 }
 
-// hearEvacuations processes the set that another process has told, and returns the newest
+// receiveEvacuations processes the set that another process sent, and returns the newest
 // one that it is known to have.
-func (d *Dispatch) hearEvacuations(now time.Duration, known, told evacuation.Set, source string) evacuation.Set {
-	d.updateEvacuated(now, told, source)
-	if told.Newer(known) {
-		return told
+func (d *Dispatch) receiveEvacuations(now time.Duration, known, received evacuation.Set, source string) evacuation.Set {
+	d.updateEvacuated(now, received, source)
+	if received.Newer(known) {
+		return received
 	}
 	return known
 }
--- a/internal/process/role/dispatch/health.go
+++ b/internal/process/role/dispatch/health.go
@@ -46,7 +46,7 @@
 	switch end {
 	case task.EndDone:
 		s := j.work.Steps()[x.task.step]
-		ran = time.Duration(float64(ran) / d.distance(a, s))
+		ran = time.Duration(float64(ran) / d.remoteFactorOn(a, s))
 		d.observeRun(a, j, s, ran)
 		if r, ok := d.estimates.observe(j.route.Name(), a.speed, s.Estimate(), ran); ok {
 			j.residuals = append(j.residuals, runResidual{
--- a/internal/process/role/dispatch/job.go
+++ b/internal/process/role/dispatch/job.go
@@ -240,7 +240,7 @@
 		return
 	}
 	ahead := d.backlogAhead(r.Service(), j.rank)
-	admitted := d.admission(now, j, ahead, d.shareOf(r.Service(), j.firstNeed()), d.decide)
+	admitted := d.admission(now, j, ahead, d.shareOf(now, r.Service(), j.firstNeed()), d.decide)
 	if admitted.Reason() != "" {
 		d.refuse(s, work.ID(), StateRefused, string(admitted.Reason()), admitted.RetryAfter(), append(fields,
 			event.F("expected_end_ms", (admitted.ExpectedEnd()-now).Milliseconds()), event.F("ahead_core_ms", int64(ahead.Work()*1000)))...)
--- a/internal/process/role/dispatch/order.go
+++ b/internal/process/role/dispatch/order.go
@@ -73,6 +73,21 @@
 	return best
 }
 
+// fastestFactorFor returns the factor of the fastest usable target that suits a step, and on
+// which it fits. It is that of the service if there is none.
+func (d *Dispatch) fastestFactorFor(j *job, s task.Step) float64 {
+	best := math.Inf(1)
+	for _, a := range d.connected {
+		if a.usable() && a.suits(j, s) && a.size.Covers(s.Resources()) {
+			best = math.Min(best, a.speed.value()*d.remoteFactorOn(a, s))
+		}
+	}
+	if math.IsInf(best, 1) {
+		return d.fastestFactor(j.route.Service())
+	}
+	return best
+}
+
 // longestFactor returns the expected run time of the longest of n tasks relative to
 // the mean.
 func longestFactor(n int) float64 {
@@ -166,7 +181,7 @@
 		return
 	}
 	d.nextReview = now + reviewInterval
-	d.refuseLost(now)
+	d.refuseTooLate(now)
 	d.scratch = append(d.scratch[:0], d.queue...)
 	for _, j := range d.scratch {
 		if !j.started && (d.unlikelyInTime(now, j) || now-j.arrived > time.Duration(maxQueueShare*float64(j.deadline-j.arrived))) {
@@ -190,7 +205,7 @@
 // target can end before the deadline.
 func (d *Dispatch) hasOverdueTask(now time.Duration, j *job) bool {
 	for _, t := range j.ready {
-		if t.measuredTime > 0 && now+time.Duration(float64(t.measuredTime)*d.fastestFactor(j.route.Service())) > j.deadline {
+		if t.measuredTime > 0 && now+time.Duration(float64(t.measuredTime)*d.fastestFactorFor(j, j.work.Steps()[t.step])) > j.deadline {
 			return true
 		}
 	}
--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -95,12 +95,17 @@
 func (d *Dispatch) findCandidates(now time.Duration) {
 	d.candidates = d.candidates[:0]
 	for _, a := range d.connected {
-		if a.usable() && now >= a.backoffUntil && now-a.lastSeen <= maxReportAge && a.clock != 0 && a.health.admits(now, len(a.runs)) {
+		if a.open(now) {
 			d.candidates = append(d.candidates, a)
 		}
 	}
 }
 
+// open reports whether an agent can get work now.
+func (a *agent) open(now time.Duration) bool {
+	return a.usable() && now >= a.backoffUntil && now-a.lastSeen <= maxReportAge && a.clock != 0 && a.health.admits(now, len(a.runs))
+}
+
 // placeJob places the ready tasks of a job. It returns false if a task found no
 // agent.
 func (d *Dispatch) placeJob(now time.Duration, j *job) bool {
@@ -138,13 +143,14 @@
 	base := d.baseTime(t)
 	// Estimates alone are too far off to rule a target out.
 	lengthKnown := t.measuredTime > 0 || t.job.observedRatio.count > 0
+	fastest := d.fastestTimeFor(t, s, base)
 	var best *agent
 	var bestCost float64
 	for _, a := range d.candidates {
 		if !a.fits(t, s) || lengthKnown && now+d.expectedTime(a, s, base) > t.job.deadline {
 			continue
 		}
-		cost, ok := d.cost(now, a, t, s, base)
+		cost, ok := d.cost(now, a, t, s, base, fastest)
 		if !ok {
 			continue
 		}
@@ -159,6 +165,15 @@
 	return best
 }
 
+// fastestTimeFor returns the run time on the fastest target that a task may wait for. That of
+// the job takes neither its rack nor its label into account.
+func (d *Dispatch) fastestTimeFor(t *jobTask, s task.Step, base time.Duration) time.Duration {
+	if s.Rack() == "" && s.Label() == "" {
+		return t.job.fastestTime
+	}
+	return max(t.job.fastestTime, time.Duration(float64(base)*d.fastestFactorFor(t.job, s)))
+}
+
 // baseTime returns the best estimate of the run time on a target of factor 1.
 func (d *Dispatch) baseTime(t *jobTask) time.Duration {
 	if t.measuredTime > 0 {
@@ -210,7 +225,7 @@
 // expectedTime returns the expected run time on an agent, including cold start,
 // transfers from another rack, and the penalty of another availability zone.
 func (d *Dispatch) expectedTime(a *agent, s task.Step, base time.Duration) time.Duration {
-	x := time.Duration(float64(base)*a.speed.value()*d.distance(a, s)) + a.warmUp
+	x := time.Duration(float64(base)*a.speed.value()*d.remoteFactorOn(a, s)) + a.warmUp
 	if a.zone != d.hello.Zone() {
 		x += zonePenalty
 	}
@@ -221,8 +236,8 @@
 // capacity that it takes there from others. Under load, fast targets are kept for
 // work that would be late elsewhere; without load, each task goes where it ends
 // first. It returns false if a useful answer is too unlikely there, or if the task
-// should wait for a faster target.
-func (d *Dispatch) cost(now time.Duration, a *agent, t *jobTask, s task.Step, base time.Duration) (float64, bool) {
+// should wait for a faster target, on which it takes the time fastest.
+func (d *Dispatch) cost(now time.Duration, a *agent, t *jobTask, s task.Step, base, fastest time.Duration) (float64, bool) {
 	x := d.expectedTime(a, s, base)
 	j := t.job
 	spread := j.model.spread()
@@ -233,8 +248,8 @@
 	inTime := probabilityWithin(j.due-now, x, spread)
 	d.measureLoad()
 	u := scarcity(a.load.share())
-	wait := placement.Charge(x, j.fastestTime, u)
-	if x > j.fastestTime+wait && inTime+minWaitGain < probabilityWithin(j.due-now-wait, j.fastestTime, spread) {
+	wait := placement.Charge(x, fastest, u)
+	if x > fastest+wait && inTime+minWaitGain < probabilityWithin(j.due-now-wait, fastest, spread) {
 		return 0, false
 	}
 	late := 1 - inTime
@@ -278,6 +293,7 @@
 	}
 	d.countStart(a)
 	t.attempt = x
+	d.lastPlaced[j.route.Service()] = now
 	d.endWait(now, t, a)
 	j.started = true
 	a.runs[x.id] = x
--- a/internal/process/role/dispatch/progress.go
+++ b/internal/process/role/dispatch/progress.go
@@ -41,12 +41,14 @@
 	// The percentage is rounded down, so the next percent may be almost done.
 	least := ran * 100 / time.Duration(p.Percent()+1)
 	start := d.earliestStart(now, x, p)
-	own := a.speed.value() * d.distance(a, j.work.Steps()[x.task.step])
+	s := j.work.Steps()[x.task.step]
+	own := a.speed.value() * d.remoteFactorOn(a, s)
+	fastest := d.fastestFactorFor(j, s) / own
 	if start+least <= j.deadline {
-		d.moveIfSafer(now, a, x, p, start, own)
+		d.moveIfSafer(now, a, x, p, start, own, fastest)
 		return
 	}
-	best := time.Duration(float64(least) * d.fastestFactor(j.route.Service()) / own)
+	best := time.Duration(float64(least) * fastest)
 	if now+moveDelay+best > j.deadline {
 		d.logOverdue(now, a, x, p, best, "given_up")
 		d.finish(now, j, StateExpired, "work_exceeds_time")
@@ -65,8 +67,9 @@
 }
 
 // moveIfSafer moves a run that probably ends after the deadline, if another run on the
-// fastest target probably ends before it with time to spare.
-func (d *Dispatch) moveIfSafer(now time.Duration, a *agent, x *attempt, p frame.Progress, start time.Duration, own float64) {
+// fastest target probably ends before it with time to spare. Own is the factor of the run's
+// target, and fastest that of the fastest target relative to it.
+func (d *Dispatch) moveIfSafer(now time.Duration, a *agent, x *attempt, p frame.Progress, start time.Duration, own, fastest float64) {
 	j := x.task.job
 	if p.Percent() < minMovePercent {
 		return
@@ -76,7 +79,7 @@
 	if start+likely+slack <= j.deadline {
 		return
 	}
-	best := time.Duration(float64(likely) * d.fastestFactor(j.route.Service()) / own)
+	best := time.Duration(float64(likely) * fastest)
 	if now+moveDelay+best+time.Duration(moveSlack*float64(best))+slack > j.deadline {
 		return
 	}
@@ -98,16 +101,15 @@
 func (d *Dispatch) observeProjection(a *agent, x *attempt) {
 	j := x.task.job
 	s := j.work.Steps()[x.task.step]
-	expected := float64(j.model.base(s.Estimate())) * a.speed.value() * d.distance(a, s)
+	expected := float64(j.model.base(s.Estimate())) * a.speed.value() * d.remoteFactorOn(a, s)
 	if j.observedRatio.count > 0 || expected <= 0 {
 		return
 	}
 	j.observedRatio.add(math.Log(float64(x.projectedTime)/expected), 0)
 }
 
-// moveRun stops a run, so that its task is placed on a faster target after the run
-// has ended. It does not wait for free capacity there, because the run cannot end in
-// time where it is.
+// moveRun stops a run, so that its task is placed again after the run has ended. It does
+// not reserve capacity, because the run probably can't end in time where it is.
 func (d *Dispatch) moveRun(a *agent, x *attempt) {
 	x.state = attemptStopping
 	x.task.avoid(a)
--- a/internal/process/role/dispatch/simulation/crest_test.go
+++ b/internal/process/role/dispatch/simulation/crest_test.go
@@ -219,7 +219,7 @@
 
 // withoutQueue accepts each job whatever waits before it.
 func withoutQueue(now time.Duration, j admission.Job, _ admission.Backlog, _ admission.Capacity) admission.Decision {
-	return admission.Undecided(now, j)
+	return admission.Accept(now, j)
 }
 
 // playSimplest plays the jobs of a crest once more with the simplest policy: each task goes
--- a/internal/process/role/dispatch/simulation/evacuation_test.go
+++ b/internal/process/role/dispatch/simulation/evacuation_test.go
@@ -264,7 +264,7 @@
 }
 
 // TestEvacuations guards against a task that starts in an evacuated zone after the bound,
-// and against a zone that gets no work after it was taken back.
+// and against a zone that gets no work after it was restored.
 func TestEvacuations(t *testing.T) {
 	for name, s := range evacuationScenarios {
 		t.Run(name, func(t *testing.T) {
--- a/internal/process/role/dispatch/wait.go
+++ b/internal/process/role/dispatch/wait.go
@@ -60,26 +60,26 @@
 	return f.decayed(now) / freedTime.Seconds()
 }
 
-// distance returns the run time of a step on an agent relative to that on the rack with
-// its data.
-func (d *Dispatch) distance(a *agent, s task.Step) float64 {
+// remoteFactorOn returns by how much a step takes longer on an agent than on the rack with
+// its data, 1 there.
+func (d *Dispatch) remoteFactorOn(a *agent, s task.Step) float64 {
 	if s.Rack() == "" || a.rack() == s.Rack() {
 		return 1
 	}
 	return d.remoteFactor
 }
 
-// observeRoom adds room that an agent has more than before. Room that own runs free is
-// subtracted at their ends, since their ends are expected one by one.
+// observeRoom adds a change of an agent's free capacity to the freed capacity of its rack.
+// What own runs free is subtracted when they end, because their ends are expected one by
+// one.
 func (d *Dispatch) observeRoom(now time.Duration, a *agent, milliCores int64) {
 	rack := a.rack()
 	if rack == "" || milliCores == 0 {
 		return
 	}
-	own := milliCores < 0
 	f, known := d.freed[rack]
 	if !known {
-		if own {
+		if milliCores < 0 {
 			return
 		}
 		f = &freedRoom{}
@@ -179,7 +179,7 @@
 		there += d.expectedTime(a, s, base)
 		for _, x := range a.runs {
 			if a.left.Add(x.need).Covers(s.Resources()) {
-				runs = append(runs, placement.NewRun(now-x.sent, x.totalTime()))
+				runs = append(runs, placement.NewRun(now-x.startedAt(), x.totalTime()))
 			}
 		}
 	}
@@ -206,7 +206,7 @@
 	last := time.Duration(0)
 	for _, t := range j.tasks {
 		if t.attempt != nil {
-			last = max(last, t.attempt.sent+t.attempt.totalTime()-now)
+			last = max(last, t.attempt.startedAt()+t.attempt.totalTime()-now)
 		}
 	}
 	return last
--- a/internal/process/role/dispatch/wait_test.go
+++ b/internal/process/role/dispatch/wait_test.go
@@ -100,3 +100,33 @@
 		}
 	}
 }
+
+// TestRackWithoutTargets guards against tasks that wait, beside free capacity, for a run time
+// that no target offers, and against the jobs behind them that wait as well.
+func TestRackWithoutTargets(t *testing.T) {
+	tests := map[string]int64{
+		"idle":      15_000,
+		"load_peak": 26_000,
+	}
+	for name, busy := range tests {
+		t.Run(name, func(t *testing.T) {
+			Convey("tasks start at once if the rack with their data has no target", t, func() {
+				fx := newFixture(t)
+				fx.longVersion(1)
+				for n := range uint64(10) {
+					fx.agent(n+1, fmt.Sprintf("agent_%d", n), "a", "r1")
+					r := frame.NewFreeCapacity(30_000-busy, 65_536, 0, 0, 0)
+					fx.frame(n+1, frame.Frame{
+						FreeCapacity: &r,
+					})
+				}
+				const jobs = 9
+				for i := range uint64(jobs) {
+					fx.handle(dispatch.Submitted(dispatch.NewSubmission("trace", "", fmt.Sprintf("/job_%d", i), 30*time.Second).
+						WithWork("spec", []task.Step{fx.step(1, 1000).WithRack("gone")}).WithRequest(i + 1)))
+				}
+				So(fx.started(), ShouldEqual, jobs)
+			})
+		})
+	}
+}
--- a/internal/process/role/executor/evacuation.go
+++ b/internal/process/role/executor/evacuation.go
@@ -12,7 +12,7 @@
 type zoneEvacuation struct {
 	zone  string
 	since time.Duration
-	// source is the entry that told the agent.
+	// source is the entry that sent the set.
 	source string
 	// rejected counts the starts that were rejected, and starts those that were sent to the
 	// target, of which there must be none.
@@ -41,14 +41,14 @@
 	return lines
 }
 
-// hearEvacuations takes over a newer set of evacuated zones from an entry. The agent tells
+// receiveEvacuations takes over a newer set of evacuated zones from an entry. The agent tells
 // its other entries in their next frames.
-func (s *StateMachine) hearEvacuations(sess *session, told evacuation.Set) {
-	if told.Newer(sess.knownEvacuations) {
-		sess.knownEvacuations = told
+func (s *StateMachine) receiveEvacuations(sess *session, received evacuation.Set) {
+	if received.Newer(sess.knownEvacuations) {
+		sess.knownEvacuations = received
 	}
-	if told.Newer(s.evacuated) {
-		s.evacuated = told
+	if received.Newer(s.evacuated) {
+		s.evacuated = received
 		s.evacuation.source = sess.entry
 	}
 }
--- a/internal/process/role/executor/leaving_test.go
+++ b/internal/process/role/executor/leaving_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestLeaveTime guards against an entry that does not learn when a target leaves, or that
-// goes on to believe a notice that was taken back.
+// goes on to believe a notice that was withdrawn.
 func TestLeaveTime(t *testing.T) {
 	tests := map[string]struct {
 		draining  bool
@@ -27,7 +27,8 @@
 		"time_of_a_target_that_does": {remaining: 2 * time.Second},
 		"same_time_again":            {draining: true, remaining: 2 * time.Second, wait: 100 * ms, next: 1900 * ms, reports: 1, want: 2 * time.Second},
 		"earlier_than_said":          {draining: true, remaining: 2 * time.Second, wait: 100 * ms, next: 200 * ms, reports: 2, want: 200 * ms},
-		"taken_back":                 {draining: true, remaining: 2 * time.Second, wait: 100 * ms, back: true, reports: 2},
+		"withdrawn":                  {draining: true, remaining: 2 * time.Second, wait: 100 * ms, back: true, reports: 2},
+		"overdue":                    {draining: true, remaining: 100 * ms, wait: 200 * ms, reports: 1, want: 100 * ms},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/process/role/executor/session.go
+++ b/internal/process/role/executor/session.go
@@ -107,7 +107,7 @@
 		return
 	}
 	s.receiveConfiguration(now, sess, f)
-	s.hearEvacuations(sess, f.Evacuated)
+	s.receiveEvacuations(sess, f.Evacuated)
 	if f.ReportInterval > 0 {
 		sess.reportInterval = min(max(f.ReportInterval, capacityInterval), s.timing.heartbeatInterval)
 	}
--- a/internal/process/role/executor/target.go
+++ b/internal/process/role/executor/target.go
@@ -24,6 +24,9 @@
 	maxUnanswered = 2
 	// clockTolerance covers clocks that are read in whole ms.
 	clockTolerance = 10 * time.Millisecond
+	// warmUpTolerance is how much later a reported end of the warm-up must be before entries
+	// are told; it covers the varying delay of reports.
+	warmUpTolerance = 200 * time.Millisecond
 	// leaveTolerance is the change of the time at which a target leaves from which entries
 	// are told; reports come with different delays.
 	leaveTolerance = 50 * time.Millisecond
@@ -121,7 +124,7 @@
 	return frame.NewTarget(t.incarnation.String(), t.service, t.zone, t.labels, t.usable() && !refusing).
 		WithCapacity(t.capacity.MilliCores(), t.capacity.MemoryMB(), t.capacity.Accelerators()).
 		WithWarmUp(max(0, t.warmUntil-now)).
-		LeavingIn(t.leavesIn(now))
+		WithLeavesIn(t.leavesIn(now))
 }
 
 // leavesIn returns the least time for which the target still runs what it has. For one
@@ -201,7 +204,7 @@
 	t.sequence = r.sequence
 	t.reported = now
 	s.describeTarget(r)
-	t.warmUntil = s.reviewWarmUp(now, r)
+	t.warmUntil = s.updateWarmUp(now, r)
 	t.replaced = false
 	t.stale = false
 	s.updateLeaveTime(now, r)
@@ -216,13 +219,18 @@
 func (s *StateMachine) updateLeaveTime(now time.Duration, r Report) {
 	t := &s.target
 	at := time.Duration(0)
-	if r.draining && r.remaining > 0 {
+	switch {
+	case r.draining && r.remaining > 0:
 		at = now + r.remaining
+	case r.draining:
+		// A target without time left is overdue, if it said before when it leaves.
+		at = t.leavesAt
 	}
-	if known := t.leavesAt > 0; known != (at > 0) || (at-t.leavesAt).Abs() > leaveTolerance {
-		s.resendTarget()
+	if known := t.leavesAt > 0; known == (at > 0) && (at-t.leavesAt).Abs() <= leaveTolerance {
+		return
 	}
 	t.leavesAt = at
+	s.resendTarget()
 }
 
 // describeTarget takes over what entries choose a target by, and tells them of changes.
@@ -242,12 +250,9 @@
 	t.capacity = r.capacity
 }
 
-// warmUpTolerance covers the way of a report.
-const warmUpTolerance = 200 * time.Millisecond
-
-// reviewWarmUp returns when the target's warm-up ends. Entries count the time that they were
+// updateWarmUp returns when the target's warm-up ends. Entries count the time that they were
 // told down by themselves, so they are told only of a later end.
-func (s *StateMachine) reviewWarmUp(now time.Duration, r Report) time.Duration {
+func (s *StateMachine) updateWarmUp(now time.Duration, r Report) time.Duration {
 	until := now + r.warmUp
 	if r.warmUp > 0 && until > s.target.warmUntil+warmUpTolerance {
 		s.resendTarget()
--- a/internal/process/role/server/entry.go
+++ b/internal/process/role/server/entry.go
@@ -211,8 +211,8 @@
 	}, name, purpose, h)
 }
 
-// ServeAside is Serve for a listener with a small part of the process's resources.
-func (e *Entry) ServeAside(address, name, purpose string, h http.Handler) error {
+// ServeSide is Serve for a listener with a small part of the process's resources.
+func (e *Entry) ServeSide(address, name, purpose string, h http.Handler) error {
 	return e.base.serveHTTP(address, web.Limits{
 		Account: e.base.account(name, e.base.settings.resources.Side()),
 		Request: smallHeads,
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -6,15 +6,16 @@
 // passed. The work in the queue and the rate at which it starts are known when a job
 // arrives, and so is roughly when its last task will end.
 //
-// A short queue is enough to keep the targets busy. So a job is refused at once if the
-// queue before it takes more than a small share of the time of its commitment, or if that answer would come too late. The own size of a job has no part in the
-// former, so that large jobs are refused no sooner than small ones. Without a queue no
-// job is refused.
+// A short queue is enough to keep the targets busy. So a job is refused on arrival if the
+// wait for the work before it exceeds a small share of the time until its commitment, or
+// if its answer would come too late to be useful. The job's own size does not count towards
+// the wait, so large jobs are not refused sooner than small ones. Without a queue, no job
+// is refused.
 //
-// The run time of one job is known with an error of some 40%, but the work ahead of it is
-// a sum over many jobs, whose errors cancel out. An answer is taken to be too late only
-// if it would be so after a shorter wait than the expected one, and a run as short as
-// that of one job in four.
+// The run time of one job is known badly, but the work ahead of it is a sum over many
+// jobs, whose errors cancel out. An answer is taken to be too late only if it would be so
+// after a shorter wait than the expected one, and a run as short as that of one job in
+// four.
 package admission
 
 import (
@@ -28,9 +29,9 @@
 	// targets busy between the ends of two runs, and leaves the rest to the run, whose
 	// length is known the least.
 	maxWaitShare = 0.06
-	// minQueue is the number of jobs that may wait in any case, since a short wait can't be
+	// MinQueue is the number of jobs that may wait in any case, since a short wait can't be
 	// told from a long one by so few.
-	minQueue = 4
+	MinQueue = 4
 	// shortRun is the number of standard deviations below its expected logarithm that a
 	// quarter of the run times undercut.
 	shortRun = 0.67
@@ -96,7 +97,7 @@
 
 // Stalled returns the capacity if no queued job has started for some time. What has not
 // moved for so long will probably not move sooner than after as long again, whatever the
-// rate should be.
+// rate should be. It does not matter while cores are free.
 func (c Capacity) Stalled(d time.Duration) Capacity {
 	c.stalled = d
 	return c
@@ -112,7 +113,11 @@
 		return maxWait
 	}
 	s := b.work * (1 - c.free/b.cores) / c.rate
-	return max(c.stalled, time.Duration(min(s, maxWait.Seconds())*float64(time.Second)))
+	wait := time.Duration(min(s, maxWait.Seconds()) * float64(time.Second))
+	if c.free > 0 {
+		return wait
+	}
+	return max(c.stalled, wait)
 }
 
 // retryAfter returns the time in which a backlog is worked off, in whole seconds. It does
@@ -174,8 +179,8 @@
 	return d.retryAfter
 }
 
-// Undecided accepts a job of which only the run time is known.
-func Undecided(now time.Duration, j Job) Decision {
+// Accept accepts a job without regard to the queue.
+func Accept(now time.Duration, j Job) Decision {
 	return Decision{
 		expectedEnd: now + j.runTime,
 	}
@@ -184,7 +189,7 @@
 // Decide decides on a job that arrives now, behind a backlog.
 func Decide(now time.Duration, j Job, ahead Backlog, c Capacity) Decision {
 	d := Keep(now, j, ahead, c)
-	if ahead.jobs >= minQueue && c.wait(ahead) > scale(j.due-now, maxWaitShare) {
+	if wait := c.wait(ahead); ahead.jobs >= MinQueue && wait > 0 && wait > scale(j.due-now, maxWaitShare) {
 		d.reason = ReasonBacklog
 	}
 	return d
--- a/internal/request/departure/departure.go
+++ b/internal/request/departure/departure.go
@@ -1,7 +1,7 @@
 // Package departure decides what becomes of the runs on a target that has announced
 // when it leaves.
 //
-// It answers the load in which several targets leave at short notice while the others
+// It is for loads in which several targets leave at short notice while the others
 // are busy. A run that probably ends before its target leaves goes on, and so does one
 // whose task no other target could end in time: what it has done would be thrown away
 // for nothing. The other runs are stopped early and start again elsewhere. The caller of
@@ -19,9 +19,9 @@
 	// stopped. A move throws away what the run has done, and the estimates of both
 	// sides are off.
 	minGain = 0.1
-	// exactSpread is the least standard deviation of the logarithm of a run time, so that
+	// minSpread is the least standard deviation of the logarithm of a run time, so that
 	// no estimate is taken as exact.
-	exactSpread = 0.05
+	minSpread = 0.05
 )
 
 // Run is what is known of a run on a target that leaves.
@@ -40,7 +40,7 @@
 	return Run{
 		ran:      max(ran, 0),
 		expected: max(expected, time.Millisecond),
-		spread:   max(spread, exactSpread),
+		spread:   max(spread, minSpread),
 		left:     left,
 	}
 }
--- a/internal/request/placement/faster.go
+++ b/internal/request/placement/faster.go
@@ -4,11 +4,11 @@
 
 // The parameters of waits for a faster target.
 const (
-	// usualWait is the time for which a task waits for the fastest target while there is
-	// room for others. Runs on a target end every few ms under load.
+	// usualWait is the wait assumed for the fastest target while other targets have free
+	// capacity. Runs on a target end every few ms under load.
 	usualWait = 120 * time.Millisecond
-	// clearlySlower is the ratio of run times from which a target is slower than the
-	// fastest one beyond the error of their factors, which is about 0.15 for each.
+	// clearlySlower is the ratio of run times from which a target counts as slower. It
+	// exceeds the error of two estimated factors.
 	clearlySlower = 1.3
 	// scarce is the scarcity from which another task waits for each place that is taken.
 	scarce = 0.5
--- a/internal/request/placement/room.go
+++ b/internal/request/placement/room.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -39,7 +40,9 @@
 // their run times, and the number of places a second that other runs free.
 func NewRoom(runs []Run, spread, rate float64) Room {
 	runs = slices.Clone(runs)
-	slices.SortFunc(runs, func(a, b Run) int { return int((a.expected - a.ran) - (b.expected - b.ran)) })
+	slices.SortFunc(runs, func(a, b Run) int {
+		return cmp.Or(cmp.Compare(a.expected-a.ran, b.expected-b.ran), cmp.Compare(a.ran, b.ran))
+	})
 	return Room{
 		runs:   runs[:min(len(runs), maxEnds)],
 		spread: math.Max(spread, 1e-3),
