--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -124,7 +124,7 @@
 	ConfigRefusing:   "An entry refuses new jobs, or accepts them again, since a configuration that must be in force is not.",
 	ConfigCaughtUp:   "This process has the newest configuration version that it knows of again; the line has how long it was behind.",
 	EvacuationBegan:  "An availability zone is evacuated as far as this process knows, and gets no new work from it; the line has the source.",
-	EvacuationEnded:  "An availability zone was taken back and gets work again; the line has how long its evacuation lasted, and the starts there meanwhile, which must be 0.",
+	EvacuationEnded:  "The evacuation of an availability zone ended and the zone gets work again; the line has how long it lasted, and the starts there meanwhile, which must be 0.",
 	SendDelayed:      "Frames to another process wait to be written; the line has the process and the age of the oldest.",
 	SendResumed:      "Frames to other processes are written without delay again; the line has the highest age.",
 	ConfigInvalid:    "A stored configuration is invalid; the previous one stays active.",
--- a/internal/process/intake/budget.go
+++ b/internal/process/intake/budget.go
@@ -6,15 +6,18 @@
 	// memoryPerByte is the memory that a process must have for each byte of requests that
 	// it may hold: buffers grow by doubling, and the garbage collector lets the heap grow.
 	memoryPerByte = 8
-	// memoryPerConnection is the memory that a process must have for each connection. An
-	// open connection with a request in progress takes about a quarter of it.
+	// memoryPerConnection is the memory that a process must have for each connection of its
+	// main listener. The margin covers the goroutine and the buffers of a request.
 	memoryPerConnection = 96 << 10
-	// shares is the number of parts into which memory and descriptors are divided. The
-	// main listener of a process gets mainShares, each other HTTP listener one, and
+	// shares is the number of parts into which the memory for bytes and the descriptors are
+	// divided; connections by memory are relative to the main listener. The main listener of a process gets mainShares, each other HTTP listener one, and
 	// the links to other processes linkShares. The rest is for files, the store and targets.
 	shares     = 16
 	mainShares = 8
 	linkShares = 3
+	// tolerance is the divisor of the band around a limit of bytes: closing connections
+	// aims below it, and readers refuse by themselves only above it.
+	tolerance = 8
 	// MinBytes is the least that a listener may hold, so that a request that is not
 	// exceptionally large is served on the smallest host.
 	MinBytes = 1 << 20
@@ -127,17 +130,17 @@
 	return a.held.Load()
 }
 
-// Excess returns how many bytes are held beyond seven eighths of the limit, so that
-// there is room again after they are freed, or 0 if the limit is not reached.
+// Excess returns how many bytes must be freed to reach the limit less 1/tolerance, or 0
+// while the limit is not exceeded.
 func (a *Account) Excess() int64 {
 	if held := a.held.Load(); a.limits.bytes > 0 && held > a.limits.bytes {
-		return held - a.limits.bytes*7/8
+		return held - (a.limits.bytes - a.limits.bytes/tolerance)
 	}
 	return 0
 }
 
-// Fits reports whether n more bytes can be held, with an eighth of the limit to spare
-// for what is freed meanwhile.
+// Fits reports whether n more bytes keep the listener within its limit plus 1/tolerance. Up
+// to there, the server's duty frees memory by closing connections.
 func (a *Account) Fits(n int64) bool {
-	return a.limits.bytes == 0 || a.held.Load()+n <= a.limits.bytes+a.limits.bytes/8
+	return a.limits.bytes == 0 || a.held.Load()+n <= a.limits.bytes+a.limits.bytes/tolerance
 }
--- a/internal/process/intake/intake.go
+++ b/internal/process/intake/intake.go
@@ -1,6 +1,6 @@
 // Package intake decides which connections of a listener are closed.
 //
-// Clients that are not controlled may open many connections and send requests that do
+// Untrusted clients may open many connections and send requests that do
 // not come to an end. What has arrived of them takes memory, and each connection a
 // descriptor. The state machine sees samples of all connections of one listener. It
 // closes those whose request makes no progress in the permitted times. While the
@@ -10,6 +10,7 @@
 package intake
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -233,17 +234,12 @@
 func compare[K comparable](now time.Duration, a, b *connection[K]) int {
 	youngA, youngB := now-a.openedAt < window, now-b.openedAt < window
 	switch {
-	case youngA != youngB && youngB:
+	case youngB && !youngA:
 		return -1
-	case youngA != youngB:
+	case youngA && !youngB:
 		return 1
-	case youngA || a.progress() == b.progress():
-		if !youngA && a.movedAt != b.movedAt {
-			return int(a.movedAt - b.movedAt)
-		}
-		return int(a.sequence - b.sequence)
-	case a.progress() < b.progress():
-		return -1
+	case youngA:
+		return cmp.Compare(a.sequence, b.sequence)
 	}
-	return 1
+	return cmp.Or(cmp.Compare(a.progress(), b.progress()), cmp.Compare(a.movedAt, b.movedAt), cmp.Compare(a.sequence, b.sequence))
 }
--- a/internal/process/web/limits.go
+++ b/internal/process/web/limits.go
@@ -25,9 +25,9 @@
 )
 
 const (
-	// freeBytes is what each connection may hold while the listener holds too much, so
+	// smallRequestBytes is what each connection may hold while the listener holds too much, so
 	// that small requests are still served.
-	freeBytes = 8 << 10
+	smallRequestBytes = 8 << 10
 	// maxReadBytes bounds one read, and so what can arrive beyond a limit.
 	maxReadBytes = 32 << 10
 	// maxEmptyBytes bounds the empty lines before a request.
@@ -45,10 +45,10 @@
 // memory. Nothing of the request has run.
 var ErrRefused = errors.New("too many requests are being received")
 
-// errFramed is what net/http gets of a connection whose bytes are no request, and
-// errLongHead marks one with a head that is too long.
+// errUnframed ends a connection whose bytes are not a request, errLongHead one whose head
+// exceeds its limit.
 var (
-	errFramed   = errors.New("bytes are no request")
+	errUnframed = errors.New("bytes are not a request")
 	errLongHead = errors.New("head is too long")
 )
 
@@ -90,7 +90,7 @@
 // Fits reports whether the listener of a request has memory for n more bytes.
 func Fits(ctx context.Context, n int64) bool {
 	c := connectionOf(ctx)
-	if c == nil || n <= freeBytes || c.server.account.Fits(n-c.held.Load()) {
+	if c == nil || n <= smallRequestBytes || c.server.account.Fits(n-c.held.Load()) {
 		return true
 	}
 	c.server.count(RefusedMemory)
@@ -105,7 +105,7 @@
 		return true
 	}
 	more := n - c.held.Load()
-	if n > freeBytes && more > 0 && !c.server.account.Fits(more) {
+	if n > smallRequestBytes && more > 0 && !c.server.account.Fits(more) {
 		c.server.press()
 		c.server.count(RefusedMemory)
 		return false
@@ -123,7 +123,7 @@
 		return c.fail(p, n, errLongHead)
 	}
 	if c.framing.emptyBytes > maxEmptyBytes || c.framing.state == unframed {
-		return c.fail(p, n, errFramed)
+		return c.fail(p, n, errUnframed)
 	}
 	more := c.framing.kept - c.kept
 	c.kept = c.framing.kept
@@ -132,7 +132,7 @@
 		return n, err
 	}
 	c.server.press()
-	if held <= freeBytes || c.state.Load() != connectionPartial || c.server.account.Fits(0) {
+	if held <= smallRequestBytes || c.state.Load() != connectionPartial || c.server.account.Fits(0) {
 		return n, err
 	}
 	c.server.count(RefusedMemory)
--- a/internal/process/web/pressure.go
+++ b/internal/process/web/pressure.go
@@ -11,12 +11,12 @@
 const (
 	// sweepInterval is how often the connections are looked through while there are any.
 	sweepInterval = time.Second
-	// pressedInterval is the same while the listener holds too much or has no room.
+	// pressedInterval is the interval of sweeps while the listener holds too much or has no room.
 	pressedInterval = 10 * time.Millisecond
 	// acceptInterval is the least time between two connections meanwhile, so that clients
 	// that connect again at once do not take all of the processor.
 	acceptInterval = time.Millisecond
-	// crowdedInterval is the least time between two log lines.
+	// crowdedInterval is the minimum time between two server_crowded log lines.
 	crowdedInterval = 10 * time.Second
 )
 
