Compute the probability of ending in time in one place

The log-normal probability stood three times and the conditional one twice, in dispatch, departure and placement, with different guards. Package lognormal has both with one set of guards. No decision changes: the guards only concern estimates of nothing and a spread below 0.001.

--- a/internal/process/role/dispatch/estimate.go
+++ b/internal/process/role/dispatch/estimate.go
@@ -145,13 +145,3 @@
 func fromLogSeconds(log float64) time.Duration {
 	return time.Duration(math.Exp(log) * float64(time.Second))
 }
-
-// probabilityWithin returns the probability that work with an expected time ends
-// within limit, for a log-normal distribution with the given spread.
-func probabilityWithin(limit, expected time.Duration, spread float64) float64 {
-	if limit <= 0 {
-		return 0
-	}
-	z := math.Log(limit.Seconds()/math.Max(expected.Seconds(), 1e-6)) / spread
-	return 0.5 * math.Erfc(-z/math.Sqrt2)
-}
--- a/internal/process/role/dispatch/order.go
+++ b/internal/process/role/dispatch/order.go
@@ -7,6 +7,7 @@
 
 	"greengagedoor.example/greengagedoor/internal/process/event"
 	"greengagedoor.example/greengagedoor/internal/request/admission"
+	"greengagedoor.example/greengagedoor/internal/request/lognormal"
 	"greengagedoor.example/greengagedoor/internal/request/task"
 )
 
@@ -163,7 +164,7 @@
 // a useful answer, even on the fastest target. The end of its last run waits for the
 // entry as long as other events.
 func (d *Dispatch) unlikelyInTime(now time.Duration, j *job) bool {
-	return probabilityWithin(j.usefulUntil-now-d.overload.highest(), j.fastestTime, j.model.spread()) < d.minProbability()
+	return lognormal.Within(j.usefulUntil-now-d.overload.highest(), j.fastestTime, j.model.spread()) < d.minProbability()
 }
 
 // minProbability returns the probability of an answer in time from which a job is
--- a/internal/process/role/dispatch/place.go
+++ b/internal/process/role/dispatch/place.go
@@ -6,6 +6,7 @@
 
 	"greengagedoor.example/greengagedoor/internal/connection/frame"
 	"greengagedoor.example/greengagedoor/internal/process/event"
+	"greengagedoor.example/greengagedoor/internal/request/lognormal"
 	"greengagedoor.example/greengagedoor/internal/request/placement"
 	"greengagedoor.example/greengagedoor/internal/request/task"
 )
@@ -241,15 +242,15 @@
 	x := d.expectedTime(a, s, base)
 	j := t.job
 	spread := j.model.spread()
-	useful := probabilityWithin(j.usefulUntil-now, x, spread)
+	useful := lognormal.Within(j.usefulUntil-now, x, spread)
 	if useful < d.minProbability() && t.run == 0 && !j.started {
 		return 0, false
 	}
-	inTime := probabilityWithin(j.due-now, x, spread)
+	inTime := lognormal.Within(j.due-now, x, spread)
 	d.measureLoad()
 	u := scarcity(a.load.share())
 	wait := placement.Charge(x, fastest, u)
-	if x > fastest+wait && inTime+minWaitGain < probabilityWithin(j.due-now-wait, fastest, spread) {
+	if x > fastest+wait && inTime+minWaitGain < lognormal.Within(j.due-now-wait, fastest, spread) {
 		return 0, false
 	}
 	late := 1 - inTime
--- a/internal/process/role/dispatch/shutdown.go
+++ b/internal/process/role/dispatch/shutdown.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"greengagedoor.example/greengagedoor/internal/request/lognormal"
 )
 
 // ReasonLeaving is the reason of a request that the end of the entry leaves no time for.
@@ -49,7 +51,7 @@
 	}
 	spread := j.model.spread()
 	return now >= d.lastAnswer ||
-		probabilityWithin(j.usefulUntil-now, j.fastestTime, spread) < minShareLeaving*probabilityWithin(j.uncutUntil-now, j.fastestTime, spread)
+		lognormal.Within(j.usefulUntil-now, j.fastestTime, spread) < minShareLeaving*lognormal.Within(j.uncutUntil-now, j.fastestTime, spread)
 }
 
 // refuseUnfinishable refuses the queued jobs for which the leaving entry ends too
--- a/internal/request/departure/departure.go
+++ b/internal/request/departure/departure.go
@@ -10,8 +10,9 @@
 package departure
 
 import (
-	"math"
 	"time"
+
+	"greengagedoor.example/greengagedoor/internal/request/lognormal"
 )
 
 const (
@@ -78,32 +79,12 @@
 // Gain returns by how much the probability of an answer in time rises if the run is
 // stopped now and its task starts elsewhere. It is 0 if the run should go on.
 func Gain(r Run, n Notice, e Elsewhere) float64 {
-	stays := r.endsWithin(min(n.leavesIn, r.left))
-	lost := 1 - r.endsWithin(n.leavesIn)
-	afterLoss := within(r.left-n.leavesIn-n.lossFound, e.expected, r.spread)
-	moved := within(r.left-e.moveDelay, e.expected, r.spread)
+	stays := lognormal.WithinGiven(r.ran, min(n.leavesIn, r.left), r.expected, r.spread)
+	lost := 1 - lognormal.WithinGiven(r.ran, n.leavesIn, r.expected, r.spread)
+	afterLoss := lognormal.Within(r.left-n.leavesIn-n.lossFound, e.expected, r.spread)
+	moved := lognormal.Within(r.left-e.moveDelay, e.expected, r.spread)
 	if gain := moved - stays - lost*afterLoss; gain >= minGain {
 		return gain
 	}
 	return 0
 }
-
-// endsWithin returns the probability that the run ends within d, given that it has not
-// ended so far.
-func (r Run) endsWithin(d time.Duration) float64 {
-	ended := within(r.ran, r.expected, r.spread)
-	if d <= 0 || ended >= 1 {
-		return 0
-	}
-	return (within(r.ran+d, r.expected, r.spread) - ended) / (1 - ended)
-}
-
-// within returns the probability that work with an expected time ends within limit, for
-// a log-normal distribution with the given spread.
-func within(limit, expected time.Duration, spread float64) float64 {
-	if limit <= 0 {
-		return 0
-	}
-	z := math.Log(limit.Seconds()/expected.Seconds()) / spread
-	return 0.5 * math.Erfc(-z/math.Sqrt2)
-}
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -21,6 +21,8 @@
 import (
 	"math"
 	"time"
+
+	"greengagedoor.example/greengagedoor/internal/request/lognormal"
 )
 
 // The parameters of the decision.
@@ -176,7 +178,7 @@
 // decideByChance compares the probabilities of an answer in time. The wait ends where
 // the better place is no longer better than going now was.
 func decideByChance(o Offer, r Room) Decision {
-	now := Chance(o.slack, o.here, o.spread)
+	now := lognormal.Within(o.slack, o.here, o.spread)
 	limit := min(o.most, o.slack-time.Duration(float64(o.there)*float64(o.slack)/float64(o.here)))
 	if limit < minWait {
 		return Decision{}
@@ -187,24 +189,14 @@
 	for i := range gridSize {
 		end := step * time.Duration(i+1)
 		after := r.Later(end)
-		chance += (before - after) * Chance(o.slack-end+step/2, o.there, o.spread)
+		chance += (before - after) * lognormal.Within(o.slack-end+step/2, o.there, o.spread)
 		expected += (before + after) / 2 * float64(step)
 		before = after
 	}
-	chance += before * Chance(o.slack-limit, o.here, o.spread)
+	chance += before * lognormal.Within(o.slack-limit, o.here, o.spread)
 	return Decision{
 		wait:     chance >= now+minGain*(1+scarcityGain*o.scarcity),
 		expected: time.Duration(expected),
 		limit:    limit,
 	}
 }
-
-// Chance returns the probability that a run with an expected time ends within a limit,
-// for a log-normal distribution with the given spread.
-func Chance(limit, expected time.Duration, spread float64) float64 {
-	if limit <= 0 {
-		return 0
-	}
-	z := math.Log(limit.Seconds()/math.Max(expected.Seconds(), 1e-6)) / math.Max(spread, 1e-3)
-	return 0.5 * math.Erfc(-z/math.Sqrt2)
-}
--- a/internal/request/placement/room.go
+++ b/internal/request/placement/room.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"greengagedoor.example/greengagedoor/internal/request/lognormal"
 )
 
 // maxEnds and maxAhead limit what one decision examines. A task behind more others waits
@@ -79,7 +81,7 @@
 		freed[k] = freed[k-1] * mean / float64(k)
 	}
 	for _, x := range r.runs {
-		p := x.endsWithin(t, r.spread)
+		p := lognormal.WithinGiven(x.ran, t, x.expected, r.spread)
 		for k := r.needed - 1; k > 0; k-- {
 			freed[k] = freed[k]*(1-p) + freed[k-1]*p
 		}
@@ -91,13 +93,3 @@
 	}
 	return min(sum, 1)
 }
-
-// endsWithin returns the probability that a run which has not ended yet does so within t.
-func (x Run) endsWithin(t time.Duration, spread float64) float64 {
-	lasted := 1 - Chance(x.ran, x.expected, spread)
-	if lasted < 1e-6 {
-		// The run is far longer than expected, so nothing is known of its end.
-		return 0
-	}
-	return 1 - (1-Chance(x.ran+t, x.expected, spread))/lasted
-}
