--- a/cmd/greengagedoor/check.go
+++ b/cmd/greengagedoor/check.go
@@ -31,7 +31,7 @@
 		ArgsUsage: "FILE",
 		Description: "Lists all problems at once: parts that are invalid, entries that can never match, and\n" +
 			"limits that contradict each other. Needs no process and no store.\n" +
-			"Exit codes: 0 no problems; 1 problems; 2 a file could not be read or is no JSON.",
+			"Exit codes: 0 no problems; 1 problems; 2 a file could not be read or is not JSON.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{
 				Name:  "against",
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -1,7 +1,7 @@
 // Package placement decides whether a task takes the place that is free now or waits for
 // a better one.
 //
-// The load it answers: many tasks want the few targets beside their data, or the fastest
+// It is for loads in which many tasks want the few targets beside their data, or the fastest
 // ones, while there is room elsewhere. A task that takes a worse place occupies it for
 // longer, and so takes room from others; one that waits may wait in vain. Time is the
 // only unit. Going now costs the time by which the caller's answer is later than at the
