--- a/review/_cases2/main.go
+++ b/review/_cases2/main.go
@@ -38,6 +38,7 @@
 
 var scenarios = map[string]scenario{
 	"late_duplicate": lateDuplicate,
+	"frozen_cancel":  frozenCancel,
 }
 
 func main() {
