--- /dev/null
+++ b/review/_cases2/large_bodies.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// crowdJobs is the number of large jobs, crowdPause the pause between two of them.
+	crowdJobs  = 900
+	crowdPause = 4 * time.Millisecond
+	// largeTaskMS is the time of the only task of a job that runs before the deadline.
+	largeTaskMS = 1400
+	// repeatedSteps is how often a step names its prerequisite, so that the body is just
+	// below maxBodyBytes.
+	repeatedSteps = 130_900
+)
+
+// largeBodies sends many large bodies of legal size.
+var largeBodies = scenario{
+	size: size{
+		entries:  1,
+		agents:   3,
+		memoryMB: 284,
+		timeout:  deadline,
+	},
+	play: func(in *installation, trouble bool) (bool, error) {
+		return judgeMemory(in, trouble, func(e *process) error {
+			body := largeBody()
+			in.rec.note("%d clients send a job each, of %d bytes, of at most %d", crowdJobs, len(body), maxBodyBytes)
+			answers := map[string]int{}
+			var mu sync.Mutex
+			var clients sync.WaitGroup
+			for i := range crowdJobs {
+				time.Sleep(crowdPause)
+				if !e.alive() {
+					break
+				}
+				clients.Add(1)
+				go func() {
+					defer clients.Done()
+					a := e.post(fmt.Sprintf("1a26e%011x", i), body, deadline)
+					mu.Lock()
+					defer mu.Unlock()
+					if a.err != nil {
+						answers["no answer"]++
+						return
+					}
+					answers[fmt.Sprintf("%d %s", a.status, strings.TrimSpace(a.body))]++
+				}()
+			}
+			clients.Wait()
+			for text, n := range answers {
+				in.rec.note("%d large jobs: %s", n, text)
+			}
+			return nil
+		})
+	},
+}
+
+// largeBody returns a job of two tasks, of which the second names its prerequisite often.
+func largeBody() string {
+	return fmt.Sprintf(`{"spec":"10/%d","bestEffort":true,"steps":[{"count":1,"cpu":10,"estimateMs":%d},{"count":1,"cpu":10,"estimateMs":10,"after":[%s0]}]}`,
+		largeTaskMS, largeTaskMS, strings.Repeat("0,", repeatedSteps-1))
+}
--- a/review/_cases2/main.go
+++ b/review/_cases2/main.go
@@ -39,6 +39,7 @@
 var scenarios = map[string]scenario{
 	"late_duplicate": lateDuplicate,
 	"frozen_cancel":  frozenCancel,
+	"large_bodies":   largeBodies,
 }
 
 func main() {
