--- a/review/_cases2/main.go
+++ b/review/_cases2/main.go
@@ -40,6 +40,7 @@
 	"late_duplicate": lateDuplicate,
 	"frozen_cancel":  frozenCancel,
 	"large_bodies":   largeBodies,
+	"many_fields":    manyFields,
 }
 
 func main() {
