--- a/review/_cases2/installation.go
+++ b/review/_cases2/installation.go
@@ -40,6 +40,8 @@
 	memoryMB int
 	// timeout is the time of the route.
 	timeout time.Duration
+	// relays is set if a relay stands between each agent and its target.
+	relays bool
 }
 
 // installation is a small deployment on loopback addresses.
@@ -52,9 +54,13 @@
 	entries []*process
 	agents  []*process
 	targets []*standin.Target
-	ended   chan struct{}
-	work    sync.WaitGroup
-	cleanup []func()
+	// reporters send the reports of each target, relays stand before the targets.
+	reporters []func() error
+	relays    []*relay
+	late      *lateCall
+	ended     chan struct{}
+	work      sync.WaitGroup
+	cleanup   []func()
 }
 
 // newInstallation starts an installation and waits until each entry serves.
@@ -68,6 +74,7 @@
 		rec:   rec,
 		dir:   dir,
 		ended: make(chan struct{}),
+		late:  &lateCall{},
 	}
 	in.runs = &runs{
 		rec: rec,
@@ -171,12 +178,24 @@
 		return err
 	}
 	in.agents = append(in.agents, p)
+	report := func() error { return x.Report(p.control, x.Address()) }
+	if in.size.relays {
+		r, cleanup, err := newRelay(x, host, "i-"+name, in.late, in.rec)
+		if err != nil {
+			return err
+		}
+		in.cleanup = append(in.cleanup, cleanup)
+		r.agent = p.control
+		in.relays = append(in.relays, r)
+		report = func() error { return x.Report(r.reportsAddr, r.callsAddr) }
+	}
+	in.reporters = append(in.reporters, report)
 	in.work.Add(1)
 	go func() {
 		defer in.work.Done()
 		pause := firstReport
 		for {
-			if x.Report(p.control, x.Address()) == nil {
+			if report() == nil {
 				pause = heartbeat
 			}
 			select {
--- a/review/_cases2/main.go
+++ b/review/_cases2/main.go
@@ -41,6 +41,7 @@
 	"frozen_cancel":  frozenCancel,
 	"large_bodies":   largeBodies,
 	"many_fields":    manyFields,
+	"late_start":     lateStart,
 }
 
 func main() {
