--- a/review/_cases2/main.go
+++ b/review/_cases2/main.go
@@ -41,6 +41,7 @@
 	"frozen_cancel":  frozenCancel,
 	"large_bodies":   largeBodies,
 	"many_fields":    manyFields,
+	"odd_ids":        oddIDs,
 	"late_start":     lateStart,
 }
 
