--- a/review/_cases2/installation.go
+++ b/review/_cases2/installation.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -76,10 +77,13 @@
 		rec:   rec,
 		dir:   dir,
 		ended: make(chan struct{}),
-		late:  &lateCall{},
+		late: &lateCall{
+			owner: newOwner(),
+		},
 	}
 	in.runs = &runs{
-		rec: rec,
+		rec:   rec,
+		owner: newOwner(),
 	}
 	in.cleanup = append(in.cleanup, func() { _ = os.RemoveAll(dir) })
 	store, cleanup, err := standin.NewStore()
@@ -182,12 +186,11 @@
 	in.agents = append(in.agents, p)
 	report := func() error { return x.Report(p.control, x.Address()) }
 	if in.size.relays {
-		r, cleanup, err := newRelay(x, host, "i-"+name, in.late, in.rec)
+		r, cleanup, err := newRelay(x, host, "i-"+name, p.control, in.late, in.rec)
 		if err != nil {
 			return err
 		}
 		in.cleanup = append(in.cleanup, cleanup)
-		r.agent = p.control
 		in.relays = append(in.relays, r)
 		report = func() error { return x.Report(r.reportsAddr, r.callsAddr) }
 	}
@@ -223,10 +226,10 @@
 			if time.Now().After(end) {
 				return fmt.Errorf("%s does not serve: %v", p.name, a)
 			}
-			time.Sleep(100 * time.Millisecond)
+			pause(100 * time.Millisecond)
 		}
 	}
-	time.Sleep(settleTime)
+	pause(settleTime)
 	in.rec.note("%d entries and %d targets serve", len(in.entries), len(in.targets))
 	return nil
 }
@@ -259,9 +262,9 @@
 
 // runs records what targets start and end.
 type runs struct {
-	rec  *record
-	mu   sync.Mutex
-	list []run
+	rec   *record
+	owner owner
+	list  []run
 	// quiet keeps runs out of the record.
 	quiet bool
 }
@@ -277,51 +280,49 @@
 }
 
 func (r *runs) started(target, task string, number int64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.list = append(r.list, run{
-		target: target,
-		task:   task,
-		number: number,
-		began:  time.Now(),
+	r.owner.call(func() {
+		r.list = append(r.list, run{
+			target: target,
+			task:   task,
+			number: number,
+			began:  time.Now(),
+		})
+		if !r.quiet {
+			r.rec.note("%s starts task %s, run %d", target, task, number)
+		}
 	})
-	if !r.quiet {
-		r.rec.note("%s starts task %s, run %d", target, task, number)
-	}
 }
 
 func (r *runs) endedOn(target, task string, number int64, how string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for i := range r.list {
-		x := &r.list[i]
-		if x.target == target && x.task == task && x.number == number && x.ended.IsZero() {
-			x.ended = time.Now()
-			x.how = how
+	r.owner.call(func() {
+		for i := range r.list {
+			x := &r.list[i]
+			if x.target == target && x.task == task && x.number == number && x.ended.IsZero() {
+				x.ended = time.Now()
+				x.how = how
+			}
 		}
-	}
-	if !r.quiet {
-		r.rec.note("%s ends task %s, run %d: %s", target, task, number, how)
-	}
+		if !r.quiet {
+			r.rec.note("%s ends task %s, run %d: %s", target, task, number, how)
+		}
+	})
 }
 
 // setQuiet keeps further runs out of the record.
 func (r *runs) setQuiet() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.quiet = true
+	r.owner.call(func() { r.quiet = true })
 }
 
 // of returns the runs of a job that began after a time.
 func (r *runs) of(job string, after time.Time) []run {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	var list []run
-	for _, x := range r.list {
-		if len(x.task) > len(job) && x.task[:len(job)+1] == job+"." && x.began.After(after) {
-			list = append(list, x)
+	r.owner.call(func() {
+		for _, x := range r.list {
+			if strings.HasPrefix(x.task, job+".") && x.began.After(after) {
+				list = append(list, x)
+			}
 		}
-	}
+	})
 	return list
 }
 
--- a/review/_cases2/large_bodies.go
+++ b/review/_cases2/large_bodies.go
@@ -33,10 +33,10 @@
 			body := largeBody()
 			in.rec.note("%d clients send a job each, of %d bytes, of at most %d", crowdJobs, len(body), maxBodyBytes)
 			answers := map[string]int{}
-			var mu sync.Mutex
+			counting := newOwner()
 			var clients sync.WaitGroup
 			for i := range crowdJobs {
-				time.Sleep(crowdPause)
+				pause(crowdPause)
 				if !e.alive() {
 					break
 				}
@@ -44,13 +44,7 @@
 				go func() {
 					defer clients.Done()
 					a := e.post(fmt.Sprintf("1a26e%011x", i), body, largeTime)
-					mu.Lock()
-					defer mu.Unlock()
-					if a.err != nil {
-						answers["no answer"]++
-						return
-					}
-					answers[fmt.Sprintf("%d %s", a.status, strings.TrimSpace(a.body))]++
+					counting.call(func() { answers[a.kind()]++ })
 				}()
 			}
 			clients.Wait()
--- a/review/_cases2/late_start.go
+++ b/review/_cases2/late_start.go
@@ -35,7 +35,7 @@
 		in.rec.note("client sends POST of job %s, one task of %d ms", job, doubleTaskMS)
 		go func() { posted <- in.entries[0].post(job, oneTask(doubleTaskMS), doubleTime) }()
 		if trouble {
-			time.Sleep(restartAfter)
+			pause(restartAfter)
 			if err := in.restartLateTarget(); err != nil {
 				return false, err
 			}
@@ -83,7 +83,7 @@
 		}
 		in.rec.note("%s crashes", in.targets[n].Name())
 		in.targets[n].Crash()
-		time.Sleep(downTime)
+		pause(downTime)
 		err := in.targets[n].Start()
 		in.rec.note("%s has started again under the id %s", in.targets[n].Name(), r.id)
 		if err != nil {
--- a/review/_cases2/many_fields.go
+++ b/review/_cases2/many_fields.go
@@ -42,7 +42,7 @@
 				}
 			}()
 			for i := range crowdConnections {
-				time.Sleep(openPause)
+				pause(openPause)
 				c, err := net.Dial("tcp", e.callers)
 				if err != nil {
 					in.rec.note("client %d: %v", i+1, err)
@@ -55,7 +55,7 @@
 				}
 			}
 			in.rec.note("%d connections are open", len(open))
-			time.Sleep(stayTime)
+			pause(stayTime)
 			return nil
 		})
 	},
--- a/review/_cases2/odd_ids.go
+++ b/review/_cases2/odd_ids.go
@@ -28,7 +28,7 @@
 		return judgeMemory(in, trouble, func(e *process) error {
 			in.rec.note("%d clients send up to %d jobs, one after the other, with ids of %d bytes", oddClients, oddRequests, oddIDBytes)
 			answers := map[string]int{}
-			var mu sync.Mutex
+			counting := newOwner()
 			var clients sync.WaitGroup
 			for c := range oddClients {
 				clients.Add(1)
@@ -41,13 +41,7 @@
 					for i := range oddRequests / oddClients {
 						id := fmt.Sprintf("%d.%d.%s", c, i, strings.Repeat("0", oddIDBytes))
 						a := client.post(id, oneTask(20), deadline)
-						mu.Lock()
-						if a.err != nil {
-							answers["no answer"]++
-						} else {
-							answers[fmt.Sprint(a.status)]++
-						}
-						mu.Unlock()
+						counting.call(func() { answers[a.kind()]++ })
 						if a.err != nil {
 							return
 						}
--- a/review/_cases2/platform.go
+++ b/review/_cases2/platform.go
@@ -6,7 +6,6 @@
 	"os"
 	"regexp"
 	"strconv"
-	"sync"
 	"time"
 )
 
@@ -24,14 +23,16 @@
 // memoryWatch is the platform's watch on the memory of one process. It kills the process
 // when it exceeds its memory.
 type memoryWatch struct {
-	mu       sync.Mutex
+	owner    owner
 	highest  int64
 	exceeded bool
 }
 
 // watchMemory watches a process until stop is closed.
 func watchMemory(p *process, limitMB int, rec *record, stop <-chan struct{}) *memoryWatch {
-	w := &memoryWatch{}
+	w := &memoryWatch{
+		owner: newOwner(),
+	}
 	go func() {
 		noted := time.Now()
 		for {
@@ -45,10 +46,10 @@
 				continue
 			}
 			over := n > int64(limitMB)*megabyte
-			w.mu.Lock()
-			w.highest = max(w.highest, n)
-			w.exceeded = w.exceeded || over
-			w.mu.Unlock()
+			w.owner.call(func() {
+				w.highest = max(w.highest, n)
+				w.exceeded = w.exceeded || over
+			})
 			if time.Since(noted) >= noteInterval || over {
 				noted = time.Now()
 				rec.note("%s has %d MB of %d MB", p.name, n/megabyte, limitMB)
@@ -65,9 +66,8 @@
 
 // result returns the highest memory and whether the process was killed for it.
 func (w *memoryWatch) result() (highest int64, exceeded bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.highest, w.exceeded
+	w.owner.call(func() { highest, exceeded = w.highest, w.exceeded })
+	return highest, exceeded
 }
 
 var residentLine = regexp.MustCompile(`(?m)^VmRSS:\s+(\d+) kB$`)
@@ -127,13 +127,13 @@
 	stop := make(chan struct{})
 	w := watchMemory(e, in.size.memoryMB, in.rec, stop)
 	finish := callOrdinarily(e, in.rec, stop)
-	time.Sleep(time.Second)
+	pause(time.Second)
 	if trouble {
 		if err := crowd(e); err != nil {
 			return false, err
 		}
 	} else {
-		time.Sleep(calmTime)
+		pause(calmTime)
 	}
 	close(stop)
 	sent, unanswered := finish()
--- a/review/_cases2/process.go
+++ b/review/_cases2/process.go
@@ -160,6 +160,14 @@
 	return fmt.Sprintf("%d %s after %d ms", a.status, strings.TrimSpace(a.body), a.took.Milliseconds())
 }
 
+// kind returns what answers of the same kind have in common.
+func (a answer) kind() string {
+	if a.err != nil {
+		return "no answer"
+	}
+	return fmt.Sprintf("%d %.60s", a.status, strings.TrimSpace(a.body))
+}
+
 // request sends a client's request for a job to the entry.
 func (p *process) request(method, job, body string, deadline time.Duration) answer {
 	began := time.Now()
--- a/review/_cases2/record.go
+++ b/review/_cases2/record.go
@@ -3,13 +3,12 @@
 import (
 	"fmt"
 	"os"
-	"sync"
 	"time"
 )
 
 // record writes what was sent, answered and run, with the time since the start.
 type record struct {
-	mu      sync.Mutex
+	owner   owner
 	file    *os.File
 	started time.Time
 }
@@ -20,6 +19,7 @@
 		return nil, err
 	}
 	return &record{
+		owner:   newOwner(),
 		file:    f,
 		started: time.Now(),
 	}, nil
@@ -28,11 +28,11 @@
 // note writes one line to the record and to standard output.
 func (r *record) note(format string, args ...any) {
 	line := fmt.Sprintf("%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	fmt.Print(line)
-	// The case is judged by what was seen, with or without its record.
-	_, _ = r.file.WriteString(line)
+	r.owner.call(func() {
+		fmt.Print(line)
+		// The case is judged by what was seen, with or without its record.
+		_, _ = r.file.WriteString(line)
+	})
 }
 
 func (r *record) close() {
--- a/review/_cases2/relay.go
+++ b/review/_cases2/relay.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"greengagedoor.example/greengagedoor/platform/standin"
@@ -29,7 +28,7 @@
 	callsAddr   string
 	reportsAddr string
 	client      *http.Client
-	mu          sync.Mutex
+	owner       owner
 	agent       string
 	incarnation string
 	// late is the call that is held back, of all relays together.
@@ -40,7 +39,7 @@
 
 // lateCall is a start that gets no answer and is carried out after a time.
 type lateCall struct {
-	mu sync.Mutex
+	owner owner
 	// job is the one whose first start it is, empty for none.
 	job   string
 	delay time.Duration
@@ -50,45 +49,49 @@
 
 // startsOf returns the bodies of the starts of a job.
 func (l *lateCall) startsOf(job string) [][]byte {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	var list [][]byte
-	for _, b := range l.starts {
-		if bytes.Contains(b, []byte(job)) {
-			list = append(list, b)
+	l.owner.call(func() {
+		for _, b := range l.starts {
+			if bytes.Contains(b, []byte(job)) {
+				list = append(list, b)
+			}
 		}
-	}
+	})
 	return list
 }
 
 // arm chooses the job.
 func (l *lateCall) arm(job string, delay time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.job = job
-	l.delay = delay
+	l.owner.call(func() {
+		l.job = job
+		l.delay = delay
+	})
 }
 
 // take reports whether a call is the first start of the job, and for how long it is held
 // back.
-func (l *lateCall) take(path string, body []byte) (time.Duration, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if path == "/run-start" {
-		l.starts = append(l.starts, body)
-	}
-	if l.job == "" || path != "/run-start" || !bytes.Contains(body, []byte(l.job)) {
+func (l *lateCall) take(path string, body []byte) (delay time.Duration, taken bool) {
+	if path != "/run-start" {
 		return 0, false
 	}
-	l.job = ""
-	return l.delay, true
+	l.owner.call(func() {
+		l.starts = append(l.starts, body)
+		if l.job == "" || !bytes.Contains(body, []byte(l.job)) {
+			return
+		}
+		l.job = ""
+		delay, taken = l.delay, true
+	})
+	return delay, taken
 }
 
 // newRelay returns a relay that listens on a host, and its cleanup function.
-func newRelay(x *standin.Target, host, id string, late *lateCall, rec *record) (*relay, func(), error) {
+func newRelay(x *standin.Target, host, id, agent string, late *lateCall, rec *record) (*relay, func(), error) {
 	r := &relay{
 		target: x,
 		id:     id,
+		agent:  agent,
+		owner:  newOwner(),
 		late:   late,
 		rec:    rec,
 		client: &http.Client{
@@ -127,11 +130,8 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	r.mu.Lock()
-	r.incarnation = parts[2]
-	agent := r.agent
-	r.mu.Unlock()
-	r.pass(w, q.Header, "http://"+agent+"/instances/"+r.id+"/"+parts[3], q.Body)
+	r.owner.call(func() { r.incarnation = parts[2] })
+	r.pass(w, q.Header, "http://"+r.agent+"/instances/"+r.id+"/"+parts[3], q.Body)
 }
 
 // call passes a call of the agent on to the target that runs then.
@@ -145,9 +145,7 @@
 		r.toTarget(w, q.Header, q.URL.Path, b)
 		return
 	}
-	r.mu.Lock()
-	r.held = true
-	r.mu.Unlock()
+	r.owner.call(func() { r.held = true })
 	r.rec.note("a start at %s gets no answer: %s", r.id, b)
 	header := q.Header.Clone()
 	time.AfterFunc(delay, func() {
@@ -160,12 +158,10 @@
 
 // toTarget passes a call on with the target's name for the incarnation that is meant.
 func (r *relay) toTarget(w http.ResponseWriter, header http.Header, path string, body []byte) {
-	r.mu.Lock()
 	header = header.Clone()
 	if header.Get(expectedHeader) == r.id {
-		header.Set(expectedHeader, r.incarnation)
+		r.owner.call(func() { header.Set(expectedHeader, r.incarnation) })
 	}
-	r.mu.Unlock()
 	r.pass(w, header, "http://"+r.target.Address()+path, bytes.NewReader(body))
 }
 
@@ -190,9 +186,9 @@
 
 // holds reports whether this relay has held a call back.
 func (r *relay) holds() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.held
+	held := false
+	r.owner.call(func() { held = r.held })
+	return held
 }
 
 // discarded is an answer that nobody gets.
