--- a/review/_cases2/large_bodies.go
+++ b/review/_cases2/large_bodies.go
@@ -23,21 +23,24 @@
 // largeBodies sends many large bodies of legal size.
 var largeBodies = scenario{
 	size: size{
-		entries:  1,
+		entries:  2,
 		agents:   3,
 		memoryMB: 284,
 		timeout:  largeTime,
 	},
 	play: func(in *installation, trouble bool) (bool, error) {
-		return judgeMemory(in, trouble, func(e *process) error {
+		return judgeMemory(in, trouble, func(e *process, ended <-chan struct{}) {
 			body := largeBody()
-			in.rec.note("%d clients send a job each, of %d bytes, of at most %d", crowdJobs, len(body), maxBodyBytes)
+			in.rec.note("up to %d clients send %s a job each, of %d bytes, of at most %d", crowdJobs, e.name, len(body), maxBodyBytes)
 			answers := map[string]int{}
 			counting := newOwner()
 			var clients sync.WaitGroup
 			for i := range crowdJobs {
-				pause(crowdPause)
-				if !e.alive() {
+				select {
+				case <-ended:
+				case <-time.After(crowdPause):
+				}
+				if isClosed(ended) {
 					break
 				}
 				clients.Add(1)
@@ -49,9 +52,8 @@
 			}
 			clients.Wait()
 			for text, n := range answers {
-				in.rec.note("%d large jobs: %s", n, text)
+				in.rec.note("%d large jobs at %s: %s", n, e.name, text)
 			}
-			return nil
 		})
 	},
 }
--- a/review/_cases2/many_fields.go
+++ b/review/_cases2/many_fields.go
@@ -24,17 +24,17 @@
 // short of the end of their bodies and stay open.
 var manyFields = scenario{
 	size: size{
-		entries:  1,
+		entries:  2,
 		agents:   3,
 		memoryMB: 284,
 		timeout:  deadline,
 	},
 	play: func(in *installation, trouble bool) (bool, error) {
-		return judgeMemory(in, trouble, func(e *process) error {
+		return judgeMemory(in, trouble, func(e *process, ended <-chan struct{}) {
 			fields, n := manyNames()
 			body := oneTask(20)
-			in.rec.note("%d clients send a head of %d bytes with %d fields, of at most %d bytes, and a body that lacks its last byte",
-				crowdConnections, headBytes, n, maxHeaderBytes)
+			in.rec.note("%d clients send %s a head of %d bytes with %d fields, of at most %d bytes, and a body that lacks its last byte",
+				crowdConnections, e.name, headBytes, n, maxHeaderBytes)
 			var open []net.Conn
 			defer func() {
 				for _, c := range open {
@@ -43,20 +43,24 @@
 			}()
 			for i := range crowdConnections {
 				pause(openPause)
+				if isClosed(ended) {
+					return
+				}
 				c, err := net.Dial("tcp", e.callers)
 				if err != nil {
-					in.rec.note("client %d: %v", i+1, err)
-					break
+					return
 				}
 				open = append(open, c)
 				head := headStart(fmt.Sprintf("f1e1d%011x", i), len(body)) + fields + "\r\n"
 				if _, err := c.Write([]byte(head + body[:len(body)-1])); err != nil {
-					in.rec.note("client %d: %v", i+1, err)
+					return
 				}
 			}
-			in.rec.note("%d connections are open", len(open))
-			pause(stayTime)
-			return nil
+			in.rec.note("%d connections to %s are open", len(open), e.name)
+			select {
+			case <-ended:
+			case <-time.After(stayTime):
+			}
 		})
 	},
 }
--- a/review/_cases2/odd_ids.go
+++ b/review/_cases2/odd_ids.go
@@ -12,21 +12,22 @@
 	// one after the other.
 	oddRequests = 40_000
 	oddClients  = 8
-	// oddIDBytes is the length of their ids; the heads are below maxHeaderBytes.
-	oddIDBytes = 15_000
+	// oddIDCharacters is the length of their ids, of characters that take three bytes in a
+	// path; the heads are below maxHeaderBytes.
+	oddIDCharacters = 5_000
 )
 
 // oddIDs sends jobs whose ids are no ids.
 var oddIDs = scenario{
 	size: size{
-		entries:  1,
+		entries:  2,
 		agents:   3,
 		memoryMB: 284,
 		timeout:  deadline,
 	},
 	play: func(in *installation, trouble bool) (bool, error) {
-		return judgeMemory(in, trouble, func(e *process) error {
-			in.rec.note("%d clients send up to %d jobs, one after the other, with ids of %d bytes", oddClients, oddRequests, oddIDBytes)
+		return judgeMemory(in, trouble, func(e *process, _ <-chan struct{}) {
+			in.rec.note("%d clients send %s up to %d jobs, one after the other, with ids of %d characters", oddClients, e.name, oddRequests, oddIDCharacters)
 			answers := map[string]int{}
 			counting := newOwner()
 			var clients sync.WaitGroup
@@ -39,9 +40,11 @@
 						client:  &http.Client{},
 					}
 					for i := range oddRequests / oddClients {
-						id := fmt.Sprintf("%d.%d.%s", c, i, strings.Repeat("0", oddIDBytes))
+						id := fmt.Sprintf("%d.%d.", c, i) + strings.Repeat("%01", oddIDCharacters)
 						a := client.post(id, oneTask(20), deadline)
-						counting.call(func() { answers[a.kind()]++ })
+						// The answers quote the ids.
+						status, _, _ := strings.Cut(a.kind(), " {")
+						counting.call(func() { answers[status]++ })
 						if a.err != nil {
 							return
 						}
@@ -50,9 +53,8 @@
 			}
 			clients.Wait()
 			for text, n := range answers {
-				in.rec.note("%d odd jobs: %s", n, text)
+				in.rec.note("%d odd jobs at %s: %s", n, e.name, text)
 			}
-			return nil
 		})
 	},
 }
--- a/review/_cases2/owner.go
+++ b/review/_cases2/owner.go
@@ -29,3 +29,12 @@
 func pause(d time.Duration) {
 	<-time.After(d)
 }
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- a/review/_cases2/platform.go
+++ b/review/_cases2/platform.go
@@ -6,6 +6,7 @@
 	"os"
 	"regexp"
 	"strconv"
+	"sync"
 	"time"
 )
 
@@ -18,14 +19,22 @@
 	callInterval = 100 * time.Millisecond
 	kilobyte     = 1 << 10
 	megabyte     = 1 << 20
+	// restartDelay is when the platform starts a process again that has ended.
+	restartDelay = 500 * time.Millisecond
+	// endsOfFault and machinesOfFault are the figures of the rule Fault.
+	endsOfFault     = 3
+	machinesOfFault = 2
+	// crowdTime bounds the crowds, and calmTime is the length of a run without them.
+	crowdTime = 95 * time.Second
+	calmTime  = 5 * time.Second
 )
 
 // memoryWatch is the platform's watch on the memory of one process. It kills the process
-// when it exceeds its memory.
+// when it exceeds its memory, and starts it again.
 type memoryWatch struct {
-	owner    owner
-	highest  int64
-	exceeded bool
+	owner   owner
+	highest int64
+	ends    int
 }
 
 // watchMemory watches a process until stop is closed.
@@ -41,22 +50,25 @@
 				return
 			case <-time.After(memoryInterval):
 			}
-			n, err := residentBytes(p.cmd.Process.Pid)
+			n, err := residentBytes(p.pid())
 			if err != nil {
 				continue
 			}
 			over := n > int64(limitMB)*megabyte
-			w.owner.call(func() {
-				w.highest = max(w.highest, n)
-				w.exceeded = w.exceeded || over
-			})
 			if time.Since(noted) >= noteInterval || over {
 				noted = time.Now()
 				rec.note("%s has %d MB of %d MB", p.name, n/megabyte, limitMB)
 			}
-			if over {
-				rec.note("the platform kills %s, which exceeds its memory", p.name)
-				p.kill()
+			w.owner.call(func() { w.highest = max(w.highest, n) })
+			if !over {
+				continue
+			}
+			rec.note("the platform kills %s, which exceeds its memory, and starts it again", p.name)
+			p.kill()
+			w.owner.call(func() { w.ends++ })
+			pause(restartDelay)
+			if err := p.start(); err != nil {
+				rec.note("%s does not start: %v", p.name, err)
 				return
 			}
 		}
@@ -64,10 +76,10 @@
 	return w
 }
 
-// result returns the highest memory and whether the process was killed for it.
-func (w *memoryWatch) result() (highest int64, exceeded bool) {
-	w.owner.call(func() { highest, exceeded = w.highest, w.exceeded })
-	return highest, exceeded
+// result returns the highest memory and how often the process was killed for it.
+func (w *memoryWatch) result() (highest int64, ends int) {
+	w.owner.call(func() { highest, ends = w.highest, w.ends })
+	return highest, ends
 }
 
 var residentLine = regexp.MustCompile(`(?m)^VmRSS:\s+(\d+) kB$`)
@@ -108,9 +120,6 @@
 			if a.err != nil {
 				unanswered++
 			}
-			if a.err != nil && !p.alive() {
-				return
-			}
 		}
 	}()
 	return func() (int, int) {
@@ -119,28 +128,52 @@
 	}
 }
 
-// judgeMemory plays a crowd against the first entry and reports whether the entry
-// exceeded its memory.
-func judgeMemory(in *installation, trouble bool, crowd func(e *process) error) (bool, error) {
+// judgeMemory plays a crowd against each entry, again and again. It reports whether the
+// processes of two machines or more have ended three times each: the entries are all
+// machines that callers reach, and more than a tenth of the installation.
+func judgeMemory(in *installation, trouble bool, crowd func(e *process, ended <-chan struct{})) (bool, error) {
 	in.runs.setQuiet()
-	e := in.entries[0]
 	stop := make(chan struct{})
-	w := watchMemory(e, in.size.memoryMB, in.rec, stop)
-	finish := callOrdinarily(e, in.rec, stop)
-	pause(time.Second)
-	if trouble {
-		if err := crowd(e); err != nil {
-			return false, err
+	over := time.Now().Add(crowdTime)
+	var watches []*memoryWatch
+	var finishes []func() (int, int)
+	var crowds sync.WaitGroup
+	for _, e := range in.entries {
+		w := watchMemory(e, in.size.memoryMB, in.rec, stop)
+		watches = append(watches, w)
+		finishes = append(finishes, callOrdinarily(e, in.rec, stop))
+		if !trouble {
+			continue
 		}
-	} else {
+		crowds.Add(1)
+		go func() {
+			defer crowds.Done()
+			pause(time.Second)
+			for time.Now().Before(over) {
+				if _, ends := w.result(); ends >= endsOfFault {
+					return
+				}
+				crowd(e, e.ended())
+				for i := 0; time.Now().Before(over) && e.post(fmt.Sprintf("5e771e%010x", i), oneTask(20), deadline).status != 200; i++ {
+					pause(callInterval)
+				}
+			}
+		}()
+	}
+	if !trouble {
 		pause(calmTime)
 	}
+	crowds.Wait()
 	close(stop)
-	sent, unanswered := finish()
-	highest, exceeded := w.result()
-	in.rec.note("%s had up to %d MB of %d MB; of %d ordinary jobs %d got no answer", e.name, highest/megabyte, in.size.memoryMB, sent, unanswered)
-	return exceeded, nil
+	broken := 0
+	for i, w := range watches {
+		sent, unanswered := finishes[i]()
+		highest, ends := w.result()
+		in.rec.note("%s had up to %d MB of %d MB and ended %d times; of %d ordinary jobs %d got no answer",
+			in.entries[i].name, highest/megabyte, in.size.memoryMB, ends, sent, unanswered)
+		if ends >= endsOfFault {
+			broken++
+		}
+	}
+	return broken >= machinesOfFault, nil
 }
-
-// calmTime is the length of a run without a crowd.
-const calmTime = 5 * time.Second
--- a/review/_cases2/process.go
+++ b/review/_cases2/process.go
@@ -28,6 +28,7 @@
 type process struct {
 	name    string
 	rec     *record
+	owner   owner
 	cmd     *exec.Cmd
 	exited  chan struct{}
 	callers string
@@ -82,6 +83,7 @@
 	p := &process{
 		name:    name,
 		rec:     rec,
+		owner:   newOwner(),
 		callers: at(s.ports[2]),
 		control: at(s.ports[2]),
 		client: &http.Client{
@@ -105,7 +107,7 @@
 			return err
 		}
 		exited := make(chan struct{})
-		p.cmd, p.exited = cmd, exited
+		p.owner.call(func() { p.cmd, p.exited = cmd, exited })
 		go func() {
 			_ = cmd.Wait()
 			close(exited)
@@ -128,21 +130,26 @@
 
 // kill ends the process at once.
 func (p *process) kill() {
-	if p.cmd == nil {
+	var cmd *exec.Cmd
+	p.owner.call(func() { cmd = p.cmd })
+	if cmd == nil {
 		return
 	}
-	_ = p.cmd.Process.Kill()
-	<-p.exited
+	_ = cmd.Process.Kill()
+	<-p.ended()
 }
 
-// alive reports whether the process has not ended.
-func (p *process) alive() bool {
-	select {
-	case <-p.exited:
-		return false
-	default:
-		return true
-	}
+// ended returns a channel that is closed when the present process has ended.
+func (p *process) ended() <-chan struct{} {
+	var exited chan struct{}
+	p.owner.call(func() { exited = p.exited })
+	return exited
+}
+
+func (p *process) pid() int {
+	n := 0
+	p.owner.call(func() { n = p.cmd.Process.Pid })
+	return n
 }
 
 // answer is what a client gets for a request.
