Call each incarnation of a target with a higher fence

Cause: the agent kept its fence over the restart of its target. A new incarnation has seen no fence, knows of no stop, and its clock starts anew, so nothing made it refuse what was sent to the one before. Ruled out: the entry placed the task again only after the agent's word, and the earlier incarnation had settled the run.

Change: the fence rises by one with each incarnation that the agent learns of. The new event start_fenced names, at a restart, the starts of the last 15 s that were left unanswered, so that explain leads from the task to the restart.

--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -40,6 +40,7 @@
 	RunStopping  Name = "run_stopping"
 	RunUnclaimed Name = "run_unclaimed"
 	RunUnsettled Name = "run_unsettled"
+	StartFenced  Name = "start_fenced"
 
 	LeaseWithheld Name = "lease_withheld"
 	LeaseExtended Name = "lease_extended"
@@ -108,6 +109,7 @@
 	RunRefused:       "An agent or its target refused a start; nothing ran.",
 	RunStopping:      "An agent stops a run; the line has the cause.",
 	RunUnsettled:     "A target started again while a run may be on either incarnation; the lists of the new one decide.",
+	StartFenced:      "A target started again while a start for it was unanswered; from the agent's first call on, the new incarnation refuses it.",
 	RunUnclaimed:     "A target has a run that no entry requested from this agent; the run is stopped.",
 	LeaseWithheld:    "A target did not answer the stop of a run, so its lease is not extended, and all its runs end with it unless the stop is confirmed before.",
 	LeaseExtended:    "All stops are confirmed or their runs have ended; the lease of the target is extended again.",
--- a/internal/process/role/dispatch/simulation/simulation_test.go
+++ b/internal/process/role/dispatch/simulation/simulation_test.go
@@ -42,6 +42,7 @@
 	"partition":             {every: 700 * time.Millisecond, fault: partition, minComplete: 0.6},
 	"target_crashed":        {every: 900 * time.Millisecond, fault: crashTarget, minComplete: 0.5},
 	"target_restarts":       {every: 150 * time.Millisecond, fault: restartTarget, minComplete: 0.5},
+	"starts_late":           {every: 400 * time.Millisecond, fault: startLate, minComplete: 0.1, stretch: 4},
 	"target_changes_kind":   {every: 100 * time.Millisecond, fault: changeKind, minComplete: 0.3, kinds: true},
 	"orders_lost":           {every: 700 * time.Millisecond, fault: loseCommands, minComplete: 0.8},
 	"stops_unanswered":      {every: 2 * time.Second, fault: muteStops, minComplete: 0.1, stretch: 4, underestimate: 4},
@@ -103,6 +104,15 @@
 	})
 }
 
+// startLate lets one target leave half of its calls unanswered and carry them out 2 to 12 s
+// later, and another one start again under its id.
+func startLate(c *cluster) {
+	t := c.agents[c.random.IntN(len(c.agents))].target
+	t.lateUntil = c.now + time.Second
+	t.renewalsLateUntil = t.lateUntil
+	restartTarget(c)
+}
+
 // changeKind lets a target start again under another id and as one of the other kind.
 func changeKind(c *cluster) {
 	a := c.agents[c.random.IntN(len(c.agents))]
--- a/internal/process/role/executor/executor.go
+++ b/internal/process/role/executor/executor.go
@@ -6,7 +6,7 @@
 // starts them on the target under a lease, tracks them and reports their ends.
 //
 // Two runs of a task must never overlap, even when entries, agents, targets and
-// the connections between them stop, freeze or lose messages. Four rules ensure
+// the connections between them stop, freeze or lose messages. Five rules ensure
 // this:
 //
 //   - A start expires at a time on the agent's clock. The entry derives it from
@@ -24,7 +24,8 @@
 //     as ended only when a later list of the target does not contain it, or when
 //     its lease has expired.
 //   - A target that starts again under its id may have got the latest starts already.
-//     So its report ends no run: the lists of the new incarnation do.
+//     So its report ends no run: the lists of the new incarnation do. Each incarnation is
+//     called with a higher fence, so that it refuses earlier calls that come late.
 //
 // The agent's clock continues while the host is suspended. StateMachine takes
 // events with the time of that clock and returns the actions to perform. It does no
@@ -198,7 +199,9 @@
 	queue           []*run
 	inUse           task.Resources
 	queuedResources task.Resources
-	leaving         bool
+	// unansweredStarts are the latest starts whose answer was given up, for the log.
+	unansweredStarts []unansweredStart
+	leaving          bool
 	// stopRunsAt is when a leaving agent stops what still runs, so that entries can place
 	// it elsewhere without waiting for its lease.
 	stopRunsAt time.Duration
--- a/internal/process/role/executor/restart.go
+++ b/internal/process/role/executor/restart.go
@@ -12,6 +12,12 @@
 // that the agent does not know yet. A run is therefore never ended because another
 // incarnation shows up. It is unsettled until a list of the new incarnation, requested
 // after the answer to its start or to its stop, shows whether it runs there.
+//
+// A call without an answer may be carried out seconds later, long after its run has been
+// settled on the incarnation that it was meant for. The next incarnation would carry it out
+// too: it knows of no stop, its clock starts anew, and the end of the lease that the call
+// names is far ahead on it. So each incarnation is called with a higher fence than those
+// before it, and refuses their calls once it has carried out the first one.
 
 // resetTarget replaces the target's state for another incarnation. Runs under another id
 // have ended, since calls for one id have no effect on another.
@@ -19,6 +25,10 @@
 	t := &s.target
 	previous := t.incarnation
 	fence, address, leaseEnd := t.fence, t.address, t.leaseEnd
+	if t.known {
+		fence++
+		s.logFencedStarts(now, previous, next, fence)
+	}
 	for _, r := range s.sortedRuns() {
 		switch {
 		case r.state == runQueued:
--- a/internal/process/role/executor/run.go
+++ b/internal/process/role/executor/run.go
@@ -267,6 +267,7 @@
 				event.F("target", r.incarnation.String()), event.F("order_ms", (now-r.startSent).Milliseconds()), event.F("used_milli_cores", s.inUse.MilliCores()))
 		}
 	case ResultUnknown:
+		s.rememberUnanswered(now, r)
 		s.stop(now, r, "order_unanswered")
 	case ResultStaleFence:
 		if r.state == runStarting && !s.inEvacuatedZone() {
