Use a target again that reports after a late deregistration

Cause: a deregistration names the id alone, and nothing took back that the target had left. Change: a report that is accepted after it does. A target that has left sends no report; one that was delayed says that the target drains, or has an older number.

TestLateDeregistration/target_reports_again fails before and passes now; its other three rows hold before and after.

--- a/internal/process/role/executor/target.go
+++ b/internal/process/role/executor/target.go
@@ -52,7 +52,7 @@
 	// unreported is set while the incarnation is known from an answer alone, without the
 	// service, the labels and the capacity of its report.
 	unreported bool
-	// left is set once the target has deregistered.
+	// left is set once the target has deregistered, until it reports again.
 	left bool
 	// stale is set if the target has not reported within reportTimeout.
 	stale bool
@@ -207,6 +207,12 @@
 	t.warmUntil = s.updateWarmUp(now, r)
 	t.replaced = false
 	t.stale = false
+	if t.left {
+		// A deregistration names the id alone, and this one came late from an earlier
+		// incarnation: a target that has left reports no more.
+		t.left = false
+		s.logEvent(event.TargetChanged, event.F("target", r.incarnation.String()), event.F("left", false))
+	}
 	s.updateLeaveTime(now, r)
 	if r.draining != t.draining {
 		t.draining = r.draining
