Count refusals by a closed set of reasons

Cause: the reason of a job that is not allowed was the error's text, which quotes the client, and counters by reason keep each key for good.

Change: the reason is "invalid", the text goes to the caller and into the log line, ids have at most 64 bytes, and a counter by text has at most 64 keys.

--- a/internal/process/role/dispatch/submission.go
+++ b/internal/process/role/dispatch/submission.go
@@ -26,6 +26,9 @@
 // reasonNoConfiguration is the reason while no configuration is known.
 const reasonNoConfiguration = "no_configuration"
 
+// reasonInvalid is the reason of a job that is not allowed.
+const reasonInvalid = "invalid"
+
 // findRoute returns the route of a path and the job id in the rest of the path.
 func (d *Dispatch) findRoute(host, path string) (route.Route, string, bool) {
 	r, ok := d.version.Match(host, path)
@@ -36,14 +39,25 @@
 }
 
 func (d *Dispatch) refuse(s Submission, id string, st State, reason string, retryAfter time.Duration, fields ...event.Field) {
+	d.logRefused(s, id, reason, retryAfter, fields...)
+	d.answer(s.request, st, reason, retryAfter)
+}
+
+// refuseInvalid refuses a job that is not allowed. What is wrong with it may quote the
+// client, so it goes to the caller and into the log line only: reasons are keys of counters.
+func (d *Dispatch) refuseInvalid(s Submission, id string, err error) {
+	d.logRefused(s, id, reasonInvalid, 0, event.F("detail", err.Error()))
+	d.answer(s.request, StateInvalid, err.Error(), 0)
+}
+
+func (d *Dispatch) logRefused(s Submission, id, reason string, retryAfter time.Duration, fields ...event.Field) {
 	d.logEvent(event.JobRefused, append([]event.Field{
-		event.F("job", id),
+		event.F("job", id[:min(len(id), task.MaxIDBytes)]),
 		event.F("trace", s.trace),
 		event.F("reason", reason),
 		event.F("retry_after_ms", retryAfter.Milliseconds()),
 		event.F("jobs_held", len(d.jobs)),
 	}, fields...)...)
-	d.answer(s.request, st, reason, retryAfter)
 }
 
 // submit accepts or refuses a job.
@@ -71,7 +85,7 @@
 	}
 	work, err := task.NewJob(id, s.spec, s.steps)
 	if err != nil {
-		d.refuse(s, id, StateInvalid, err.Error(), 0)
+		d.refuseInvalid(s, id, err)
 		return
 	}
 	switch {
--- a/internal/process/role/server/observe.go
+++ b/internal/process/role/server/observe.go
@@ -22,6 +22,13 @@
 	sampleRingSize   = 4096
 )
 
+// maxCounterKeys bounds the keys of a counter by text. A map keeps its keys for as long as the
+// process runs. The tables of reasons and outcomes are far smaller.
+const (
+	maxCounterKeys = 64
+	otherKey       = "other"
+)
+
 // latencies maps the events that have histograms to the fields with the values, in ms.
 var latencies = map[event.Name][]string{
 	event.JobEnded:   {"took_ms", "admission_error_ms"},
@@ -106,15 +113,27 @@
 	}
 }
 
-// countBy counts an event in m by the text of one of its fields.
+// countBy counts an event in m by the text of one of its fields. A new text counts as
+// otherKey if the map has maxCounterKeys.
 func countBy(m *expvar.Map, n event.Note, field string) {
 	for _, f := range n.Fields() {
-		if text, ok := f.Value().(string); ok && f.Key() == field {
-			m.Add(text, 1)
+		text, ok := f.Value().(string)
+		if !ok || f.Key() != field {
+			continue
 		}
+		if m.Get(text) == nil && countKeys(m) >= maxCounterKeys {
+			text = otherKey
+		}
+		m.Add(text, 1)
 	}
 }
 
+func countKeys(m *expvar.Map) int {
+	n := 0
+	m.Do(func(expvar.KeyValue) { n++ })
+	return n
+}
+
 // count counts an occurrence at an HTTP server.
 func (o *observer) count(server string, c web.Counter) {
 	o.servers.Add(server+"_"+string(c), 1)
--- a/internal/request/task/task.go
+++ b/internal/request/task/task.go
@@ -22,6 +22,8 @@
 	MaxTasks = 4096
 	// MaxSteps bounds the steps of one job.
 	MaxSteps = 256
+	// MaxIDBytes bounds the id of a job. Entries keep and pass on ids.
+	MaxIDBytes = 64
 	// MaxSpecBytes bounds the payload that the tasks of a job share.
 	MaxSpecBytes = 4000
 	// MaxEstimate bounds a declared run time, far above every caller's time.
@@ -131,8 +133,8 @@
 // NewJob returns a job. Steps may depend only on earlier steps. The error wraps
 // ErrInvalid.
 func NewJob(id, spec string, steps []Step) (Job, error) {
-	if id == "" || strings.ContainsAny(id, "./ ") {
-		return Job{}, errors.Wrapf(ErrInvalid, "id %q, allowed are names without dot, slash and blank", id)
+	if !IsID(id) {
+		return Job{}, errors.Wrapf(ErrInvalid, "id of %d bytes, allowed are names of 1 to %d without dot, slash and blank", len(id), MaxIDBytes)
 	}
 	if len(spec) > MaxSpecBytes {
 		return Job{}, errors.Wrapf(ErrInvalid, "payload has %d bytes, allowed are %d", len(spec), MaxSpecBytes)
@@ -159,6 +161,11 @@
 	}, nil
 }
 
+// IsID reports whether a text may be the id of a job.
+func IsID(id string) bool {
+	return id != "" && len(id) <= MaxIDBytes && !strings.ContainsAny(id, "./ ")
+}
+
 // ID returns the name that the caller chose.
 func (j Job) ID() string {
 	return j.id
