--- a/internal/connection/frame/decode.go
+++ b/internal/connection/frame/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protowire"
@@ -138,6 +139,10 @@
 		if err == nil && len(s.indexes) != len(s.runs) {
 			return errors.Wrapf(ErrMalformed, "start of %d tasks with %d runs", len(s.indexes), len(s.runs))
 		}
+		if !utf8.ValidString(s.job) || !utf8.ValidString(s.spec) {
+			// The target would be told another text.
+			return errors.Wrap(ErrMalformed, "start whose job or payload is not Unicode")
+		}
 		return err
 	case 11:
 		var r RunID
--- a/internal/request/task/task.go
+++ b/internal/request/task/task.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 )
@@ -161,9 +162,10 @@
 	}, nil
 }
 
-// IsID reports whether a text may be the id of a job.
+// IsID reports whether a text may be the id of a job. One that is not Unicode could not be
+// passed on unchanged.
 func IsID(id string) bool {
-	return id != "" && len(id) <= MaxIDBytes && !strings.ContainsAny(id, "./ ")
+	return id != "" && len(id) <= MaxIDBytes && !strings.ContainsAny(id, "./ ") && utf8.ValidString(id)
 }
 
 // ID returns the name that the caller chose.
