--- a/internal/request/task/task.go
+++ b/internal/request/task/task.go
@@ -62,9 +62,21 @@
 }
 
 // WithPrerequisites returns the step with the indexes of the earlier steps that
-// must end before it starts.
+// must end before it starts, each once. So a job has no more of them than pairs of steps.
 func (s Step) WithPrerequisites(steps []int) Step {
-	s.prerequisites = append([]int(nil), steps...)
+	s.prerequisites = nil
+	var named [MaxSteps]bool
+	for _, p := range steps {
+		if p < 0 || p >= MaxSteps {
+			// NewJob refuses the step for this one.
+			s.prerequisites = []int{p}
+			return s
+		}
+		if !named[p] {
+			named[p] = true
+			s.prerequisites = append(s.prerequisites, p)
+		}
+	}
 	return s
 }
 
