Bound the fields of a head and charge them

Cause: the account counted the bytes of a head; a field of 3 bytes takes 150 when it is decoded, and their number had no bound.

Change: 128 fields at most (431), each charged with 32 bytes more.

--- a/internal/process/web/framing.go
+++ b/internal/process/web/framing.go
@@ -5,6 +5,14 @@
 	"strconv"
 )
 
+const (
+	// MaxHeadFields bounds the fields of a head. Ordinary clients send up to some 30.
+	MaxHeadFields = 128
+	// fieldBytes is the charge for a field besides its bytes: decoded, the shortest one takes
+	// 150 bytes, and the budget has a multiple of the charge.
+	fieldBytes = 32
+)
+
 // maxKeptLine bounds the part of a header line that is kept to recognize the fields
 // that give the length of a body.
 const maxKeptLine = 256
@@ -47,16 +55,22 @@
 	// have been read.
 	begun int64
 	whole int64
-	// kept counts the bytes of heads and bodies, without the lengths of chunks. headBytes
-	// are those of the present head, emptyBytes those of empty lines before it.
+	// kept counts the bytes of heads and bodies, without the lengths of chunks, and the charge
+	// for fields. headBytes are the bytes of the present head, headFields its fields, and
+	// emptyBytes the bytes of empty lines before it.
 	kept       int64
 	headBytes  int
+	headFields int
 	emptyBytes int
+	// rest is the number of bytes of the last call of read behind the last whole request.
+	rest int
 }
 
 // read advances by the next bytes of the connection.
 func (f *framing) read(p []byte) {
+	f.rest = len(p)
 	for len(p) > 0 && f.state != unframed {
+		whole := f.whole
 		switch f.state {
 		case inBody, inChunk:
 			n := min(f.length, int64(len(p)))
@@ -69,6 +83,9 @@
 		default:
 			p = f.readLine(p)
 		}
+		if f.whole > whole {
+			f.rest = len(p)
+		}
 	}
 }
 
@@ -97,6 +114,7 @@
 		f.started = true
 		f.first = true
 		f.headBytes = 0
+		f.headFields = 0
 		f.emptyBytes = 0
 		f.chunked = false
 		f.length = 0
@@ -192,6 +210,12 @@
 }
 
 func (f *framing) field(line []byte) {
+	f.headFields++
+	f.kept += fieldBytes
+	if f.headFields > MaxHeadFields {
+		f.state = unframed
+		return
+	}
 	if line[0] == ' ' || line[0] == '\t' {
 		f.state = unframed
 		return
--- a/internal/process/web/limits.go
+++ b/internal/process/web/limits.go
@@ -118,7 +118,7 @@
 // admitted bounds the bytes that were read by the limits of the server. It returns
 // what Read returns for the n bytes.
 func (c *connection) admitted(p []byte, n int, err error) (int, error) {
-	if c.framing.headBytes > c.headLimit {
+	if c.framing.headBytes > c.headLimit || c.framing.headFields > MaxHeadFields {
 		c.server.count(RefusedHead)
 		return c.fail(p, n, errLongHead)
 	}
@@ -144,13 +144,17 @@
 }
 
 // fail ends the reading of a connection. Requests that were read whole are still
-// answered.
+// answered; of a head that is too long, nothing is passed on.
 func (c *connection) fail(p []byte, n int, err error) (int, error) {
 	c.failed = err
 	if err == ErrRefused {
 		c.release()
 	}
-	if c.framing.whole > c.done {
+	if err == errLongHead {
+		// net/http has no limit of its own for fields, and would serve what is refused here.
+		n -= c.framing.rest
+	}
+	if c.framing.whole > c.done && n > 0 {
 		return n, nil
 	}
 	return c.readFailed(p)
@@ -159,7 +163,8 @@
 // readFailed is Read of a connection that has failed. An error during the call of a
 // handler would cancel its request, so what arrives until then is dropped.
 func (c *connection) readFailed(p []byte) (int, error) {
-	for c.unanswered() > 0 {
+	// The call of a handler ends before its answer is written, which a refusal must follow.
+	for c.unanswered() > 0 || c.failed == errLongHead && c.framing.whole > c.done {
 		if _, err := c.Conn.Read(p); err != nil {
 			return 0, err
 		}
