Remember cancellations, and tell them to entries that connect

Cause: a cancellation was passed on once to the entries connected then, and not if the entry had the job; nobody kept it.

--- a/internal/process/role/dispatch/agent.go
+++ b/internal/process/role/dispatch/agent.go
@@ -187,6 +187,8 @@
 			name:     o.hello.Name(),
 			zone:     o.hello.Zone(),
 			lastSeen: now,
+			// The entry may have been away when these were passed on.
+			cancels: d.cancelled.newest(now),
 		}
 		return
 	}
--- a/internal/process/role/dispatch/dispatch.go
+++ b/internal/process/role/dispatch/dispatch.go
@@ -132,7 +132,7 @@
 	lowestLoad   float64
 	loadMeasured bool
 	startup      startup
-	passedOn     passedOn
+	cancelled    cancellations
 	// evacuated is the newest known set of evacuated zones, and evacuatedZones what is told
 	// of each of them.
 	evacuated      evacuation.Set
@@ -188,7 +188,7 @@
 		estimates:      newEstimator(),
 		fairness:       newFairness(),
 		overload:       newOverload(timing),
-		passedOn:       newPassedOn(),
+		cancelled:      newCancellations(),
 		decide:         admission.Decide,
 		keep:           admission.Keep,
 		remoteFactor:   defaultRemoteFactor,
--- a/internal/process/role/dispatch/submission.go
+++ b/internal/process/role/dispatch/submission.go
@@ -83,6 +83,11 @@
 		d.answer(s.request, p.state, "answered_before", 0)
 		return
 	}
+	if d.cancelled.has(now, id) {
+		// A request that arrives once more, maybe at another entry than the one before.
+		d.answer(s.request, StateCancelled, "cancelled_before", 0)
+		return
+	}
 	work, err := task.NewJob(id, s.spec, s.steps)
 	if err != nil {
 		d.refuseInvalid(s, id, err)
