--- a/internal/process/role/executor/restart.go
+++ b/internal/process/role/executor/restart.go
@@ -26,6 +26,7 @@
 	previous := t.incarnation
 	fence, address, leaseEnd := t.fence, t.address, t.leaseEnd
 	if t.known {
+		// Earlier calls are refused from the first call with it on.
 		fence++
 		s.logFencedStarts(now, previous, next, fence)
 	}
--- a/internal/process/role/executor/unanswered.go
+++ b/internal/process/role/executor/unanswered.go
@@ -10,8 +10,8 @@
 
 // The starts without an answer that are remembered for the log.
 const (
-	// unansweredSpan is how long a start is remembered; targets were seen to carry calls out
-	// up to 12 s late.
+	// unansweredSpan is how long a start is remembered. Targets carry calls out up to 12 s
+	// late.
 	unansweredSpan = 15 * time.Second
 	// maxUnansweredStarts bounds the remembered starts.
 	maxUnansweredStarts = 64
