--- a/internal/process/web/framing.go
+++ b/internal/process/web/framing.go
@@ -8,8 +8,8 @@
 const (
 	// MaxHeadFields bounds the fields of a head. Ordinary clients send up to some 30.
 	MaxHeadFields = 128
-	// fieldBytes is the charge for a field besides its bytes: decoded, the shortest one takes
-	// 150 bytes, and the budget has a multiple of the charge.
+	// fieldBytes is the charge for a field besides its bytes: a decoded one takes far more than
+	// was read of it, and the budget has a multiple of the charge.
 	fieldBytes = 32
 )
 
