--- /dev/null
+++ b/review/_cases3/cancels.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+)
+
+// longJob is a job of one task that works for 12 s.
+func longJob() step {
+	return step{Count: 1, CPU: 1000, MemMB: 64, EstimateMs: 12_000, workMs: 12_000}
+}
+
+const longLimit = 30 * time.Second
+
+const (
+	// freezeTime is how long an entry stands still.
+	freezeTime = 4 * time.Second
+	// freezeRounds is the number of freezes, and freezeJobs that of the jobs of the entry.
+	freezeRounds = 9
+	freezeJobs   = 20
+)
+
+// waitForRun waits until a task of a job has begun.
+func (c *cluster) waitForRun(id string) error {
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if len(c.runs.of(id)) > 0 {
+			return nil
+		}
+	}
+	return fmt.Errorf("no task of job %s has begun", id)
+}
+
+// playDroppedRoute cancels a job whose queue a new configuration has removed.
+func playDroppedRoute(c *cluster, trouble bool) (string, error) {
+	id := newID()
+	go c.submit(0, id, longLimit, longJob())
+	if err := c.waitForRun(id); err != nil {
+		return "", err
+	}
+	if trouble {
+		c.configure(2, false)
+	}
+	time.Sleep(time.Second)
+	asked := time.Now()
+	deadline := asked.Add(ackTime)
+	from := deadline
+	for n := 0; time.Now().Before(deadline); n++ {
+		if c.cancel(n%numEntries, id).acknowledges() {
+			from = time.Now()
+			break
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	at := from.Add(cancelTime + stopTime)
+	time.Sleep(time.Until(at.Add(100 * time.Millisecond)))
+	if x, ok := c.runs.workedAt(id, at); ok {
+		return fmt.Sprintf("run %d of %s works %v after the cancelling was sent, and no DELETE of %v got 2xx or 410", x.number, x.task, at.Sub(asked).Round(time.Millisecond), ackTime), nil
+	}
+	return "", nil
+}
+
+// playFrozenEntry cancels jobs at another entry than the one that has them, which stands
+// still. It does so for each entry in turn.
+func playFrozenEntry(c *cluster, trouble bool) (string, error) {
+	for round := range freezeRounds {
+		broken, err := freeze(c, trouble, round%numEntries)
+		if err != nil || broken != "" {
+			return broken, err
+		}
+		c.rec.add("round %d held", round+1)
+	}
+	return "", nil
+}
+
+func freeze(c *cluster, trouble bool, n int) (string, error) {
+	var ids []string
+	for range freezeJobs {
+		id := newID()
+		ids = append(ids, id)
+		go c.submit(n, id, longLimit, longJob())
+	}
+	for _, id := range ids {
+		if err := c.waitForRun(id); err != nil {
+			return "", err
+		}
+	}
+	began := time.Now()
+	if trouble {
+		c.entries[n].signal(syscall.SIGSTOP)
+	}
+	time.Sleep(100 * time.Millisecond)
+	acknowledged := map[string]time.Time{}
+	for _, id := range ids {
+		if a := c.cancel((n+1)%numEntries, id); !a.acknowledges() {
+			return "", fmt.Errorf("the cancelling is not acknowledged: %s", a)
+		}
+		acknowledged[id] = time.Now()
+	}
+	time.Sleep(time.Until(began.Add(freezeTime)))
+	if trouble {
+		c.entries[n].signal(syscall.SIGCONT)
+	}
+	// All machines are in touch again when the next round begins.
+	time.Sleep(contact + time.Second)
+	for _, id := range ids {
+		if b := startedLate(c, id, acknowledged[id]); b != "" {
+			return b, nil
+		}
+	}
+	return "", nil
+}
+
+// playLostEntries cancels a job, after which all entries are killed and start again. A copy of
+// the request arrives some seconds later.
+func playLostEntries(c *cluster, trouble bool) (string, error) {
+	id := newID()
+	go c.submit(0, id, longLimit, longJob())
+	if err := c.waitForRun(id); err != nil {
+		return "", err
+	}
+	time.Sleep(500 * time.Millisecond)
+	if a := c.cancel(1, id); !a.acknowledges() {
+		return "", fmt.Errorf("the cancelling is not acknowledged: %s", a)
+	}
+	acknowledged := time.Now()
+	time.Sleep(500 * time.Millisecond)
+	if trouble {
+		for _, p := range c.entries {
+			p.kill()
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, p := range c.entries {
+			if err := p.start(); err != nil {
+				return "", err
+			}
+		}
+	}
+	time.Sleep(contact + time.Second)
+	go c.submit(2, id, longLimit, longJob())
+	time.Sleep(3 * time.Second)
+	return startedLate(c, id, acknowledged), nil
+}
+
+// startedLate returns what broke the rule on cancelled jobs: a start later than cancelTime
+// after the acknowledgement.
+func startedLate(c *cluster, id string, acknowledged time.Time) string {
+	if x, ok := c.runs.startedAfter(id, acknowledged.Add(cancelTime)); ok {
+		return fmt.Sprintf("run %d of %s began %v after the cancelling was acknowledged", x.number, x.task, x.began.Sub(acknowledged).Round(time.Millisecond))
+	}
+	return ""
+}
--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Builds what the scripts of the third review start beside the programs of the deploy file:
+# the driver with its clients and minions, and the project's stand-in for the store, which is
+# a part of it.
+set -e
+cd "$(dirname "$0")/.."
+go build -o target/review/cases3 ./review/_cases3
