--- a/review/_cases3/main.go
+++ b/review/_cases3/main.go
@@ -31,6 +31,7 @@
 
 var plays = map[string]play{
 	"dropped_route":    playDroppedRoute,
+	"earlier_boot":     playEarlierBoot,
 	"frozen_entry":     playFrozenEntry,
 	"killed_after_ack": playKilledAfterAck,
 	"lost_entries":     playLostEntries,
--- a/review/_cases3/minion.go
+++ b/review/_cases3/minion.go
@@ -114,20 +114,22 @@
 	zone    string
 	labels  []string
 
-	mu       sync.Mutex
-	server   *http.Server
-	stopped  chan struct{}
-	born     time.Time
-	seq      int64
-	fence    int64
-	expires  time.Duration
-	usedCPU  int64
-	usedMem  int64
-	active   map[string]*activeRun
-	last     map[string]int64
-	finished [][]any
-	lastEnd  int64
-	changed  chan struct{}
+	mu      sync.Mutex
+	server  *http.Server
+	stopped chan struct{}
+	born    time.Time
+	// clockError is by how much the time of day of the minion's machine is off.
+	clockError time.Duration
+	seq        int64
+	fence      int64
+	expires    time.Duration
+	usedCPU    int64
+	usedMem    int64
+	active     map[string]*activeRun
+	last       map[string]int64
+	finished   [][]any
+	lastEnd    int64
+	changed    chan struct{}
 }
 
 type activeRun struct {
@@ -155,6 +157,11 @@
 	return time.Since(m.born) + time.Second
 }
 
+// bornMs returns the start of the minion by its machine's time of day.
+func (m *minion) bornMs() int64 {
+	return m.born.Add(m.clockError).UnixMilli()
+}
+
 func (m *minion) start() error {
 	l, err := net.Listen("tcp", m.address)
 	if err != nil {
@@ -215,7 +222,7 @@
 		body, _ := json.Marshal(map[string]any{
 			"service": service, "addr": m.address, "zone": m.zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
 			"capacity": map[string]int{"cpu": capacityCPU, "memMb": capacityMem, "gpu": 0}, "labels": m.labels,
-			"clockMs": m.clock().Milliseconds(), "seq": m.seq, "born": m.born.UnixMilli(),
+			"clockMs": m.clock().Milliseconds(), "seq": m.seq, "born": m.bornMs(),
 		})
 		m.mu.Unlock()
 		pause := heartbeat
@@ -425,7 +432,7 @@
 		running = append(running, []any{name, a.number, "", percent, a.cpu})
 	}
 	finished := append([][]any{}, m.finished...)
-	body := map[string]any{"clockMs": m.clock().Milliseconds(), "born": m.born.UnixMilli(), "running": running, "finished": finished}
+	body := map[string]any{"clockMs": m.clock().Milliseconds(), "born": m.bornMs(), "running": running, "finished": finished}
 	m.mu.Unlock()
 	reply(w, http.StatusOK, body)
 }
