--- a/review/_cases3/acknowledged.go
+++ b/review/_cases3/acknowledged.go
@@ -19,21 +19,8 @@
 // twoSteps returns a job whose second step begins later than cancelTime, and contact, after a
 // cancelling in its first second.
 func twoSteps() []step {
-	first := step{
-		Count:      1,
-		CPU:        1000,
-		MemMB:      64,
-		EstimateMs: 5500,
-		workMs:     5500,
-	}
-	second := step{
-		Count:      1,
-		CPU:        1000,
-		MemMB:      64,
-		EstimateMs: 1000,
-		After:      []int{0},
-		workMs:     1000,
-	}
+	first, second := oneTask(5500), oneTask(1000)
+	second.After = []int{0}
 	return []step{first, second}
 }
 
@@ -69,12 +56,12 @@
 	if trouble {
 		<-second.exited
 		c.rec.add("%s was killed at the first acknowledgement", second.name)
-		time.Sleep(time.Second)
+		pause(time.Second)
 		if err := second.start(); err != nil {
 			return "", err
 		}
 	}
-	time.Sleep(6 * time.Second)
+	pause(6 * time.Second)
 	for id, at := range acknowledged {
 		if b := startedLate(c, id, at); b != "" {
 			return b, nil
@@ -111,27 +98,41 @@
 		defer func() { _ = k.Close() }()
 		channels[id] = k
 	}
-	var mu sync.Mutex
-	var wait sync.WaitGroup
-	acknowledged := map[string]time.Time{}
+	answers := make(chan deleted, len(ids))
 	for id, k := range channels {
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			_ = k.SetDeadline(time.Now().Add(2 * time.Second))
-			// A channel that breaks has no acknowledgement.
-			_, _ = fmt.Fprintf(k, "DELETE %s%s HTTP/1.1\r\nHost: %s\r\n\r\n", prefix, id, queueHost)
-			line, err := bufio.NewReader(k).ReadString('\n')
-			if err != nil || !strings.Contains(line, " 200 ") && !strings.Contains(line, " 410 ") {
-				return
-			}
-			onAck()
-			mu.Lock()
-			defer mu.Unlock()
-			acknowledged[id] = time.Now()
-			c.rec.add("client: DELETE %s to %s is answered: %s", id, c.entries[1].name, strings.TrimSpace(line))
-		}()
+		go func() { answers <- deleteOn(k, id, onAck) }()
+	}
+	acknowledged := map[string]time.Time{}
+	for range ids {
+		if d := <-answers; !d.at.IsZero() {
+			acknowledged[d.id] = d.at
+			c.rec.add("client: DELETE %s to %s is answered: %s", d.id, c.entries[1].name, d.line)
+		}
 	}
-	wait.Wait()
 	return acknowledged, nil
 }
+
+// deleted is the answer to the DELETE of a job, with the time zero if there is none that
+// acknowledges it.
+type deleted struct {
+	id   string
+	line string
+	at   time.Time
+}
+
+func deleteOn(k net.Conn, id string, onAck func()) deleted {
+	d := deleted{
+		id: id,
+	}
+	_ = k.SetDeadline(time.Now().Add(2 * time.Second))
+	// A channel that breaks has no acknowledgement.
+	_, _ = fmt.Fprintf(k, "DELETE %s%s HTTP/1.1\r\nHost: %s\r\n\r\n", prefix, id, queueHost)
+	line, err := bufio.NewReader(k).ReadString('\n')
+	if err != nil || !strings.Contains(line, " 200 ") && !strings.Contains(line, " 410 ") {
+		return d
+	}
+	onAck()
+	d.at = time.Now()
+	d.line = strings.TrimSpace(line)
+	return d
+}
--- a/review/_cases3/cancels.go
+++ b/review/_cases3/cancels.go
@@ -5,16 +5,21 @@
 	"time"
 )
 
-// longJob is a job of one task that works for 12 s.
+const (
+	// longWorkMs is the work of the one task of a long job, and longLimit how long its client
+	// waits.
+	longWorkMs = 12_000
+	longLimit  = 30 * time.Second
+)
+
+// longJob returns the step of a job that outlasts the bounds of a cancelling.
 func longJob() step {
-	return step{Count: 1, CPU: 1000, MemMB: 64, EstimateMs: 12_000, workMs: 12_000}
+	return oneTask(longWorkMs)
 }
 
-const longLimit = 30 * time.Second
-
 // waitForRun waits until a task of a job has begun.
 func (c *cluster) waitForRun(id string) error {
-	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); pause(5 * time.Millisecond) {
 		if len(c.runs.of(id)) > 0 {
 			return nil
 		}
@@ -32,7 +37,7 @@
 	if trouble {
 		c.configure(2, false)
 	}
-	time.Sleep(time.Second)
+	pause(time.Second)
 	asked := time.Now()
 	deadline := asked.Add(ackTime)
 	from := deadline
@@ -41,10 +46,10 @@
 			from = time.Now()
 			break
 		}
-		time.Sleep(500 * time.Millisecond)
+		pause(500 * time.Millisecond)
 	}
 	at := from.Add(cancelTime + stopTime)
-	time.Sleep(time.Until(at.Add(100 * time.Millisecond)))
+	pause(time.Until(at.Add(100 * time.Millisecond)))
 	if x, ok := c.runs.workedAt(id, at); ok {
 		return fmt.Sprintf("run %d of %s works %v after the cancelling was sent, and no DELETE of %v got 2xx or 410", x.number, x.task, at.Sub(asked).Round(time.Millisecond), ackTime), nil
 	}
@@ -59,26 +64,26 @@
 	if err := c.waitForRun(id); err != nil {
 		return "", err
 	}
-	time.Sleep(500 * time.Millisecond)
+	pause(500 * time.Millisecond)
 	if a := c.cancel(1, id); !a.acknowledges() {
 		return "", fmt.Errorf("the cancelling is not acknowledged: %s", a)
 	}
 	acknowledged := time.Now()
-	time.Sleep(500 * time.Millisecond)
+	pause(500 * time.Millisecond)
 	if trouble {
 		for _, p := range c.entries {
 			p.kill()
 		}
-		time.Sleep(500 * time.Millisecond)
+		pause(500 * time.Millisecond)
 		for _, p := range c.entries {
 			if err := p.start(); err != nil {
 				return "", err
 			}
 		}
 	}
-	time.Sleep(contact + time.Second)
+	pause(contact + time.Second)
 	go c.submit(2, id, longLimit, longJob())
-	time.Sleep(3 * time.Second)
+	pause(3 * time.Second)
 	return startedLate(c, id, acknowledged), nil
 }
 
--- a/review/_cases3/client.go
+++ b/review/_cases3/client.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// taskCPU is what each task needs, in thousandths of a core.
+const taskCPU = 1000
+
 // step is a step of a job. The payload tells the minions how long its tasks work.
 type step struct {
 	Count        int    `json:"count"`
@@ -38,6 +41,23 @@
 	return fmt.Sprintf("%d %s", a.status, strings.TrimSpace(a.body))
 }
 
+func failed(err error) answer {
+	return answer{
+		err: err,
+	}
+}
+
+// oneTask returns a step of one task that works for a time.
+func oneTask(workMs int) step {
+	return step{
+		Count:      1,
+		CPU:        taskCPU,
+		MemMB:      64,
+		EstimateMs: workMs,
+		workMs:     workMs,
+	}
+}
+
 // newID returns an id of 16 hexadecimal digits.
 func newID() string {
 	return fmt.Sprintf("%016x", rand.Uint64())
@@ -49,17 +69,19 @@
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.fronts[entry]+prefix+id, bytes.NewReader(body))
 	if err != nil {
-		return answer{err: err}
+		return failed(err)
 	}
 	r.Host = queueHost
 	if body != nil {
 		r.Header.Set("Content-Type", "application/json")
 	}
 	r.Header.Set("X-Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
-	t := &http.Transport{DisableKeepAlives: true}
+	t := &http.Transport{
+		DisableKeepAlives: true,
+	}
 	w, err := t.RoundTrip(r)
 	if err != nil {
-		return answer{err: err}
+		return failed(err)
 	}
 	defer func() { _ = w.Body.Close() }()
 	b, err := io.ReadAll(w.Body)
@@ -78,7 +100,7 @@
 	}
 	body, err := json.Marshal(map[string]any{"spec": strings.Join(work, "/"), "bestEffort": true, "steps": steps})
 	if err != nil {
-		return answer{err: err}
+		return failed(err)
 	}
 	c.rec.add("client: POST %s to %s, waits up to %v", id, c.entries[entry].name, limit)
 	a := c.call(entry, http.MethodPost, id, limit, body)
--- a/review/_cases3/cluster.go
+++ b/review/_cases3/cluster.go
@@ -200,16 +200,16 @@
 	end := time.Now().Add(startLimit)
 	for n := range c.fronts {
 		for {
-			a := c.submit(n, newID(), 5*time.Second, step{Count: 1, CPU: 1000, MemMB: 64, EstimateMs: 50, workMs: 50})
+			a := c.submit(n, newID(), 5*time.Second, oneTask(50))
 			if a.status == http.StatusOK {
 				break
 			}
 			if time.Now().After(end) {
 				return fmt.Errorf("%s completes no job: %s", c.entries[n].name, a)
 			}
-			time.Sleep(200 * time.Millisecond)
+			pause(200 * time.Millisecond)
 		}
 	}
-	time.Sleep(settleTime)
+	pause(settleTime)
 	return nil
 }
--- a/review/_cases3/kind.go
+++ b/review/_cases3/kind.go
@@ -23,13 +23,13 @@
 	rack := m.labels[1]
 	m.crash()
 	c.rec.add("%s crashes", m)
-	time.Sleep(clockStep + contact)
+	pause(clockStep + contact)
 	m.labels = []string{"b", rack}
 	if err := m.start(); err != nil {
 		return "", err
 	}
 	c.rec.add("%s starts, of kind b, born %d", m, m.born.UnixMilli())
-	time.Sleep(youngTime)
+	pause(youngTime)
 	m.crash()
 	if trouble {
 		m.clockError = -clockStep
@@ -41,7 +41,7 @@
 	}
 	c.rec.add("%s crashes and starts, of kind a, born %d", m, m.bornMs())
 	for range kindJobs {
-		time.Sleep(kindPause)
+		pause(kindPause)
 		id := newID()
 		s := longJob()
 		s.workMs = 100
--- a/review/_cases3/late.go
+++ b/review/_cases3/late.go
@@ -46,7 +46,7 @@
 			return "", err
 		}
 	}
-	time.Sleep(lateWorkMs*time.Millisecond + time.Second)
+	pause(lateWorkMs*time.Millisecond + time.Second)
 	return c.runs.overlap(id), nil
 }
 
@@ -60,7 +60,7 @@
 	for _, m := range c.minions {
 		m.withhold("", nil)
 	}
-	after := func(d time.Duration) { time.Sleep(time.Until(l.at.Add(d))) }
+	after := func(d time.Duration) { pause(time.Until(l.at.Add(d))) }
 	side := c.sideOf(l.minion)
 	after(freezeAt)
 	side.signal(syscall.SIGSTOP)
@@ -91,20 +91,24 @@
 
 // withhold makes the minion leave the first start of a job unanswered; an empty job ends that.
 func (m *minion) withhold(job string, withheld chan lateStart) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.lateJob = job
-	m.withheld = withheld
+	m.owner.call(func() {
+		m.lateJob = job
+		m.withheld = withheld
+	})
 }
 
 // leaveUnanswered reports whether a start is the one to be left unanswered, and does not
-// answer it then. The caller does not hold the mutex.
+// answer it then.
 func (m *minion) leaveUnanswered(r *http.Request, o order) bool {
-	m.mu.Lock()
-	first := m.lateJob != "" && jobOf(o.Task) == m.lateJob
-	withheld := m.withheld
-	m.lateJob = ""
-	m.mu.Unlock()
+	first := false
+	var withheld chan lateStart
+	m.owner.call(func() {
+		first = m.lateJob != "" && jobOf(o.Task) == m.lateJob
+		withheld = m.withheld
+		if first {
+			m.lateJob = ""
+		}
+	})
 	if !first {
 		return false
 	}
@@ -120,14 +124,12 @@
 
 // carryOut carries a start out that came long before, as any other start.
 func (m *minion) carryOut(o order) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if o.Fence < m.fence {
-		m.rec.add("minion %s: the late start of run %d of %s is refused: fence", m.id, o.RunID, o.Task)
-		return
-	}
-	m.grant(o)
-	reason := m.startRun(o)
+	reason := ""
+	m.owner.call(func() {
+		if reason = m.grant(o); reason == "" {
+			reason = m.startRun(o)
+		}
+	})
 	m.rec.add("minion %s: the late start of run %d of %s is carried out; refused: %q", m.id, o.RunID, o.Task, reason)
 }
 
--- a/review/_cases3/main.go
+++ b/review/_cases3/main.go
@@ -11,8 +11,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sort"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -54,6 +56,16 @@
 	os.Exit(run(plays[os.Args[1]], os.Args[2], os.Getenv("TROUBLE") != "0"))
 }
 
+// closeAtSignal ends all processes of a case that is told to end.
+func closeAtSignal(c *cluster) {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, os.Interrupt, syscall.SIGTERM)
+	<-told
+	c.rec.add("result: could not run: told to end")
+	c.close()
+	os.Exit(codeFailed)
+}
+
 func run(p play, path string, trouble bool) int {
 	rec, err := newRecord(path)
 	if err != nil {
@@ -67,9 +79,10 @@
 		rec.add("result: could not run: %v", err)
 		return codeFailed
 	}
+	go closeAtSignal(c)
 	broken, err := p(c, trouble)
 	c.close()
-	time.Sleep(endTime)
+	pause(endTime)
 	switch {
 	case err != nil:
 		rec.add("result: could not run: %v", err)
--- a/review/_cases3/minion.go
+++ b/review/_cases3/minion.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -22,6 +21,12 @@
 	stopDelay = 20 * time.Millisecond
 	// maxWait bounds the wait of a hold.
 	maxWait = 2 * time.Second
+	// readTime bounds the time in which the head of a call arrives.
+	readTime = 5 * time.Second
+	// leaseTick is how often a minion looks whether its lease has expired.
+	leaseTick = 5 * time.Millisecond
+	// reportAgain is when a report without an answer is sent again.
+	reportAgain = 100 * time.Millisecond
 	// capacityCPU and capacityMem are the capacity of a minion.
 	capacityCPU = 16_000
 	capacityMem = 32_768
@@ -29,8 +34,8 @@
 
 // runs records the runs of all minions.
 type runs struct {
-	rec *record
-	mu  sync.Mutex
+	rec   *record
+	owner owner
 	// list has the runs in the order of their starts.
 	list []*taskRun
 }
@@ -47,41 +52,42 @@
 }
 
 func newRuns(rec *record) *runs {
-	return &runs{rec: rec}
+	return &runs{
+		rec:   rec,
+		owner: newOwner(),
+	}
 }
 
 func (r *runs) began(task string, number int64, minion string) *taskRun {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	x := &taskRun{
 		task:   task,
 		number: number,
 		minion: minion,
 		began:  time.Now(),
 	}
-	r.list = append(r.list, x)
+	r.owner.call(func() { r.list = append(r.list, x) })
 	r.rec.add("minion %s: run %d of %s begins", minion, number, task)
 	return x
 }
 
 func (r *runs) end(x *taskRun, how string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	x.ended = time.Now()
-	x.how = how
+	r.owner.call(func() {
+		x.ended = time.Now()
+		x.how = how
+	})
 	r.rec.add("minion %s: run %d of %s ends: %s", x.minion, x.number, x.task, how)
 }
 
 // of returns copies of the runs of a job.
 func (r *runs) of(job string) []taskRun {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	var list []taskRun
-	for _, x := range r.list {
-		if strings.HasPrefix(x.task, job+".") {
-			list = append(list, *x)
+	r.owner.call(func() {
+		for _, x := range r.list {
+			if jobOf(x.task) == job {
+				list = append(list, *x)
+			}
 		}
-	}
+	})
 	return list
 }
 
@@ -105,6 +111,12 @@
 	return taskRun{}, false
 }
 
+// jobOf returns the id of a task's job.
+func jobOf(task string) string {
+	job, _, _ := strings.Cut(task, ".")
+	return job
+}
+
 // minion is a stand-in for a minion, by the platform's protocol.
 type minion struct {
 	rec     *record
@@ -114,8 +126,8 @@
 	control string
 	zone    string
 	labels  []string
-
-	mu      sync.Mutex
+	// owner alone uses what follows.
+	owner   owner
 	server  *http.Server
 	stopped chan struct{}
 	born    time.Time
@@ -124,8 +136,7 @@
 	seq        int64
 	fence      int64
 	expires    time.Duration
-	usedCPU    int64
-	usedMem    int64
+	used       int64
 	active     map[string]*activeRun
 	last       map[string]int64
 	finished   [][]any
@@ -141,7 +152,6 @@
 	record *taskRun
 	number int64
 	length time.Duration
-	cpu    int64
 	timer  *time.Timer
 }
 
@@ -154,6 +164,7 @@
 		control: control,
 		zone:    zone,
 		labels:  labels,
+		owner:   newOwner(),
 	}
 }
 
@@ -172,27 +183,29 @@
 	if err != nil {
 		return err
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.born = time.Now()
-	m.seq = 0
-	m.fence = 0
-	m.expires = 0
-	m.active = map[string]*activeRun{}
-	m.last = map[string]int64{}
-	m.finished = nil
-	m.lastEnd = 0
-	m.changed = make(chan struct{})
-	m.stopped = make(chan struct{})
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /run-start", m.handleStart)
-	mux.HandleFunc("POST /run-stop", m.handleStop)
+	mux.HandleFunc("POST /run-start", m.handleOrder(m.startRun))
+	mux.HandleFunc("POST /run-stop", m.handleOrder(m.stopRun))
 	mux.HandleFunc("POST /hold", m.handleHold)
-	m.server = &http.Server{
+	server := &http.Server{
 		Handler:           mux,
-		ReadHeaderTimeout: 5 * time.Second,
-	}
-	server, stopped := m.server, m.stopped
+		ReadHeaderTimeout: readTime,
+	}
+	stopped := make(chan struct{})
+	m.owner.call(func() {
+		m.server = server
+		m.stopped = stopped
+		m.born = time.Now()
+		m.seq = 0
+		m.fence = 0
+		m.expires = 0
+		m.used = 0
+		m.active = map[string]*activeRun{}
+		m.last = map[string]int64{}
+		m.finished = nil
+		m.lastEnd = 0
+		m.changed = make(chan struct{})
+	})
 	go func() { _ = server.Serve(l) }()
 	go m.report(stopped)
 	go m.watchLease(stopped)
@@ -201,18 +214,20 @@
 
 // crash ends the minion and all that runs on it.
 func (m *minion) crash() {
-	m.mu.Lock()
-	server := m.server
-	m.server = nil
-	if server != nil {
+	var server *http.Server
+	m.owner.call(func() {
+		server = m.server
+		m.server = nil
+		if server == nil {
+			return
+		}
 		close(m.stopped)
-	}
-	for name, a := range m.active {
-		a.timer.Stop()
-		delete(m.active, name)
-		m.runs.end(a.record, "crashed")
-	}
-	m.mu.Unlock()
+		for name, a := range m.active {
+			a.timer.Stop()
+			delete(m.active, name)
+			m.runs.end(a.record, "crashed")
+		}
+	})
 	if server != nil {
 		_ = server.Close()
 	}
@@ -220,41 +235,47 @@
 
 // report sends the liveness reports.
 func (m *minion) report(stopped chan struct{}) {
-	client := &http.Client{Timeout: time.Second}
+	client := &http.Client{
+		Timeout: time.Second,
+	}
 	for {
-		m.mu.Lock()
-		m.seq++
-		body, _ := json.Marshal(map[string]any{
-			"service": service, "addr": m.address, "zone": m.zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
-			"capacity": map[string]int{"cpu": capacityCPU, "memMb": capacityMem, "gpu": 0}, "labels": m.labels,
-			"clockMs": m.clock().Milliseconds(), "seq": m.seq, "born": m.bornMs(),
-		})
-		m.mu.Unlock()
-		pause := heartbeat
-		w, err := client.Post("http://"+m.control+"/instances/"+m.id+"/heartbeat", "application/json", bytes.NewReader(body))
+		interval := heartbeat
+		w, err := client.Post("http://"+m.control+"/instances/"+m.id+"/heartbeat", "application/json", bytes.NewReader(m.nextReport()))
 		if err != nil {
-			pause = 100 * time.Millisecond
+			interval = reportAgain
 		} else {
 			_ = w.Body.Close()
 		}
 		select {
-		case <-time.After(pause):
+		case <-time.After(interval):
 		case <-stopped:
 			return
 		}
 	}
 }
 
+func (m *minion) nextReport() []byte {
+	var body []byte
+	m.owner.call(func() {
+		m.seq++
+		// A map of these types always encodes.
+		body, _ = json.Marshal(map[string]any{
+			"service": service, "addr": m.address, "zone": m.zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
+			"capacity": map[string]int{"cpu": capacityCPU, "memMb": capacityMem, "gpu": 0}, "labels": m.labels,
+			"clockMs": m.clock().Milliseconds(), "seq": m.seq, "born": m.bornMs(),
+		})
+	})
+	return body
+}
+
 // watchLease ends all runs when the lease has expired.
 func (m *minion) watchLease(stopped chan struct{}) {
-	ticker := time.NewTicker(5 * time.Millisecond)
+	ticker := time.NewTicker(leaseTick)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			m.mu.Lock()
-			m.lapse()
-			m.mu.Unlock()
+			m.owner.call(m.lapse)
 		case <-stopped:
 			return
 		}
@@ -276,7 +297,7 @@
 	}
 	a.timer.Stop()
 	delete(m.active, name)
-	m.usedCPU -= a.cpu
+	m.used -= taskCPU
 	m.last[name] = max(m.last[name], a.number)
 	m.lastEnd++
 	m.finished = append(m.finished, []any{m.lastEnd, name, a.number, how, ""})
@@ -299,12 +320,13 @@
 func reply(w http.ResponseWriter, status int, body map[string]any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
+	// The agent may have given the call up.
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-// admit decodes a call and checks whom it is meant for and its fence. It answers a call that
-// is not carried out. The caller holds the mutex.
-func (m *minion) admit(w http.ResponseWriter, r *http.Request) (order, bool) {
+// decode decodes a call. It answers one that is not meant for this minion, and leaves the one
+// unanswered that is to be carried out late.
+func (m *minion) decode(w http.ResponseWriter, r *http.Request) (order, bool) {
 	var o order
 	// The end of the body is read, so that the end of the call is noticed.
 	body, err := io.ReadAll(r.Body)
@@ -312,51 +334,46 @@
 		reply(w, http.StatusBadRequest, map[string]any{})
 		return o, false
 	}
-	if o.Spec != "" && m.leaveUnanswered(r, o) {
-		return o, false
-	}
-	m.mu.Lock()
 	if r.Header.Get("X-Expected-Instance") != m.id {
-		m.mu.Unlock()
 		reply(w, http.StatusMisdirectedRequest, map[string]any{})
 		return o, false
 	}
-	if o.Fence < m.fence {
-		clock := m.clock().Milliseconds()
-		m.mu.Unlock()
-		reply(w, http.StatusConflict, map[string]any{"clockMs": clock, "reason": "fence"})
-		return o, false
-	}
-	m.grant(o)
-	return o, true
+	return o, o.Spec == "" || !m.leaveUnanswered(r, o)
 }
 
-// grant takes the fence and the lease of a call. The caller holds the mutex.
-func (m *minion) grant(o order) {
+// grant takes the fence and the lease of a call. It returns the reason for which the call is
+// not carried out.
+func (m *minion) grant(o order) string {
+	if o.Fence < m.fence {
+		return "fence"
+	}
 	m.fence = o.Fence
 	m.lapse()
 	m.expires = max(m.expires, min(time.Duration(o.ExpiresAtMs)*time.Millisecond, m.clock()+maxHold))
+	return ""
 }
 
-// jobOf returns the id of a task's job.
-func jobOf(task string) string {
-	job, _, _ := strings.Cut(task, ".")
-	return job
-}
-
-func (m *minion) handleStart(w http.ResponseWriter, r *http.Request) {
-	o, ok := m.admit(w, r)
-	if !ok {
-		return
-	}
-	reason := m.startRun(o)
-	clock := m.clock().Milliseconds()
-	m.mu.Unlock()
-	if reason != "" {
-		reply(w, http.StatusConflict, map[string]any{"clockMs": clock, "reason": reason})
-		return
+// handleOrder returns the handler of a call that is answered at once.
+func (m *minion) handleOrder(do func(order) string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		o, ok := m.decode(w, r)
+		if !ok {
+			return
+		}
+		reason := ""
+		clock := int64(0)
+		m.owner.call(func() {
+			if reason = m.grant(o); reason == "" {
+				reason = do(o)
+			}
+			clock = m.clock().Milliseconds()
+		})
+		if reason != "" {
+			reply(w, http.StatusConflict, map[string]any{"clockMs": clock, "reason": reason})
+			return
+		}
+		reply(w, http.StatusOK, map[string]any{"clockMs": clock})
 	}
-	reply(w, http.StatusOK, map[string]any{"clockMs": clock})
 }
 
 // startRun begins a run. It returns the reason for which it does not.
@@ -369,22 +386,19 @@
 		return "old"
 	case time.Duration(o.ExpiresAtMs)*time.Millisecond <= m.clock():
 		return "late"
-	case m.usedCPU+1000 > capacityCPU:
+	case m.used+taskCPU > capacityCPU:
 		return "room"
 	}
 	a := &activeRun{
 		number: o.RunID,
 		length: workOf(o),
-		cpu:    1000,
 		record: m.runs.began(o.Task, o.RunID, m.id),
 	}
 	a.timer = time.AfterFunc(a.length, func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.end(o.Task, a, "done")
+		m.owner.call(func() { m.end(o.Task, a, "done") })
 	})
 	m.active[o.Task] = a
-	m.usedCPU += a.cpu
+	m.used += taskCPU
 	return ""
 }
 
@@ -403,41 +417,43 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-func (m *minion) handleStop(w http.ResponseWriter, r *http.Request) {
-	o, ok := m.admit(w, r)
-	if !ok {
-		return
-	}
+// stopRun ends a run a little later, and refuses it from now on.
+func (m *minion) stopRun(o order) string {
 	m.last[o.Task] = max(m.last[o.Task], o.RunID)
 	if a, ok := m.active[o.Task]; ok && a.number == o.RunID {
 		time.AfterFunc(stopDelay, func() {
-			m.mu.Lock()
-			defer m.mu.Unlock()
-			m.end(o.Task, a, "stopped")
+			m.owner.call(func() { m.end(o.Task, a, "stopped") })
 		})
 	}
-	clock := m.clock().Milliseconds()
-	m.mu.Unlock()
-	reply(w, http.StatusOK, map[string]any{"clockMs": clock})
+	return ""
 }
 
+// handleHold answers with the lists of runs, when one has ended or the wait is over.
 func (m *minion) handleHold(w http.ResponseWriter, r *http.Request) {
-	o, ok := m.admit(w, r)
+	o, ok := m.decode(w, r)
 	if !ok {
 		return
 	}
-	kept := m.finished[:0:0]
-	for _, e := range m.finished {
-		if n, ok := e[0].(int64); ok && n > o.LastSeen {
-			kept = append(kept, e)
+	reason := ""
+	clock := int64(0)
+	m.owner.call(func() {
+		if reason = m.grant(o); reason == "" {
+			m.forgetEnds(o.LastSeen)
 		}
+		clock = m.clock().Milliseconds()
+	})
+	if reason != "" {
+		reply(w, http.StatusConflict, map[string]any{"clockMs": clock, "reason": reason})
+		return
 	}
-	m.finished = kept
 	wait := time.NewTimer(min(time.Duration(o.WaitMs)*time.Millisecond, maxWait))
 	defer wait.Stop()
-	for waiting := o.WaitMs > 0; waiting && len(m.finished) == 0; {
-		changed := m.changed
-		m.mu.Unlock()
+	for waiting := o.WaitMs > 0; ; {
+		body, changed, ended := m.lists()
+		if ended || !waiting {
+			reply(w, http.StatusOK, body)
+			return
+		}
 		select {
 		case <-changed:
 		case <-wait.C:
@@ -445,17 +461,34 @@
 		case <-r.Context().Done():
 			return
 		}
-		m.mu.Lock()
 	}
-	running := [][]any{}
-	for name, a := range m.active {
-		percent := min(99, int(100*time.Since(a.record.began)/max(a.length, 1)))
-		running = append(running, []any{name, a.number, "", percent, a.cpu})
+}
+
+func (m *minion) forgetEnds(lastSeen int64) {
+	var kept [][]any
+	for _, e := range m.finished {
+		if n, ok := e[0].(int64); ok && n > lastSeen {
+			kept = append(kept, e)
+		}
 	}
-	finished := append([][]any{}, m.finished...)
-	body := map[string]any{"clockMs": m.clock().Milliseconds(), "born": m.bornMs(), "running": running, "finished": finished}
-	m.mu.Unlock()
-	reply(w, http.StatusOK, body)
+	m.finished = kept
+}
+
+// lists returns the lists of runs, what is closed at the next end, and whether one has ended.
+func (m *minion) lists() (body map[string]any, changed chan struct{}, ended bool) {
+	m.owner.call(func() {
+		running := [][]any{}
+		for name, a := range m.active {
+			percent := min(99, int(100*time.Since(a.record.began)/max(a.length, 1)))
+			running = append(running, []any{name, a.number, "", percent, taskCPU})
+		}
+		body = map[string]any{
+			"clockMs": m.clock().Milliseconds(), "born": m.bornMs(), "running": running, "finished": append([][]any{}, m.finished...),
+		}
+		changed = m.changed
+		ended = len(m.finished) > 0
+	})
+	return body, changed, ended
 }
 
 func (m *minion) String() string {
--- a/review/_cases3/record.go
+++ b/review/_cases3/record.go
@@ -3,13 +3,12 @@
 import (
 	"fmt"
 	"os"
-	"sync"
 	"time"
 )
 
 // record is the list of what was sent, answered and run, with the seconds since its start.
 type record struct {
-	mu    sync.Mutex
+	owner owner
 	file  *os.File
 	began time.Time
 }
@@ -20,18 +19,19 @@
 		return nil, err
 	}
 	return &record{
+		owner: newOwner(),
 		file:  f,
 		began: time.Now(),
 	}, nil
 }
 
 func (r *record) add(format string, args ...any) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	line := fmt.Sprintf("%8.3f  ", time.Since(r.began).Seconds()) + fmt.Sprintf(format, args...) + "\n"
-	// A record that can't be written shows no result.
-	_, _ = r.file.WriteString(line)
-	fmt.Print(line)
+	r.owner.call(func() {
+		// A record that can't be written shows no result.
+		_, _ = r.file.WriteString(line)
+		fmt.Print(line)
+	})
 }
 
 func (r *record) close() {
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 # a part of it.
 set -e
 cd "$(dirname "$0")/.."
-go build -o target/review/cases3 ./review/_cases3
+go build -o target/cases3 ./review/_cases3
