--- a/review/_cases3/late.go
+++ b/review/_cases3/late.go
@@ -17,6 +17,8 @@
 	// crashAt is when the minion crashes, and rebootAt when it starts again.
 	crashAt  = 1200 * time.Millisecond
 	rebootAt = 1500 * time.Millisecond
+	// lateRounds is how often a start stays unanswered, until the rule is broken.
+	lateRounds = 3
 	// lateWorkMs is how long the task works.
 	lateWorkMs = 7000
 )
@@ -31,6 +33,17 @@
 // playLateStart leaves the first start of a job unanswered. Its minion crashes and starts again
 // under its id while the side machine stands still, and carries the start out then.
 func playLateStart(c *cluster, trouble bool) (string, error) {
+	for round := range lateRounds {
+		broken, err := c.startLate(trouble)
+		if err != nil || broken != "" {
+			return broken, err
+		}
+		c.rec.add("round %d held", round+1)
+	}
+	return "", nil
+}
+
+func (c *cluster) startLate(trouble bool) (string, error) {
 	id := newID()
 	withheld := make(chan lateStart, 1)
 	if trouble {
